--- /dev/null
+++ b/crates/coordination/src/config/files.rs
@@ -0,0 +1,179 @@
+//! Object files in TOML: `[kind.name]` tables, spread over any number of files.
+
+use std::collections::HashMap;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use toml::de::{DeTable, DeValue};
+
+use super::check::{Position, Problem, check};
+use super::objects::{Backend, Budget, Key, Limit, Model, ObjectSet, Route, Service, Team};
+
+/// Parses one object of a kind and returns its canonical value.
+type ParseObject = fn(toml::Value) -> Result<Value, String>;
+
+const KINDS: &[(&str, ParseObject)] = &[
+    ("team", parse_object::<Team>),
+    ("key", parse_object::<Key>),
+    ("model", parse_object::<Model>),
+    ("service", parse_object::<Service>),
+    ("backend", parse_object::<Backend>),
+    ("route", parse_object::<Route>),
+    ("budget", parse_object::<Budget>),
+    ("limit", parse_object::<Limit>),
+];
+
+/// Object files as read by the operator's tool.
+///
+/// ```
+/// use dandelionfront_coordination::config::ObjectFiles;
+///
+/// let mut files = ObjectFiles::default();
+/// files.add("teams.toml", "[limit.small]\nrate_per_s = 5.0\nburst = 10\n");
+/// assert_eq!(files.finish().unwrap().limit.len(), 1);
+/// ```
+#[derive(Debug, Default)]
+pub struct ObjectFiles {
+    values: HashMap<String, serde_json::Map<String, Value>>,
+    positions: HashMap<String, Position>,
+    problems: Vec<Problem>,
+}
+
+impl ObjectFiles {
+    /// Adds the text of one file.
+    pub fn add(&mut self, file: &str, text: &str) {
+        let table = match DeTable::parse(text) {
+            Ok(table) => table,
+            Err(error) => {
+                let offset = error.span().map_or(0, |span| span.start);
+                let position = position(file, text, offset);
+                return self.report(Some(position), file, error.message());
+            }
+        };
+        let values: toml::Table = toml::from_str(text).unwrap_or_default();
+        for (kind, names) in table.get_ref() {
+            let line = position(file, text, kind.span().start);
+            let kind = kind.get_ref().as_ref();
+            let parse = KINDS
+                .iter()
+                .find(|(known, _)| *known == kind)
+                .map(|(_, parse)| *parse);
+            let (Some(parse), DeValue::Table(names)) = (parse, names.get_ref()) else {
+                let known: Vec<&str> = KINDS.iter().map(|(known, _)| *known).collect();
+                let message = format!("write [KIND.NAME] with KIND one of {}", known.join(", "));
+                self.report(Some(line), kind, &message);
+                continue;
+            };
+            for (name, fields) in names {
+                let position = position(file, text, name.span().start);
+                let name = name.get_ref().as_ref();
+                let object = format!("{kind}.{name}");
+                self.note_fields(&object, fields.get_ref(), file, text);
+                let value = values.get(kind).and_then(|names| names.get(name)).cloned();
+                self.add_object(kind, name, value, parse, position);
+            }
+        }
+    }
+
+    /// Returns the complete set, or every fault found.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults of syntax, references, cycles and ranges with file and line.
+    pub fn finish(mut self) -> Result<ObjectSet, Vec<Problem>> {
+        let values = serde_json::to_value(&self.values).unwrap_or_default();
+        match serde_json::from_value::<ObjectSet>(values) {
+            Ok(set) => {
+                for mut problem in check(&set) {
+                    problem.position = self.position_of(&problem.object);
+                    self.problems.push(problem);
+                }
+                if self.problems.is_empty() {
+                    return Ok(set);
+                }
+            }
+            Err(error) => self.report(None, "files", &error.to_string()),
+        }
+        Err(self.problems)
+    }
+
+    fn add_object(
+        &mut self,
+        kind: &str,
+        name: &str,
+        value: Option<toml::Value>,
+        parse: ParseObject,
+        position: Position,
+    ) {
+        let object = format!("{kind}.{name}");
+        if let Some(earlier) = self.positions.get(&object).cloned() {
+            let message = format!(
+                "is defined in {}:{} as well; keep one of them",
+                earlier.file, earlier.line
+            );
+            return self.report(Some(position), &object, &message);
+        }
+        self.positions.insert(object.clone(), position.clone());
+        match value
+            .ok_or_else(|| "write a table".to_owned())
+            .and_then(parse)
+        {
+            Ok(value) => {
+                self.values
+                    .entry(kind.to_owned())
+                    .or_default()
+                    .insert(name.to_owned(), value);
+            }
+            Err(message) => self.report(Some(position), &object, &message),
+        }
+    }
+
+    fn note_fields(&mut self, object: &str, fields: &DeValue<'_>, file: &str, text: &str) {
+        let DeValue::Table(fields) = fields else {
+            return;
+        };
+        for field in fields.keys() {
+            let path = format!("{object}.{}", field.get_ref());
+            self.positions
+                .entry(path)
+                .or_insert_with(|| position(file, text, field.span().start));
+        }
+    }
+
+    /// Returns the position of a field, or of its object when the field is not written.
+    fn position_of(&self, path: &str) -> Option<Position> {
+        let object = || path.rsplit_once('.').map(|(object, _)| object);
+        self.positions
+            .get(path)
+            .or_else(|| self.positions.get(object()?))
+            .cloned()
+    }
+
+    fn report(&mut self, position: Option<Position>, object: &str, message: &str) {
+        let object = object.to_owned();
+        self.problems.push(Problem {
+            position,
+            object,
+            message: message.trim().to_owned(),
+        });
+    }
+}
+
+fn parse_object<T: DeserializeOwned + Serialize>(value: toml::Value) -> Result<Value, String> {
+    let object = T::deserialize(value).map_err(|error| error.message().to_owned())?;
+    serde_json::to_value(object).map_err(|error| error.to_string())
+}
+
+fn position(file: &str, text: &str, offset: usize) -> Position {
+    let line = text
+        .bytes()
+        .take(offset)
+        .filter(|byte| *byte == b'\n')
+        .count()
+        + 1;
+    Position {
+        file: file.to_owned(),
+        line,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/config/mod.rs
@@ -0,0 +1,13 @@
+//! Operators' objects: files, checks, versions and their publication.
+
+pub mod check;
+pub mod files;
+pub mod objects;
+pub mod publish;
+pub mod snapshot;
+
+pub use check::Problem;
+pub use files::ObjectFiles;
+pub use objects::ObjectSet;
+pub use publish::{ConfigStore, PublishError, Published};
+pub use snapshot::ConfigSnapshot;
--- /dev/null
+++ b/crates/coordination/src/journal.rs
@@ -0,0 +1,431 @@
+//! Group-committed journal: one row per commit, one commit in flight per node.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, warn};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock::{Clock, millis};
+use crate::ids::IncarnationId;
+use crate::incarnation::Incarnation;
+use crate::members::{Member, MemberState};
+use crate::payload::{Body, Payload};
+use crate::platform::{
+    ObjectStore, PlatformError, PlatformResult, Row, Table, TableService, Transaction,
+    TransactionOutcome, scan_all,
+};
+use crate::record::{Entry, Record};
+
+/// Number of a commit within its incarnation, from 1.
+pub type CommitNumber = u64;
+
+/// One journal row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Commit {
+    /// Records in order.
+    pub entries: Vec<Entry>,
+}
+
+/// Bounds of the journal.
+#[derive(Debug, Clone)]
+pub struct JournalSettings {
+    /// Shortest time between the starts of two commits.
+    pub commit_interval: Duration,
+    /// Pause after a failed commit.
+    pub retry_pause: Duration,
+    /// Bodies above this size go to the object store.
+    pub inline_max_bytes: usize,
+    /// Most records in one commit.
+    pub entries_max: usize,
+}
+
+impl Default for JournalSettings {
+    fn default() -> Self {
+        Self {
+            commit_interval: Duration::from_millis(5),
+            retry_pause: Duration::from_millis(100),
+            inline_max_bytes: 16 * 1024,
+            entries_max: 256,
+        }
+    }
+}
+
+/// Why records were not committed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum JournalError {
+    /// Another node has taken over; nothing more can be committed.
+    #[snafu(display("the node was fenced; repeat the request at another node"))]
+    Fenced,
+}
+
+/// Counters of the journal.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct JournalStats {
+    /// Commits that took effect.
+    pub commits: u64,
+    /// Records in those commits.
+    pub records: u64,
+    /// Commits tried again because the platform failed or its answer was lost.
+    pub retries: u64,
+    /// Time spent in commits that took effect.
+    pub commit_time: Duration,
+}
+
+struct Pending {
+    entries: Vec<Entry>,
+    done: oneshot::Sender<Result<(), JournalError>>,
+}
+
+/// Completes when the appended records are committed, or never can be.
+pub type CommitTicket = oneshot::Receiver<Result<(), JournalError>>;
+
+/// The node's journal.
+pub struct Journal {
+    table: Rc<dyn TableService>,
+    objects: Rc<dyn ObjectStore>,
+    clock: Rc<dyn Clock>,
+    incarnation: Rc<Incarnation>,
+    settings: JournalSettings,
+    pending: RefCell<Vec<Pending>>,
+    arrived: Notify,
+    drained: Notify,
+    in_flight: Cell<bool>,
+    next_number: Cell<CommitNumber>,
+    stats: Cell<JournalStats>,
+    applier: RefCell<Option<Rc<dyn CommitApplier>>>,
+}
+
+/// Receives committed records, in order and exactly once, before anyone learns of the commit.
+pub trait CommitApplier {
+    /// Applies the records of one commit.
+    fn apply_commit(&self, commit: &Commit, elapsed: Duration);
+}
+
+impl Journal {
+    /// Creates a journal for `incarnation`; nothing is written before [`Journal::run`].
+    #[must_use]
+    pub fn new(
+        table: Rc<dyn TableService>,
+        objects: Rc<dyn ObjectStore>,
+        clock: Rc<dyn Clock>,
+        incarnation: Rc<Incarnation>,
+        settings: JournalSettings,
+    ) -> Self {
+        Self {
+            table,
+            objects,
+            clock,
+            incarnation,
+            settings,
+            pending: RefCell::default(),
+            arrived: Notify::new(),
+            drained: Notify::new(),
+            in_flight: Cell::new(false),
+            next_number: Cell::new(1),
+            stats: Cell::default(),
+            applier: RefCell::new(None),
+        }
+    }
+
+    /// Sets the receiver of committed records.
+    pub fn set_applier(&self, applier: Rc<dyn CommitApplier>) {
+        *self.applier.borrow_mut() = Some(applier);
+    }
+
+    /// Returns the incarnation that writes this journal.
+    #[must_use]
+    pub fn incarnation(&self) -> &str {
+        self.incarnation.id()
+    }
+
+    /// Returns the number of the next commit.
+    #[must_use]
+    pub fn next_number(&self) -> CommitNumber {
+        self.next_number.get()
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn stats(&self) -> JournalStats {
+        self.stats.get()
+    }
+
+    /// Queues records for the next commit; they stay together and in order.
+    pub fn append(&self, entries: Vec<Entry>) -> CommitTicket {
+        let (done, ticket) = oneshot::channel();
+        if self.incarnation.is_fenced() {
+            let _ = done.send(Err(JournalError::Fenced));
+            return ticket;
+        }
+        self.pending.borrow_mut().push(Pending { entries, done });
+        self.arrived.notify_one();
+        ticket
+    }
+
+    /// Waits until everything appended so far is committed or the node is fenced.
+    pub async fn flush(&self) {
+        loop {
+            let drained = self.drained.notified();
+            let idle = self.pending.borrow().is_empty() && !self.in_flight.get();
+            if idle || self.incarnation.is_fenced() {
+                return;
+            }
+            drained.await;
+        }
+    }
+
+    /// Commits queued records until the node is fenced.
+    pub async fn run(&self) {
+        while !self.incarnation.is_fenced() {
+            let batch = self.take_batch();
+            if batch.is_empty() {
+                self.drained.notify_waiters();
+                self.arrived.notified().await;
+                continue;
+            }
+            self.in_flight.set(true);
+            let started = self.clock.monotonic();
+            let result = self.commit(&batch).await;
+            self.in_flight.set(false);
+            let elapsed = self.clock.monotonic().saturating_sub(started);
+            self.settle(batch, &result, elapsed);
+            if let Some(pause) = self.settings.commit_interval.checked_sub(elapsed) {
+                self.clock.sleep(pause).await;
+            }
+        }
+        self.fail_pending();
+    }
+
+    fn take_batch(&self) -> Vec<Pending> {
+        let mut pending = self.pending.borrow_mut();
+        let mut entries = 0;
+        let fitting = pending
+            .iter()
+            .take_while(|item| {
+                let first = entries == 0;
+                entries += item.entries.len();
+                first || entries <= self.settings.entries_max
+            })
+            .count();
+        pending.drain(..fitting).collect()
+    }
+
+    fn settle(
+        &self,
+        batch: Vec<Pending>,
+        result: &Result<Commit, JournalError>,
+        elapsed: Duration,
+    ) {
+        if let Ok(commit) = result {
+            let mut stats = self.stats.get();
+            stats.commits += 1;
+            stats.records += batch
+                .iter()
+                .map(|item| item.entries.len() as u64)
+                .sum::<u64>();
+            stats.commit_time += elapsed;
+            self.stats.set(stats);
+            let applier = self.applier.borrow().clone();
+            if let Some(applier) = applier {
+                applier.apply_commit(commit, elapsed);
+            }
+        }
+        let result = result.as_ref().map(|_| ()).map_err(Clone::clone);
+        for item in batch {
+            let _ = item.done.send(result.clone());
+        }
+    }
+
+    fn fail_pending(&self) {
+        for item in self.pending.borrow_mut().drain(..) {
+            let _ = item.done.send(Err(JournalError::Fenced));
+        }
+        self.drained.notify_waiters();
+    }
+
+    async fn commit(&self, batch: &[Pending]) -> Result<Commit, JournalError> {
+        let number = self.next_number.get();
+        let mut entries: Vec<Entry> = batch
+            .iter()
+            .flat_map(|item| item.entries.iter().cloned())
+            .collect();
+        self.spill(number, &mut entries).await?;
+        let commit = Commit { entries };
+        let value = serde_json::to_value(&commit).unwrap_or_default();
+        let key = commit_key(self.incarnation.id(), number);
+        loop {
+            let transaction = Transaction::default()
+                .require(
+                    Table::Nodes,
+                    self.incarnation.id(),
+                    self.incarnation.row_version(),
+                )
+                .require(Table::Journal, &key, 0)
+                .put(Table::Journal, &key, value.clone());
+            match self.table.transact(&transaction).await {
+                Ok(TransactionOutcome::Committed(_)) => break,
+                Ok(TransactionOutcome::Conflict) => {
+                    if self.is_committed(&key, &value).await? {
+                        break;
+                    }
+                }
+                Err(error) => self.pause_after(&error).await?,
+            }
+        }
+        self.next_number.set(number + 1);
+        Ok(commit)
+    }
+
+    /// Resolves a conflict: an earlier try took effect, the own row moved, or the node is fenced.
+    async fn is_committed(
+        &self,
+        key: &str,
+        value: &serde_json::Value,
+    ) -> Result<bool, JournalError> {
+        loop {
+            match self.read_back(key).await {
+                Ok((Some(row), _)) if row.value == *value => return Ok(true),
+                Ok((None, Some(own))) if !is_fenced_row(&own) => {
+                    self.incarnation.set_row_version(own.version);
+                    return Ok(false);
+                }
+                Ok(_) => {
+                    warn!("event=fenced incarnation={}", self.incarnation.id());
+                    self.incarnation.mark_fenced();
+                    return Err(JournalError::Fenced);
+                }
+                Err(error) => self.pause_after(&error).await?,
+            }
+        }
+    }
+
+    async fn read_back(&self, key: &str) -> PlatformResult<(Option<Row>, Option<Row>)> {
+        let row = self.table.get(Table::Journal, key).await?;
+        let own = self.table.get(Table::Nodes, self.incarnation.id()).await?;
+        Ok((row, own))
+    }
+
+    async fn pause_after(&self, error: &PlatformError) -> Result<(), JournalError> {
+        debug!("event=commit_retry cause={error:?}");
+        let mut stats = self.stats.get();
+        stats.retries += 1;
+        self.stats.set(stats);
+        if self.incarnation.is_fenced() {
+            return Err(JournalError::Fenced);
+        }
+        self.clock.sleep(self.settings.retry_pause).await;
+        Ok(())
+    }
+
+    /// Moves large bodies of one commit into one object.
+    async fn spill(&self, number: CommitNumber, entries: &mut [Entry]) -> Result<(), JournalError> {
+        let key = format!("bodies/{}/{number:012}", self.incarnation.id());
+        let mut bytes = Vec::new();
+        for entry in entries {
+            if let Record::Finished {
+                request, answer, ..
+            } = &mut entry.record
+            {
+                for body in [request, &mut answer.body] {
+                    spill_body(body, &key, self.settings.inline_max_bytes, &mut bytes);
+                }
+            }
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        while let Err(error) = self.objects.put(&key, bytes.clone()).await {
+            self.pause_after(&error).await?;
+        }
+        Ok(())
+    }
+}
+
+fn is_fenced_row(row: &Row) -> bool {
+    serde_json::from_value::<Member>(row.value.clone())
+        .is_ok_and(|member| member.state == MemberState::Fenced)
+}
+
+fn spill_body(body: &mut Body, key: &str, inline_max_bytes: usize, bytes: &mut Vec<u8>) {
+    let Body::Inline(payload) = body else { return };
+    if payload.0.len() <= inline_max_bytes {
+        return;
+    }
+    let offset_bytes = bytes.len() as u64;
+    let len_bytes = payload.0.len() as u64;
+    bytes.append(&mut payload.0);
+    *body = Body::Object {
+        key: key.to_owned(),
+        offset_bytes,
+        len_bytes,
+    };
+}
+
+/// Returns the key of a journal row.
+#[must_use]
+pub fn commit_key(incarnation: &str, number: CommitNumber) -> String {
+    format!("{incarnation}/{number:012}")
+}
+
+/// Reads the commits of `incarnation` from `first` on, in order.
+///
+/// # Errors
+///
+/// Fails when the platform cannot be read or a row is malformed.
+pub async fn read_commits(
+    table: &dyn TableService,
+    incarnation: &IncarnationId,
+    first: CommitNumber,
+) -> PlatformResult<Vec<(CommitNumber, Commit)>> {
+    let after = commit_key(incarnation, first.saturating_sub(1));
+    let rows = scan_all(table, Table::Journal, &format!("{incarnation}/"), &after).await?;
+    rows.into_iter().map(parse_commit).collect()
+}
+
+fn parse_commit(row: Row) -> PlatformResult<(CommitNumber, Commit)> {
+    let malformed = |detail: String| PlatformError::Malformed { detail };
+    let number = row
+        .key
+        .rsplit('/')
+        .next()
+        .and_then(|number| number.parse().ok())
+        .ok_or_else(|| malformed(format!("journal key {}", row.key)))?;
+    let commit = serde_json::from_value(row.value)
+        .map_err(|error| malformed(format!("journal row {}: {error}", row.key)))?;
+    Ok((number, commit))
+}
+
+/// Reads a body from wherever it is kept.
+///
+/// # Errors
+///
+/// Fails when the object store cannot be read or no longer holds the body.
+pub async fn load_body(objects: &dyn ObjectStore, body: &Body) -> PlatformResult<Payload> {
+    let (key, offset_bytes, len_bytes) = match body {
+        Body::Inline(payload) => return Ok(payload.clone()),
+        Body::Object {
+            key,
+            offset_bytes,
+            len_bytes,
+        } => (key, *offset_bytes, *len_bytes),
+    };
+    let bytes = objects.get(key).await?.unwrap_or_default();
+    let start = usize::try_from(offset_bytes).unwrap_or(usize::MAX);
+    let end = start.saturating_add(usize::try_from(len_bytes).unwrap_or(usize::MAX));
+    bytes
+        .get(start..end)
+        .map(|slice| Payload(slice.to_vec()))
+        .ok_or_else(|| PlatformError::Malformed {
+            detail: format!("object {key} lacks bytes {start}..{end}"),
+        })
+}
+
+/// Returns the Unix time in milliseconds as `clock` reports it.
+#[must_use]
+pub fn unix_ms(clock: &dyn Clock) -> u64 {
+    millis(clock.unix())
+}
--- /dev/null
+++ b/crates/coordination/src/owner.rs
@@ -0,0 +1,704 @@
+//! Owner side of programs: admits calls in order, records them, and settles their outcomes.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::call::{Answer, CallFeed, CallRequest, Usage};
+use crate::clock::Clock;
+use crate::ids::{IncarnationId, ProgramId, ShardId, shard_of_program};
+use crate::journal::{Commit, CommitApplier, CommitTicket, Journal, JournalError, unix_ms};
+use crate::payload::Body;
+use crate::program::{CallPhase, Decision, Program, program_closed};
+use crate::record::{CallKey, CloseReason, Entry, Record, StoredAnswer};
+use crate::refusal::{Refusal, RefusalKind};
+
+/// Time bounds of the owner.
+#[derive(Debug, Clone)]
+pub struct OwnerSettings {
+    /// Longest wait of a call for its predecessor.
+    pub order_wait: Duration,
+    /// Longest wait for a commit that must precede the dispatch.
+    pub start_commit_wait: Duration,
+    /// Longest time from the start of that commit to the first byte sent to a backend server.
+    pub dispatch_window: Duration,
+}
+
+impl Default for OwnerSettings {
+    fn default() -> Self {
+        Self {
+            order_wait: Duration::from_secs(10),
+            start_commit_wait: Duration::from_secs(2),
+            dispatch_window: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Permission to execute one attempt of a call.
+#[derive(Debug, Clone)]
+pub struct CallTicket {
+    /// Program of the call.
+    pub program: ProgramId,
+    /// Call and attempt.
+    pub key: CallKey,
+    /// Feed to fill while the call runs.
+    pub feed: Arc<CallFeed>,
+    /// Monotonic time after which nothing may be sent to a backend server any more.
+    pub dispatch_before: Option<Duration>,
+    /// Tokens reserved for the attempt.
+    pub reserved_tokens: u64,
+    /// Incarnation that admitted the call; no other may record its end.
+    pub incarnation: IncarnationId,
+    /// Number of the shard's claim, sent to backend servers that check it.
+    pub fencing_number: u64,
+}
+
+/// Result of admitting a call.
+#[derive(Debug)]
+pub enum Admission {
+    /// The call finished earlier; the recorded answer is repeated.
+    Recorded(StoredAnswer),
+    /// The call is running; its feed can be followed.
+    Join(Arc<CallFeed>),
+    /// The caller of [`Owner::admit`] executes the call and reports its end.
+    Run(CallTicket),
+}
+
+/// End of an attempt.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The backend server gave a complete answer.
+    Answered(Answer, Usage),
+    /// Nothing was sent to a backend server.
+    NotSent(Refusal),
+    /// Something was sent, and no complete answer came back.
+    Lost(Refusal),
+}
+
+#[derive(Debug)]
+struct Live {
+    key: CallKey,
+    feed: Arc<CallFeed>,
+    unrecorded_tokens: u64,
+}
+
+#[derive(Debug)]
+struct Slot {
+    program: Program,
+    live: Option<Live>,
+    changed: Rc<Notify>,
+    hold_until: Option<Duration>,
+}
+
+impl Slot {
+    fn new(program: Program) -> Self {
+        Self {
+            program,
+            live: None,
+            changed: Rc::new(Notify::new()),
+            hold_until: None,
+        }
+    }
+
+    fn spent_tokens(&self) -> u64 {
+        let unrecorded = self.live.as_ref().map_or(0, |live| live.unrecorded_tokens);
+        self.program.spent_tokens.saturating_add(unrecorded)
+    }
+
+    /// Adjusts the running call to a record that was just committed.
+    fn settle_live(&mut self, record: &Record) {
+        match record {
+            Record::Started { .. } => {
+                if let Some(live) = &mut self.live {
+                    live.unrecorded_tokens = 0;
+                }
+            }
+            Record::Cancelled { call } => {
+                self.live.take_if(|live| live.key == *call);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl CommitApplier for Owner {
+    fn apply_commit(&self, commit: &Commit, _elapsed: Duration) {
+        for entry in &commit.entries {
+            self.apply(&entry.program, &entry.record);
+        }
+    }
+}
+
+enum Step {
+    Run { attempt: u32 },
+    Recorded(StoredAnswer),
+    Join(Arc<CallFeed>),
+    Wait(Rc<Notify>, Option<Duration>),
+}
+
+/// Parameters of a new program.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ProgramSpec {
+    /// Team that owns the program.
+    pub team: String,
+    /// Parent of a sub-agent.
+    pub parent: Option<ProgramId>,
+    /// Most tokens to spend.
+    pub budget_tokens: Option<u64>,
+}
+
+/// Programs whose shards this node owns.
+pub struct Owner {
+    journal: Rc<Journal>,
+    clock: Rc<dyn Clock>,
+    settings: OwnerSettings,
+    slots: RefCell<HashMap<ProgramId, Slot>>,
+    children: RefCell<HashMap<ProgramId, Vec<ProgramId>>>,
+}
+
+impl Owner {
+    /// Creates an owner of no programs.
+    #[must_use]
+    pub fn new(journal: Rc<Journal>, clock: Rc<dyn Clock>, settings: OwnerSettings) -> Self {
+        Self {
+            journal,
+            clock,
+            settings,
+            slots: RefCell::default(),
+            children: RefCell::default(),
+        }
+    }
+
+    /// Returns the number of programs held.
+    #[must_use]
+    pub fn program_count(&self) -> usize {
+        self.slots.borrow().len()
+    }
+
+    /// Returns the recorded state of a program of `team`.
+    #[must_use]
+    pub fn program(&self, id: &str, team: Option<&str>) -> Option<Program> {
+        let slots = self.slots.borrow();
+        let program = &slots.get(id)?.program;
+        team.is_none_or(|team| team == program.team)
+            .then(|| program.clone())
+    }
+
+    /// Opens a program and waits until it is recorded.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the parent is not an open program of the team or the node was fenced.
+    pub async fn open(&self, id: ProgramId, spec: ProgramSpec) -> Result<(), Refusal> {
+        if let Some(parent) = &spec.parent {
+            let parent = self
+                .program(parent, Some(&spec.team))
+                .ok_or_else(Refusal::program_unknown)?;
+            if parent.closed.is_some() {
+                return Err(program_closed());
+            }
+        }
+        let record = self.opened_record(&spec, false);
+        self.commit(self.append(&id, vec![record])).await
+    }
+
+    /// Ends a program and its sub-agents and waits until that is recorded.
+    ///
+    /// Returns the ids of all programs that ended.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the program is not one of the team's or the node was fenced.
+    pub async fn close(
+        &self,
+        id: &str,
+        team: Option<&str>,
+        reason: CloseReason,
+    ) -> Result<Vec<ProgramId>, Refusal> {
+        self.program(id, team)
+            .ok_or_else(Refusal::program_unknown)?;
+        let family = self.family(id);
+        let closed_unix_ms = unix_ms(&*self.clock);
+        let mut entries = Vec::new();
+        for member in &family {
+            let reason = if member == id {
+                reason
+            } else {
+                CloseReason::ParentEnded
+            };
+            entries.extend(entry(
+                member,
+                Record::Closed {
+                    reason,
+                    closed_unix_ms,
+                },
+            ));
+        }
+        self.commit(self.journal.append(entries)).await?;
+        Ok(family)
+    }
+
+    /// Admits a call: waits for its turn, reserves budget, and records its start where needed.
+    ///
+    /// # Errors
+    ///
+    /// Refuses calls out of order, over budget, in doubt, or of unknown programs.
+    pub async fn admit(&self, request: &CallRequest) -> Result<Admission, Refusal> {
+        let digest = request.digest();
+        let deadline = self.clock.monotonic() + self.settings.order_wait;
+        loop {
+            match self.next_step(request, &digest)? {
+                Step::Recorded(answer) => return Ok(Admission::Recorded(answer)),
+                Step::Join(feed) => return Ok(Admission::Join(feed)),
+                Step::Run { attempt } => return self.start(request, digest, attempt).await,
+                Step::Wait(changed, until) => self.wait_turn(&changed, until, deadline).await?,
+            }
+        }
+    }
+
+    /// Records the end of an attempt and closes its feed.
+    pub async fn finish(&self, ticket: &CallTicket, request: &CallRequest, end: AttemptEnd) {
+        let (record, outcome) = Self::end_records(ticket, request, end);
+        let committed = match record {
+            Some(record) => {
+                let mut records = vec![record];
+                records.extend(self.single_call_closing(request, &outcome));
+                self.commit(self.append(&ticket.program, records)).await
+            }
+            None => Ok(()),
+        };
+        self.clear_live(&ticket.program);
+        ticket.feed.close(committed.and(outcome));
+    }
+
+    /// Returns the programs of `shards`, for a checkpoint or a release.
+    #[must_use]
+    pub fn programs_of(&self, shard: ShardId) -> Vec<Program> {
+        let slots = self.slots.borrow();
+        let of_shard = |slot: &&Slot| shard_of_program(&slot.program.id) == Some(shard);
+        slots
+            .values()
+            .filter(of_shard)
+            .map(|slot| slot.program.clone())
+            .collect()
+    }
+
+    /// Returns whether any call of `shard` is running.
+    #[must_use]
+    pub fn is_busy(&self, shard: ShardId) -> bool {
+        self.slots
+            .borrow()
+            .values()
+            .any(|slot| slot.live.is_some() && shard_of_program(&slot.program.id) == Some(shard))
+    }
+
+    /// Takes over recovered programs; attempts without a recorded end become in doubt or failed.
+    pub fn adopt(&self, programs: Vec<Program>) {
+        let hold_until = self.clock.monotonic() + self.settings.dispatch_window;
+        let mut entries = Vec::new();
+        for program in programs {
+            let id = program.id.clone();
+            let unsettled = unsettled_record(&program);
+            self.index_child(&program);
+            let mut slot = Slot::new(program);
+            if let Some(record) = unsettled {
+                slot.hold_until = Some(hold_until);
+                entries.extend(entry(&id, record));
+            }
+            self.slots.borrow_mut().insert(id, slot);
+        }
+        if !entries.is_empty() {
+            drop(self.journal.append(entries));
+        }
+    }
+
+    /// Forgets the programs of a shard that this node no longer owns.
+    pub fn forget(&self, shard: ShardId) {
+        let mut slots = self.slots.borrow_mut();
+        slots.retain(|id, _| shard_of_program(id) != Some(shard));
+        self.children
+            .borrow_mut()
+            .retain(|id, _| shard_of_program(id) != Some(shard));
+    }
+
+    /// Drops programs that ended before `closed_before_unix_ms`.
+    pub fn expire(&self, closed_before_unix_ms: u64) {
+        self.slots.borrow_mut().retain(|_, slot| {
+            slot.live.is_some()
+                || slot
+                    .program
+                    .closed
+                    .is_none_or(|(_, closed)| closed >= closed_before_unix_ms)
+        });
+    }
+
+    fn next_step(&self, request: &CallRequest, digest: &str) -> Result<Step, Refusal> {
+        self.ensure_single(request);
+        let slots = self.slots.borrow();
+        let slot = slots
+            .get(&request.program)
+            .ok_or_else(Refusal::program_unknown)?;
+        if let Some(live) = &slot.live
+            && slot.program.team == request.team
+            && live.key.sequence == request.sequence
+        {
+            return join_live(live, request, digest, &slot.changed);
+        }
+        match slot.program.decide(request, digest) {
+            Decision::Refuse(refusal) => Err(refusal),
+            Decision::Recorded(answer) => Ok(Step::Recorded(answer)),
+            Decision::Wait => Ok(Step::Wait(Rc::clone(&slot.changed), None)),
+            Decision::Run { attempt } => Ok(self.run_or_wait(slot, attempt)),
+        }
+    }
+
+    fn run_or_wait(&self, slot: &Slot, attempt: u32) -> Step {
+        let held = slot
+            .hold_until
+            .filter(|until| self.clock.monotonic() < *until);
+        if slot.live.is_some() || held.is_some() {
+            return Step::Wait(Rc::clone(&slot.changed), held);
+        }
+        Step::Run { attempt }
+    }
+
+    async fn wait_turn(
+        &self,
+        changed: &Notify,
+        until: Option<Duration>,
+        deadline: Duration,
+    ) -> Result<(), Refusal> {
+        let now = self.clock.monotonic();
+        if now >= deadline {
+            return Err(Refusal::not_run(
+                RefusalKind::SequenceAhead,
+                "the predecessor of this Program-Sequence has not finished; \
+                 send the calls in order or wait for the earlier answer",
+            ));
+        }
+        let wake = until.unwrap_or(deadline).min(deadline).saturating_sub(now);
+        let changed = std::pin::pin!(changed.notified());
+        select(changed, self.clock.sleep(wake)).await;
+        Ok(())
+    }
+
+    async fn start(
+        &self,
+        request: &CallRequest,
+        digest: String,
+        attempt: u32,
+    ) -> Result<Admission, Refusal> {
+        let key = CallKey {
+            sequence: request.sequence,
+            attempt,
+            idempotency_key: request.idempotency_key.clone(),
+            digest,
+            repeatable: request.repeatable,
+            route: request.route.clone(),
+        };
+        let reserved_tokens = request.tokens_max();
+        let budgeted = self.check_budget(&request.program, reserved_tokens)?;
+        let feed = CallFeed::new();
+        self.set_live(
+            &request.program,
+            &key,
+            &feed,
+            if budgeted { reserved_tokens } else { 0 },
+        );
+        let mut ticket = CallTicket {
+            program: request.program.clone(),
+            key,
+            feed,
+            dispatch_before: None,
+            reserved_tokens,
+            incarnation: self.journal.incarnation().to_owned(),
+            fencing_number: 0,
+        };
+        if budgeted || !request.repeatable {
+            let begun = self.clock.monotonic();
+            self.record_start(&ticket).await?;
+            ticket.dispatch_before = Some(begun + self.settings.dispatch_window);
+        }
+        Ok(Admission::Run(ticket))
+    }
+
+    async fn record_start(&self, ticket: &CallTicket) -> Result<(), Refusal> {
+        let record = Record::Started {
+            call: ticket.key.clone(),
+            reserved_tokens: ticket.reserved_tokens,
+        };
+        let commit = self.append(&ticket.program, vec![record]);
+        let timeout = self.clock.sleep(self.settings.start_commit_wait);
+        let refusal = match select(commit, timeout).await {
+            Either::Left((Ok(Ok(())), _)) => return Ok(()),
+            Either::Left(_) => Refusal::not_owner(),
+            Either::Right(_) => platform_unavailable(),
+        };
+        // The call stays live, so that a repeat cannot run before the cancellation is committed.
+        let cancelled = Record::Cancelled {
+            call: ticket.key.clone(),
+        };
+        drop(self.append(&ticket.program, vec![cancelled]));
+        ticket.feed.close(Err(refusal.clone()));
+        Err(refusal)
+    }
+
+    fn end_records(
+        ticket: &CallTicket,
+        request: &CallRequest,
+        end: AttemptEnd,
+    ) -> (Option<Record>, Result<Answer, Refusal>) {
+        let call = ticket.key.clone();
+        let recorded = ticket.dispatch_before.is_some();
+        match end {
+            AttemptEnd::Answered(answer, usage) => {
+                let stored = StoredAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type.clone(),
+                    body: Body::Inline(answer.body.clone()),
+                };
+                let request = Body::Inline(request.body.clone());
+                (
+                    Some(Record::Finished {
+                        call,
+                        request,
+                        answer: stored,
+                        usage,
+                    }),
+                    Ok(answer),
+                )
+            }
+            AttemptEnd::NotSent(refusal) => {
+                (recorded.then_some(Record::Cancelled { call }), Err(refusal))
+            }
+            AttemptEnd::Lost(refusal) if call.repeatable => {
+                let charged_tokens = ticket.reserved_tokens;
+                (
+                    recorded.then_some(Record::Failed {
+                        call,
+                        charged_tokens,
+                    }),
+                    Err(refusal),
+                )
+            }
+            AttemptEnd::Lost(_) => (
+                Some(Record::InDoubt { call }),
+                Err(Refusal::outcome_unknown()),
+            ),
+        }
+    }
+
+    fn single_call_closing(
+        &self,
+        request: &CallRequest,
+        outcome: &Result<Answer, Refusal>,
+    ) -> Option<Record> {
+        (request.single && outcome.is_ok()).then(|| Record::Closed {
+            reason: CloseReason::Ended,
+            closed_unix_ms: unix_ms(&*self.clock),
+        })
+    }
+
+    /// Creates the implicit program of a single call; it is recorded with the call's first record.
+    fn ensure_single(&self, request: &CallRequest) {
+        if !request.single || self.slots.borrow().contains_key(&request.program) {
+            return;
+        }
+        let spec = ProgramSpec {
+            team: request.team.clone(),
+            parent: None,
+            budget_tokens: None,
+        };
+        let record = self.opened_record(&spec, true);
+        self.insert(&request.program, &record);
+        drop(self.append(&request.program, vec![record]));
+    }
+
+    fn opened_record(&self, spec: &ProgramSpec, single: bool) -> Record {
+        Record::Opened {
+            team: spec.team.clone(),
+            parent: spec.parent.clone(),
+            budget_tokens: spec.budget_tokens,
+            single,
+            opened_unix_ms: unix_ms(&*self.clock),
+        }
+    }
+
+    fn insert(&self, id: &str, record: &Record) {
+        if let Some(program) = Program::from_opened(id, record) {
+            self.index_child(&program);
+            self.slots
+                .borrow_mut()
+                .insert(id.to_owned(), Slot::new(program));
+        }
+    }
+
+    fn index_child(&self, program: &Program) {
+        if let Some(parent) = &program.parent {
+            let mut children = self.children.borrow_mut();
+            children
+                .entry(parent.clone())
+                .or_default()
+                .push(program.id.clone());
+        }
+    }
+
+    /// Returns `id` and all programs below it.
+    fn family(&self, id: &str) -> Vec<ProgramId> {
+        let children = self.children.borrow();
+        let mut family = vec![id.to_owned()];
+        let mut position = 0;
+        while position < family.len() {
+            if let Some(below) = children.get(&family[position]) {
+                family.extend(below.iter().cloned());
+            }
+            position += 1;
+        }
+        family
+    }
+
+    /// Checks every budget from the program up to its root; returns whether there is any.
+    fn check_budget(&self, id: &str, tokens: u64) -> Result<bool, Refusal> {
+        let mut budgeted = false;
+        let mut current = Some(id.to_owned());
+        while let Some(ancestor) = current {
+            let Some(program) = self.program(&ancestor, None) else {
+                break;
+            };
+            if let Some(budget) = program.budget_tokens {
+                budgeted = true;
+                let remaining = budget.saturating_sub(self.family_spent(&ancestor));
+                if tokens > remaining {
+                    return Err(budget_exhausted(&ancestor, remaining, tokens));
+                }
+            }
+            current = program.parent;
+        }
+        Ok(budgeted)
+    }
+
+    fn family_spent(&self, id: &str) -> u64 {
+        let slots = self.slots.borrow();
+        self.family(id)
+            .iter()
+            .filter_map(|id| slots.get(id))
+            .map(Slot::spent_tokens)
+            .sum()
+    }
+
+    fn append(&self, program: &str, records: Vec<Record>) -> CommitTicket {
+        self.journal.append(
+            records
+                .into_iter()
+                .filter_map(|record| entry(program, record))
+                .collect(),
+        )
+    }
+
+    async fn commit(&self, ticket: CommitTicket) -> Result<(), Refusal> {
+        match ticket.await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(JournalError::Fenced)) | Err(_) => Err(Refusal::unknown(
+                RefusalKind::NotOwner,
+                "the program moved to another node; repeat the call with the same Idempotency-Key",
+            )),
+        }
+    }
+
+    fn apply(&self, program: &str, record: &Record) {
+        if !self.slots.borrow().contains_key(program) {
+            self.insert(program, record);
+        }
+        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
+            slot.program.apply(record);
+            slot.settle_live(record);
+            slot.changed.notify_waiters();
+        }
+    }
+
+    fn set_live(&self, program: &str, key: &CallKey, feed: &Arc<CallFeed>, unrecorded_tokens: u64) {
+        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
+            slot.live = Some(Live {
+                key: key.clone(),
+                feed: Arc::clone(feed),
+                unrecorded_tokens,
+            });
+        }
+    }
+
+    fn clear_live(&self, program: &str) {
+        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
+            slot.live = None;
+            slot.changed.notify_waiters();
+        }
+    }
+}
+
+fn join_live(
+    live: &Live,
+    request: &CallRequest,
+    digest: &str,
+    changed: &Rc<Notify>,
+) -> Result<Step, Refusal> {
+    if live.key.idempotency_key != request.idempotency_key {
+        return Ok(Step::Wait(Rc::clone(changed), None));
+    }
+    if live.key.digest != digest {
+        return Err(Refusal::not_run(
+            RefusalKind::IdempotencyMismatch,
+            "the Idempotency-Key was used for another request; send a fresh key",
+        ));
+    }
+    Ok(Step::Join(Arc::clone(&live.feed)))
+}
+
+fn unsettled_record(program: &Program) -> Option<Record> {
+    let call = program
+        .calls
+        .values()
+        .find(|call| matches!(call.phase, CallPhase::Started { .. }))?;
+    let CallPhase::Started { reserved_tokens } = call.phase else {
+        return None;
+    };
+    let key = call.key.clone();
+    Some(if key.repeatable {
+        Record::Failed {
+            call: key,
+            charged_tokens: reserved_tokens,
+        }
+    } else {
+        Record::InDoubt { call: key }
+    })
+}
+
+fn entry(program: &str, record: Record) -> Option<Entry> {
+    let shard = shard_of_program(program)?;
+    Some(Entry {
+        shard,
+        program: program.to_owned(),
+        record,
+    })
+}
+
+fn budget_exhausted(program: &str, remaining: u64, needed: u64) -> Refusal {
+    Refusal::not_run(
+        RefusalKind::BudgetExhausted,
+        format!(
+            "the call may need {needed} tokens and the budget of {program} has {remaining} left; \
+             lower max_tokens, shorten the prompt, or open a program with a larger budget"
+        ),
+    )
+}
+
+fn platform_unavailable() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::PlatformUnavailable,
+        "the call cannot be recorded now and was not started; repeat it after the pause",
+    )
+}
--- /dev/null
+++ b/crates/coordination/src/refusal.rs
@@ -0,0 +1,208 @@
+//! Refusals: why a request got no answer, whether it ran, and what to do about it.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Whether a refused request took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// The request was never handed to a backend server.
+    NotRun,
+    /// The request may have been executed.
+    Unknown,
+    /// The request was executed.
+    Ran,
+}
+
+/// Reason of a refusal; also the label of its counter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalKind {
+    /// The request is malformed.
+    InvalidRequest,
+    /// The body is over the limit.
+    BodyTooLarge,
+    /// No key was sent, or the key is unknown.
+    KeyUnknown,
+    /// The key was withdrawn.
+    KeyWithdrawn,
+    /// The route does not exist or is not open to the team.
+    RouteUnknown,
+    /// The program does not exist for this team.
+    ProgramUnknown,
+    /// The program has ended.
+    ProgramClosed,
+    /// Another call already holds the sequence.
+    SequenceTaken,
+    /// The predecessor did not arrive in time.
+    SequenceAhead,
+    /// The idempotency key was used for another request.
+    IdempotencyMismatch,
+    /// The program's token budget does not cover the call.
+    BudgetExhausted,
+    /// The team is over its rate and burst.
+    RateLimited,
+    /// No backend server can take the call.
+    NoBackend,
+    /// The backend server failed before an answer was complete.
+    BackendFailed,
+    /// The platform cannot record the call.
+    PlatformUnavailable,
+    /// This node does not own the program's shard.
+    NotOwner,
+    /// The program's owner cannot be reached.
+    OwnerUnreachable,
+    /// The outcome of an earlier attempt is unknown and it must not be repeated.
+    OutcomeUnknown,
+    /// A time bound passed.
+    DeadlineExceeded,
+    /// The caller or an operator cancelled the call.
+    Cancelled,
+    /// The node has no configuration yet.
+    NotReady,
+}
+
+/// Row of the refusal table: label, HTTP status and default pause before a retry.
+struct RefusalRow(RefusalKind, &'static str, u16, Option<u64>);
+
+const REFUSALS: &[RefusalRow] = &[
+    RefusalRow(RefusalKind::InvalidRequest, "invalid_request", 400, None),
+    RefusalRow(RefusalKind::BodyTooLarge, "body_too_large", 413, None),
+    RefusalRow(RefusalKind::KeyUnknown, "key_unknown", 401, None),
+    RefusalRow(RefusalKind::KeyWithdrawn, "key_withdrawn", 401, None),
+    RefusalRow(RefusalKind::RouteUnknown, "route_unknown", 404, None),
+    RefusalRow(RefusalKind::ProgramUnknown, "program_unknown", 404, None),
+    RefusalRow(RefusalKind::ProgramClosed, "program_closed", 409, None),
+    RefusalRow(RefusalKind::SequenceTaken, "sequence_taken", 409, None),
+    RefusalRow(RefusalKind::SequenceAhead, "sequence_ahead", 409, Some(500)),
+    RefusalRow(
+        RefusalKind::IdempotencyMismatch,
+        "idempotency_mismatch",
+        422,
+        None,
+    ),
+    RefusalRow(RefusalKind::BudgetExhausted, "budget_exhausted", 402, None),
+    RefusalRow(RefusalKind::RateLimited, "rate_limited", 429, Some(1_000)),
+    RefusalRow(RefusalKind::NoBackend, "no_backend", 503, Some(1_000)),
+    RefusalRow(RefusalKind::BackendFailed, "backend_failed", 502, Some(500)),
+    RefusalRow(
+        RefusalKind::PlatformUnavailable,
+        "platform_unavailable",
+        503,
+        Some(2_000),
+    ),
+    RefusalRow(RefusalKind::NotOwner, "not_owner", 503, Some(200)),
+    RefusalRow(
+        RefusalKind::OwnerUnreachable,
+        "owner_unreachable",
+        503,
+        Some(1_000),
+    ),
+    RefusalRow(RefusalKind::OutcomeUnknown, "outcome_unknown", 409, None),
+    RefusalRow(
+        RefusalKind::DeadlineExceeded,
+        "deadline_exceeded",
+        504,
+        Some(1_000),
+    ),
+    RefusalRow(RefusalKind::Cancelled, "cancelled", 409, None),
+    RefusalRow(RefusalKind::NotReady, "not_ready", 503, Some(1_000)),
+];
+
+impl RefusalKind {
+    fn row(self) -> &'static RefusalRow {
+        REFUSALS
+            .iter()
+            .find(|row| row.0 == self)
+            .unwrap_or(&REFUSALS[0])
+    }
+
+    /// Returns the label used in JSON bodies and metrics.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        self.row().1
+    }
+
+    /// Returns the HTTP status sent to callers.
+    #[must_use]
+    pub fn http_status(self) -> u16 {
+        self.row().2
+    }
+
+    /// Returns every kind, in table order.
+    pub fn all() -> impl Iterator<Item = Self> {
+        REFUSALS.iter().map(|row| row.0)
+    }
+}
+
+/// Final answer to a request that produced no result.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Snafu)]
+#[snafu(display("{message}"))]
+pub struct Refusal {
+    /// Reason.
+    pub kind: RefusalKind,
+    /// Explanation that names the remedy.
+    pub message: String,
+    /// Whether the request took effect.
+    pub run: RunState,
+    /// Pause before a retry may succeed.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// Creates a refusal of a request that never reached a backend server.
+    #[must_use]
+    pub fn not_run(kind: RefusalKind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            run: RunState::NotRun,
+            retry_after_ms: kind.row().3,
+        }
+    }
+
+    /// Creates a refusal of a request that may have been executed.
+    #[must_use]
+    pub fn unknown(kind: RefusalKind, message: impl Into<String>) -> Self {
+        Self {
+            run: RunState::Unknown,
+            ..Self::not_run(kind, message)
+        }
+    }
+
+    /// Creates the refusal of a call whose earlier attempt has an unknown outcome.
+    #[must_use]
+    pub fn outcome_unknown() -> Self {
+        Self::unknown(
+            RefusalKind::OutcomeUnknown,
+            "an earlier attempt may have run and must not be repeated; \
+             check its effect at the service, then continue with the next Program-Sequence",
+        )
+    }
+
+    /// Creates the refusal of a call for a shard that this node does not own.
+    #[must_use]
+    pub fn not_owner() -> Self {
+        Self::not_run(
+            RefusalKind::NotOwner,
+            "the program is moving between nodes; repeat the call with the same Idempotency-Key",
+        )
+    }
+
+    /// Creates the refusal for a program that does not exist or belongs to another team.
+    #[must_use]
+    pub fn program_unknown() -> Self {
+        Self::not_run(
+            RefusalKind::ProgramUnknown,
+            "no such program for this key's team; open one with POST /v1/programs",
+        )
+    }
+
+    /// Sets the pause before a retry.
+    #[must_use]
+    pub fn retry_after_ms(mut self, pause_ms: u64) -> Self {
+        self.retry_after_ms = Some(pause_ms);
+        self
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/backend/chat.rs
@@ -0,0 +1,255 @@
+//! Bodies of chat completions, as `OpenAI` clients write and read them.
+
+use dandelionfront_coordination::Usage;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use serde_json::{Map, Value, json};
+use snafu::Snafu;
+
+/// A chat completion request; fields that matter are typed, others pass through.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChatBody {
+    /// Route named by the caller, or model towards the engine.
+    pub model: String,
+    /// Messages as written by the caller.
+    pub messages: Vec<Box<RawValue>>,
+    /// Most tokens to generate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u64>,
+    /// Newer name of `max_tokens`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_completion_tokens: Option<u64>,
+    /// Whether the caller reads a stream.
+    #[serde(default)]
+    pub stream: bool,
+    /// Number of completions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub n: Option<u64>,
+    /// All other fields.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+/// Why a chat body cannot be used.
+#[derive(Debug, Snafu)]
+pub enum ChatMessageError {
+    /// The body is not a chat completion request.
+    #[snafu(display("the body is no chat completion request ({source}); see the README"))]
+    Malformed {
+        /// Where parsing failed.
+        source: serde_json::Error,
+    },
+    /// A field has a value that is not supported.
+    #[snafu(display("{field} has an unsupported value; {remedy}"))]
+    Unsupported {
+        /// Field of the body.
+        field: &'static str,
+        /// What to send instead.
+        remedy: &'static str,
+    },
+}
+
+impl ChatBody {
+    /// Parses and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is malformed or asks for something unsupported.
+    pub fn parse(bytes: &[u8]) -> Result<Self, ChatMessageError> {
+        let body: Self = serde_json::from_slice(bytes)
+            .map_err(|source| ChatMessageError::Malformed { source })?;
+        if body.messages.is_empty() {
+            let remedy = "send at least one message";
+            return Err(ChatMessageError::Unsupported {
+                field: "messages",
+                remedy,
+            });
+        }
+        if body.n.is_some_and(|completions| completions != 1) {
+            let remedy = "leave it out; one completion is generated for each call";
+            return Err(ChatMessageError::Unsupported { field: "n", remedy });
+        }
+        if body.completion_limit() == Some(0) {
+            let remedy = "ask for at least one token";
+            return Err(ChatMessageError::Unsupported {
+                field: "max_tokens",
+                remedy,
+            });
+        }
+        Ok(body)
+    }
+
+    /// Returns the completion bound that the caller asked for.
+    #[must_use]
+    pub fn completion_limit(&self) -> Option<u64> {
+        self.max_completion_tokens.or(self.max_tokens)
+    }
+
+    /// Returns an upper bound of the prompt: a token is at least one byte of text.
+    #[must_use]
+    pub fn prompt_tokens_max(&self) -> u64 {
+        self.messages
+            .iter()
+            .map(|message| message.get().len() as u64)
+            .sum()
+    }
+
+    /// Returns the body to send to an engine.
+    #[must_use]
+    pub fn for_engine(mut self, model: &str, max_tokens: u64) -> Vec<u8> {
+        model.clone_into(&mut self.model);
+        self.max_tokens = Some(max_tokens);
+        self.max_completion_tokens = None;
+        self.stream = true;
+        self.rest.insert(
+            "stream_options".to_owned(),
+            json!({ "include_usage": true }),
+        );
+        serde_json::to_vec(&self).unwrap_or_default()
+    }
+}
+
+/// Part of a streamed completion.
+#[derive(Debug, Clone, Deserialize)]
+struct Chunk {
+    id: String,
+    #[serde(default)]
+    created: u64,
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
+    #[serde(default)]
+    usage: Option<WireUsage>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct ChunkChoice {
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+    #[serde(default)]
+    tool_calls: Vec<Value>,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[expect(clippy::struct_field_names, reason = "names of the wire format")]
+struct WireUsage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    #[serde(default)]
+    total_tokens: u64,
+}
+
+/// Assembles the parts of a stream into a whole completion.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    id: String,
+    created: u64,
+    content: String,
+    tool_calls: Vec<Value>,
+    finish_reason: Option<String>,
+    usage: Option<WireUsage>,
+}
+
+impl Assembly {
+    /// Adds a part.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the part is no completion chunk.
+    pub fn add(&mut self, data: &str) -> Result<(), serde_json::Error> {
+        let chunk: Chunk = serde_json::from_str(data)?;
+        self.id = chunk.id;
+        self.created = chunk.created;
+        self.usage = chunk.usage.or(self.usage);
+        for choice in chunk.choices {
+            self.content
+                .push_str(choice.delta.content.as_deref().unwrap_or_default());
+            for call in choice.delta.tool_calls {
+                merge_tool_call(&mut self.tool_calls, call);
+            }
+            self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
+        }
+        Ok(())
+    }
+
+    /// Returns whether the engine said why it stopped.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.finish_reason.is_some()
+    }
+
+    /// Returns the tokens spent, if the engine told.
+    #[must_use]
+    pub fn usage(&self) -> Option<Usage> {
+        let WireUsage {
+            prompt_tokens,
+            completion_tokens,
+            ..
+        } = self.usage?;
+        Some(Usage {
+            prompt_tokens,
+            completion_tokens,
+        })
+    }
+
+    /// Returns the whole completion under the route's name.
+    #[must_use]
+    pub fn whole(&self, route: &str) -> Vec<u8> {
+        let mut message = json!({ "role": "assistant", "content": self.content });
+        if !self.tool_calls.is_empty() {
+            message["tool_calls"] = Value::Array(self.tool_calls.clone());
+        }
+        let whole = json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": self.created,
+            "model": route,
+            "choices": [{ "index": 0, "message": message, "finish_reason": self.finish_reason }],
+            "usage": self.usage,
+        });
+        whole.to_string().into_bytes()
+    }
+}
+
+/// Merges a partial tool call into the one with the same index.
+fn merge_tool_call(calls: &mut Vec<Value>, mut part: Value) {
+    let index = part["index"]
+        .as_u64()
+        .and_then(|index| usize::try_from(index).ok())
+        .unwrap_or(0);
+    if let Some(fields) = part.as_object_mut() {
+        fields.remove("index");
+    }
+    let Some(call) = calls.get_mut(index) else {
+        calls.push(part);
+        return;
+    };
+    if let Some(more) = part["function"]["arguments"].as_str() {
+        let known = call["function"]["arguments"].as_str().unwrap_or_default();
+        call["function"]["arguments"] = Value::String(format!("{known}{more}"));
+    }
+}
+
+/// Returns a recorded whole completion as the only part of a stream.
+#[must_use]
+pub fn single_chunk(whole: &[u8]) -> Vec<u8> {
+    let Ok(mut completion) = serde_json::from_slice::<Value>(whole) else {
+        return whole.to_vec();
+    };
+    completion["object"] = json!("chat.completion.chunk");
+    if let Some(choice) = completion["choices"]
+        .get_mut(0)
+        .and_then(Value::as_object_mut)
+        && let Some(message) = choice.remove("message")
+    {
+        choice.insert("delta".to_owned(), message);
+    }
+    completion.to_string().into_bytes()
+}
--- /dev/null
+++ b/crates/daemon/src/backend/engine.rs
@@ -0,0 +1,235 @@
+//! Adapter to model engines.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind};
+use eventsource_stream::Eventsource as _;
+use futures_util::StreamExt as _;
+use ntex::client::{Client, ClientResponse};
+use ntex::time::timeout;
+
+use super::chat::Assembly;
+use super::{BackendAnswer, BackendError};
+use crate::connection::clients::is_never_sent;
+use crate::consts::{DEADLINE_HEADER, JSON, PRIORITY_HEADER, PROGRAM_ID_HEADER, REQUEST_ID_HEADER};
+
+/// Last event of a stream.
+const DONE: &str = "[DONE]";
+/// Times that a cut or silent stream is resumed.
+const RESUMES_MAX: u32 = 3;
+
+/// A completion to generate.
+#[derive(Debug, Clone)]
+pub struct EngineCall {
+    /// Id of the request, for cancel and resume.
+    pub request_id: String,
+    /// Program that the request belongs to, for the engine's cache.
+    pub program: String,
+    /// Priority; lower goes first.
+    pub priority: u32,
+    /// Body to send.
+    pub body: Vec<u8>,
+    /// Route's name, shown in the answer.
+    pub route: String,
+}
+
+/// Receives the progress of a completion.
+pub trait GenerationSink {
+    /// Takes the next part of the stream.
+    fn part(&mut self, data: &str);
+
+    /// Learns that the stream was cut or silent and is being resumed.
+    fn resumed(&mut self);
+}
+
+/// What an engine does for a call.
+#[async_trait(?Send)]
+pub trait ModelEngine {
+    /// Generates a completion; `sink` gets each part of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine cannot be reached, refuses, or its stream cannot be completed.
+    async fn generate(
+        &self,
+        call: &EngineCall,
+        sink: &mut dyn GenerationSink,
+    ) -> Result<BackendAnswer, BackendError>;
+
+    /// Cancels a request.
+    async fn cancel(&self, request_id: &str);
+
+    /// Frees the memory held for a program; returns whether the engine confirmed.
+    async fn release(&self, program: &str) -> bool;
+}
+
+/// An engine at one address.
+#[derive(Debug, Clone)]
+pub struct HttpEngine {
+    client: Client,
+    base_url: String,
+    silence: Duration,
+}
+
+impl HttpEngine {
+    /// Creates an adapter; `silence` bounds the pause between two parts of a stream.
+    #[must_use]
+    pub fn new(client: Client, address: &str, silence: Duration) -> Self {
+        Self {
+            client,
+            base_url: format!("http://{address}"),
+            silence,
+        }
+    }
+
+    async fn start(&self, call: &EngineCall) -> Result<ClientResponse, BackendError> {
+        let deadline_ms = self.silence.as_millis().to_string();
+        let request = self
+            .client
+            .post(format!("{}/v1/chat/completions", self.base_url))
+            .content_type(JSON)
+            .header(REQUEST_ID_HEADER, call.request_id.as_str())
+            .header(PROGRAM_ID_HEADER, call.program.as_str())
+            .header(PRIORITY_HEADER, call.priority.to_string())
+            .header(DEADLINE_HEADER, deadline_ms);
+        match timeout(self.silence, request.send_body(call.body.clone())).await {
+            Ok(Ok(response)) => check_status(response).await,
+            Ok(Err(error)) if is_never_sent(&error) => Err(not_run("cannot be reached")),
+            Ok(Err(_)) => Err(lost("closed the connection")),
+            Err(()) => Err(lost("did not answer in time")),
+        }
+    }
+
+    async fn resume(&self, call: &EngineCall, offset: usize) -> Option<ClientResponse> {
+        let url = format!(
+            "{}/v1/requests/{}?offset={offset}",
+            self.base_url, call.request_id
+        );
+        let response = timeout(self.silence, self.client.get(url).send())
+            .await
+            .ok()?
+            .ok()?;
+        response.status().is_success().then_some(response)
+    }
+
+    /// Reads parts until the stream ends; returns whether it ended as announced.
+    async fn read_parts(
+        &self,
+        response: &ClientResponse,
+        state: &mut StreamState<'_>,
+    ) -> Result<bool, BackendError> {
+        let mut events = response.take_payload().eventsource();
+        loop {
+            match timeout(self.silence, events.next()).await {
+                Ok(Some(Ok(event))) if event.data == DONE => return Ok(true),
+                Ok(Some(Ok(event))) => state.take(&event.data)?,
+                Ok(Some(Err(_)) | None) | Err(()) => return Ok(false),
+            }
+        }
+    }
+}
+
+struct StreamState<'a> {
+    assembly: Assembly,
+    parts: usize,
+    sink: &'a mut dyn GenerationSink,
+}
+
+impl StreamState<'_> {
+    fn take(&mut self, data: &str) -> Result<(), BackendError> {
+        self.assembly
+            .add(data)
+            .map_err(|_| lost("sent a part that is no completion chunk"))?;
+        self.parts += 1;
+        self.sink.part(data);
+        Ok(())
+    }
+}
+
+#[async_trait(?Send)]
+impl ModelEngine for HttpEngine {
+    async fn generate(
+        &self,
+        call: &EngineCall,
+        sink: &mut dyn GenerationSink,
+    ) -> Result<BackendAnswer, BackendError> {
+        let mut response = self.start(call).await?;
+        let mut state = StreamState {
+            assembly: Assembly::default(),
+            parts: 0,
+            sink,
+        };
+        let mut resumes = 0;
+        while !self.read_parts(&response, &mut state).await? {
+            resumes += 1;
+            if resumes > RESUMES_MAX {
+                return Err(lost("cut the stream too often"));
+            }
+            state.sink.resumed();
+            response = self
+                .resume(call, state.parts)
+                .await
+                .ok_or_else(|| lost("cut the stream"))?;
+        }
+        let usage = state.assembly.usage();
+        let (true, Some(usage)) = (state.assembly.is_complete(), usage) else {
+            return Err(lost("ended the stream without a finish reason and usage"));
+        };
+        let answer = Answer {
+            status: 200,
+            content_type: JSON.to_owned(),
+            body: Payload(state.assembly.whole(&call.route)),
+        };
+        Ok(BackendAnswer { answer, usage })
+    }
+
+    async fn cancel(&self, request_id: &str) {
+        let url = format!("{}/v1/requests/{request_id}", self.base_url);
+        let _ = timeout(self.silence, self.client.delete(url).send()).await;
+    }
+
+    async fn release(&self, program: &str) -> bool {
+        let url = format!("{}/v1/cache/programs/{program}", self.base_url);
+        let sent = timeout(self.silence, self.client.delete(url).send()).await;
+        matches!(sent, Ok(Ok(response)) if response.status().is_success())
+    }
+}
+
+async fn check_status(response: ClientResponse) -> Result<ClientResponse, BackendError> {
+    const DETAIL_BYTES: usize = 4096;
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    if status.as_u16() == 503 || status.as_u16() == 429 {
+        return Err(not_run("is overloaded"));
+    }
+    let body = response
+        .body()
+        .limit(DETAIL_BYTES)
+        .await
+        .unwrap_or_default();
+    if status.is_client_error() {
+        let detail = String::from_utf8_lossy(&body);
+        return Err(BackendError::NotRun(Refusal::not_run(
+            RefusalKind::InvalidRequest,
+            format!("the engine rejected the request with status {status}: {detail}"),
+        )));
+    }
+    Err(lost("failed"))
+}
+
+fn not_run(detail: &str) -> BackendError {
+    BackendError::NotRun(Refusal::not_run(
+        RefusalKind::NoBackend,
+        format!("the engine {detail}; repeat the call after the pause"),
+    ))
+}
+
+fn lost(detail: &str) -> BackendError {
+    BackendError::Lost(Refusal::unknown(
+        RefusalKind::BackendFailed,
+        format!("the engine {detail}; repeat the call with the same Idempotency-Key"),
+    ))
+}
--- /dev/null
+++ b/crates/daemon/src/backend/service.rs
@@ -0,0 +1,132 @@
+//! Adapter to plain services.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind, Usage};
+use ntex::client::Client;
+use ntex::http::Method;
+use ntex::time::timeout;
+
+use super::{BackendAnswer, BackendError};
+use crate::connection::clients::is_never_sent;
+use crate::consts::{
+    DEADLINE_HEADER, FENCING_NUMBER_HEADER, IDEMPOTENCY_KEY_HEADER, PROGRAM_ID_HEADER,
+};
+
+/// A call to a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Key under which the service may recognise a repeat.
+    pub idempotency_key: String,
+    /// Program of the call.
+    pub program: String,
+    /// Number of the shard's claim, so that a service can refuse an outdated sender.
+    pub fencing_number: u64,
+}
+
+/// What a plain service does for a call.
+#[async_trait(?Send)]
+pub trait PlainService {
+    /// Sends the call once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service cannot be reached or its answer does not arrive whole.
+    async fn call(&self, call: &ServiceCall) -> Result<BackendAnswer, BackendError>;
+}
+
+/// A plain service at one address.
+#[derive(Debug, Clone)]
+pub struct HttpService {
+    client: Client,
+    base_url: String,
+    timeout: Duration,
+}
+
+impl HttpService {
+    /// Creates an adapter; `timeout` bounds the whole call.
+    #[must_use]
+    pub fn new(client: Client, address: &str, timeout: Duration) -> Self {
+        Self {
+            client,
+            base_url: format!("http://{address}"),
+            timeout,
+        }
+    }
+
+    async fn send(&self, call: &ServiceCall, method: Method) -> Result<Answer, BackendError> {
+        let request = self
+            .client
+            .request(method, format!("{}{}", self.base_url, call.path))
+            .content_type(call.content_type.as_str())
+            .header(IDEMPOTENCY_KEY_HEADER, call.idempotency_key.as_str())
+            .header(PROGRAM_ID_HEADER, call.program.as_str())
+            .header(FENCING_NUMBER_HEADER, call.fencing_number.to_string())
+            .header(DEADLINE_HEADER, self.timeout.as_millis().to_string())
+            .force_close();
+        let response = match request.send_body(call.body.clone()).await {
+            Ok(response) => response,
+            Err(error) if is_never_sent(&error) => return Err(unreachable()),
+            Err(_) => return Err(lost("closed the connection")),
+        };
+        let content_type = response
+            .header("content-type")
+            .and_then(|value| value.to_str().ok());
+        let content_type = content_type
+            .unwrap_or("application/octet-stream")
+            .to_owned();
+        let status = response.status().as_u16();
+        let body = response.body().limit(usize::MAX).await;
+        let body = body.map_err(|_| lost("cut its answer"))?;
+        Ok(Answer {
+            status,
+            content_type,
+            body: Payload(body.to_vec()),
+        })
+    }
+}
+
+#[async_trait(?Send)]
+impl PlainService for HttpService {
+    async fn call(&self, call: &ServiceCall) -> Result<BackendAnswer, BackendError> {
+        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+            return Err(BackendError::NotRun(Refusal::not_run(
+                RefusalKind::InvalidRequest,
+                format!(
+                    "{:?} is no HTTP method; send GET, POST, PUT or DELETE",
+                    call.method
+                ),
+            )));
+        };
+        match timeout(self.timeout, self.send(call, method)).await {
+            Ok(sent) => sent.map(|answer| BackendAnswer {
+                answer,
+                usage: Usage::default(),
+            }),
+            Err(()) => Err(lost("did not answer in time")),
+        }
+    }
+}
+
+fn unreachable() -> BackendError {
+    BackendError::NotRun(Refusal::not_run(
+        RefusalKind::NoBackend,
+        "the service cannot be reached; repeat the call after the pause",
+    ))
+}
+
+fn lost(detail: &str) -> BackendError {
+    BackendError::Lost(Refusal::unknown(
+        RefusalKind::BackendFailed,
+        format!("the service {detail}; repeat the call with the same Idempotency-Key"),
+    ))
+}
--- /dev/null
+++ b/crates/daemon/src/cli.rs
@@ -0,0 +1,197 @@
+//! Command line of the daemon.
+
+use std::net::SocketAddr;
+
+use clap::{Args, Parser, Subcommand};
+use log::LevelFilter;
+
+/// Scheduler for agent programs in front of shared model backend servers.
+///
+/// Every flag can be set by the environment variable named beside it.
+#[derive(Debug, Parser)]
+#[command(
+    name = "dandelionfront",
+    version,
+    args_conflicts_with_subcommands = true
+)]
+pub struct Cli {
+    /// Most detailed level that is logged: error, warn, info, debug or trace.
+    #[arg(
+        long,
+        global = true,
+        env = "DANDELIONFRONT_LOG_LEVEL",
+        default_value = "info"
+    )]
+    pub log_level: LevelFilter,
+
+    /// What to run instead of a node.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+
+    /// Settings of the node.
+    #[command(flatten)]
+    pub node: NodeArgs,
+}
+
+/// Commands besides running a node.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Runs one node with stand-ins in this process and a sample program through it.
+    Trial(TrialArgs),
+}
+
+/// Flags of the trial.
+#[derive(Debug, Args)]
+pub struct TrialArgs {
+    /// Keeps the node and the stand-ins up after the sample program.
+    #[arg(long)]
+    pub serve: bool,
+}
+
+/// Flags of a node.
+#[derive(Debug, Clone, Args)]
+pub struct NodeArgs {
+    /// Address for callers, as IP:PORT.
+    #[arg(long, env = "DANDELIONFRONT_LISTEN", default_value = "127.0.0.1:8080")]
+    pub listen: SocketAddr,
+
+    /// Address for calls forwarded by other nodes, as IP:PORT.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_FORWARD_LISTEN",
+        default_value = "127.0.0.1:8081"
+    )]
+    pub forward_listen: SocketAddr,
+
+    /// Address for control messages of other nodes, as IP:PORT.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_PEER_LISTEN",
+        default_value = "127.0.0.1:8082"
+    )]
+    pub peer_listen: SocketAddr,
+
+    /// Address for operators, metrics and health checks, as IP:PORT.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_OPERATOR_LISTEN",
+        default_value = "127.0.0.1:8083"
+    )]
+    pub operator_listen: SocketAddr,
+
+    /// Forward address that other nodes use, if it differs from --forward-listen.
+    #[arg(long, env = "DANDELIONFRONT_FORWARD_ADVERTISE")]
+    pub forward_advertise: Option<SocketAddr>,
+
+    /// Peer address that other nodes use, if it differs from --peer-listen.
+    #[arg(long, env = "DANDELIONFRONT_PEER_ADVERTISE")]
+    pub peer_advertise: Option<SocketAddr>,
+
+    /// Base URL of the platform's table service and object store.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_PLATFORM",
+        default_value = "http://127.0.0.1:9000"
+    )]
+    pub platform: String,
+
+    /// Region of this node.
+    #[arg(long, env = "DANDELIONFRONT_REGION", default_value = "local")]
+    pub region: String,
+
+    /// Availability zone of this node.
+    #[arg(long, env = "DANDELIONFRONT_ZONE", default_value = "local-a")]
+    pub zone: String,
+
+    /// Threads for callers' and peers' traffic.
+    #[arg(long, env = "DANDELIONFRONT_WORKERS", default_value_t = 2)]
+    pub workers: usize,
+
+    /// Shards per region; must be the same on all nodes and never change.
+    #[arg(long, env = "DANDELIONFRONT_SHARD_COUNT", default_value_t = 256)]
+    pub shard_count: u32,
+
+    /// Time between two reads of the head row, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_HEAD_POLL_MS", default_value_t = 1_000)]
+    pub head_poll_ms: u64,
+
+    /// Shortest time between two journal commits, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_COMMIT_INTERVAL_MS", default_value_t = 5)]
+    pub commit_interval_ms: u64,
+
+    /// Time between two checkpoints of the programs served, in milliseconds.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_CHECKPOINT_INTERVAL_MS",
+        default_value_t = 60_000
+    )]
+    pub checkpoint_interval_ms: u64,
+
+    /// Time for which ended programs stay readable, in seconds.
+    #[arg(long, env = "DANDELIONFRONT_RETENTION_S", default_value_t = 900)]
+    pub retention_s: u64,
+
+    /// Longest wait for an answer of the platform, in milliseconds.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_PLATFORM_TIMEOUT_MS",
+        default_value_t = 2_000
+    )]
+    pub platform_timeout_ms: u64,
+
+    /// Longest wait of a call for its predecessor, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_ORDER_WAIT_MS", default_value_t = 10_000)]
+    pub order_wait_ms: u64,
+
+    /// Longest wait for the commit that must precede a dispatch, in milliseconds.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_START_COMMIT_WAIT_MS",
+        default_value_t = 2_000
+    )]
+    pub start_commit_wait_ms: u64,
+
+    /// Longest time from that commit's start to the dispatch, in milliseconds.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_DISPATCH_WINDOW_MS",
+        default_value_t = 3_000
+    )]
+    pub dispatch_window_ms: u64,
+
+    /// Longest wait for a program's owner to be reachable, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_OWNER_WAIT_MS", default_value_t = 15_000)]
+    pub owner_wait_ms: u64,
+
+    /// Longest silence of an engine's stream before it is resumed, in milliseconds.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_ENGINE_SILENCE_MS",
+        default_value_t = 10_000
+    )]
+    pub engine_silence_ms: u64,
+
+    /// Longest wait for the answer of a plain service, in milliseconds.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_SERVICE_TIMEOUT_MS",
+        default_value_t = 30_000
+    )]
+    pub service_timeout_ms: u64,
+
+    /// Longest time for which a call without a waiting caller goes on, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_ABANDON_MS", default_value_t = 10_000)]
+    pub abandon_ms: u64,
+
+    /// Largest request body, in bytes.
+    #[arg(
+        long,
+        env = "DANDELIONFRONT_BODY_MAX_BYTES",
+        default_value_t = 4_194_304
+    )]
+    pub body_max_bytes: usize,
+
+    /// Longest time that a planned stop waits for running calls, in seconds.
+    #[arg(long, env = "DANDELIONFRONT_DRAIN_MAX_S", default_value_t = 600)]
+    pub drain_max_s: u64,
+}
--- /dev/null
+++ b/crates/daemon/src/connection/forward.rs
@@ -0,0 +1,153 @@
+//! Forwarding of calls and program requests to the owner node.
+
+use std::time::Duration;
+
+use dandelionfront_coordination::ids::ProgramId;
+use dandelionfront_coordination::owner::ProgramSpec;
+use dandelionfront_coordination::record::CloseReason;
+use dandelionfront_coordination::{CallEvent, CallRequest, Program, Refusal};
+use eventsource_stream::{EventStream, Eventsource as _};
+use futures_util::StreamExt as _;
+use ntex::client::Client;
+use ntex::http::Payload;
+use ntex::time::timeout;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::clients::is_never_sent;
+use crate::consts::JSON;
+
+/// Path of forwarded calls.
+pub const CALL_PATH: &str = "/v1/forward/calls";
+/// Path of forwarded program requests.
+pub const PROGRAM_PATH: &str = "/v1/forward/programs";
+
+/// Type of the event that shows that a call still runs.
+pub const KEEP_ALIVE_EVENT: &str = "keep-alive";
+
+/// A program request as sent to the owner.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ProgramRequest {
+    /// Opens a program on the parent's shard.
+    Open(ProgramSpec),
+    /// Reads state and history.
+    Get {
+        /// Program.
+        id: ProgramId,
+        /// Team that asks; `None` for an operator.
+        team: Option<String>,
+    },
+    /// Ends a program.
+    Close {
+        /// Program.
+        id: ProgramId,
+        /// Team that asks; `None` for an operator.
+        team: Option<String>,
+        /// Why.
+        reason: CloseReason,
+    },
+}
+
+/// Answer to a [`ProgramRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ProgramReply {
+    /// The program was opened.
+    Opened(ProgramId),
+    /// State and history.
+    State(Box<Program>),
+    /// These programs ended.
+    Closed(Vec<ProgramId>),
+    /// No.
+    Refused(Refusal),
+}
+
+/// Why nothing came back from another node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardError {
+    /// The connection could not be opened; nothing was sent.
+    NeverSent,
+    /// The request was sent and the answer did not arrive.
+    Lost,
+}
+
+/// Events of a forwarded call.
+pub struct RemoteCall {
+    events: EventStream<Payload>,
+}
+
+impl RemoteCall {
+    /// Sends a call to the owner at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the owner does not answer within `wait`.
+    pub async fn send(
+        client: &Client,
+        address: &str,
+        request: &CallRequest,
+        wait: Duration,
+    ) -> Result<Self, ForwardError> {
+        let response = post(client, address, CALL_PATH, request, wait).await?;
+        if !response.status().is_success() {
+            return Err(ForwardError::Lost);
+        }
+        Ok(Self {
+            events: response.take_payload().eventsource(),
+        })
+    }
+
+    /// Returns the next event, or `None` when the connection broke or was silent for `silence`.
+    pub async fn next(&mut self, silence: Duration) -> Option<CallEvent> {
+        loop {
+            let event = timeout(silence, self.events.next()).await.ok()??.ok()?;
+            if event.event != KEEP_ALIVE_EVENT {
+                return serde_json::from_str(&event.data).ok();
+            }
+        }
+    }
+}
+
+/// Sends a program request to the owner at `address`.
+///
+/// # Errors
+///
+/// Fails when the owner does not answer within `wait`.
+pub async fn send_program_request(
+    client: &Client,
+    address: &str,
+    request: &ProgramRequest,
+    wait: Duration,
+) -> Result<ProgramReply, ForwardError> {
+    let response = post(client, address, PROGRAM_PATH, request, wait).await?;
+    read_json(&response, wait).await
+}
+
+async fn post(
+    client: &Client,
+    address: &str,
+    path: &str,
+    message: &impl Serialize,
+    wait: Duration,
+) -> Result<ntex::client::ClientResponse, ForwardError> {
+    let body = serde_json::to_vec(message).map_err(|_| ForwardError::NeverSent)?;
+    let request = client
+        .post(format!("http://{address}{path}"))
+        .content_type(JSON);
+    match timeout(wait, request.send_body(body)).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if is_never_sent(&error) => Err(ForwardError::NeverSent),
+        Ok(Err(_)) | Err(()) => Err(ForwardError::Lost),
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(
+    response: &ntex::client::ClientResponse,
+    wait: Duration,
+) -> Result<T, ForwardError> {
+    match timeout(wait, response.body().limit(usize::MAX)).await {
+        Ok(Ok(bytes)) => serde_json::from_slice(&bytes).map_err(|_| ForwardError::Lost),
+        _ => Err(ForwardError::Lost),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator/config.rs
@@ -0,0 +1,230 @@
+//! Publication of configurations, keys and drains.
+
+use std::rc::Rc;
+
+use dandelionfront_coordination::config::objects::{BackendState, Key};
+use dandelionfront_coordination::config::publish::{Publication, PublishError, Published};
+use dandelionfront_coordination::config::{ObjectSet, Problem};
+use dandelionfront_coordination::ids::sha256_hex;
+use log::info;
+use ntex::http::StatusCode;
+use ntex::web::{HttpResponse, types::Json, types::Path, types::State};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::process::{Control, Worker};
+
+/// Times that a change is derived anew after another operator published first.
+const RACE_RETRIES: usize = 10;
+/// Prefix that marks callers' keys.
+const KEY_PREFIX: &str = "dlf-";
+
+/// Body of `POST /v1/keys`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IssueBody {
+    name: String,
+    team: String,
+    #[serde(default = "unnamed_author")]
+    author: String,
+}
+
+fn unnamed_author() -> String {
+    "operator".to_owned()
+}
+
+/// An error as shown to operators.
+#[derive(Debug, Serialize)]
+struct ErrorBody {
+    error: String,
+    problems: Vec<Problem>,
+}
+
+/// Why a change of single objects was not published.
+enum EditError {
+    /// The object to change does not exist, or the new one does.
+    Rejected(String),
+    /// The publication failed.
+    Publish(PublishError),
+}
+
+/// Returns the configuration in force.
+pub async fn get_config(worker: State<Rc<Worker>>) -> HttpResponse {
+    let config = worker.shared.config();
+    HttpResponse::Ok().json(&json!({
+        "version": config.version(),
+        "digest": config.digest(),
+        "objects": config.objects(),
+    }))
+}
+
+/// Publishes a whole configuration.
+pub async fn publish(worker: State<Rc<Worker>>, publication: Json<Publication>) -> HttpResponse {
+    let publication = publication.into_inner();
+    let work = move |control: Rc<Control>| async move { control.publish(&publication).await };
+    match worker.shared.control.run(work).await {
+        Ok(Ok(published)) => HttpResponse::Ok().json(&published),
+        Ok(Err(error)) => publish_failed(error),
+        Err(refusal) => failed(StatusCode::SERVICE_UNAVAILABLE, refusal.message),
+    }
+}
+
+/// Returns all versions, without their objects.
+pub async fn get_history(worker: State<Rc<Worker>>) -> HttpResponse {
+    let work = |control: Rc<Control>| async move { control.follower().store().history().await };
+    match worker.shared.control.run(work).await {
+        Ok(Ok(rows)) => {
+            let versions: Vec<_> = rows
+                .iter()
+                .map(|row| {
+                    json!({
+                        "version": row.version,
+                        "author": row.author,
+                        "published_unix_ms": row.published_unix_ms,
+                        "changes": row.change_count,
+                        "digest": row.digest,
+                    })
+                })
+                .collect();
+            HttpResponse::Ok().json(&versions)
+        }
+        Ok(Err(error)) => failed(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+        Err(refusal) => failed(StatusCode::SERVICE_UNAVAILABLE, refusal.message),
+    }
+}
+
+/// Issues a key; its text is shown once and never stored.
+pub async fn issue_key(worker: State<Rc<Worker>>, body: Json<IssueBody>) -> HttpResponse {
+    let IssueBody { name, team, author } = body.into_inner();
+    let secret = format!(
+        "{KEY_PREFIX}{:032x}{:032x}",
+        rand::random::<u128>(),
+        rand::random::<u128>()
+    );
+    let key = Key {
+        team,
+        sha256: sha256_hex(secret.as_bytes()),
+        withdrawn: false,
+    };
+    let key_name = name.clone();
+    let edit = move |objects: &mut ObjectSet| {
+        if objects.key.contains_key(&key_name) {
+            return Err(format!(
+                "key {key_name:?} exists; withdraw it or choose another name"
+            ));
+        }
+        objects.key.insert(key_name.clone(), key.clone());
+        Ok(())
+    };
+    match edit_objects(&worker, author, edit).await {
+        Ok(published) => {
+            info!("event=key_issued name={name} version={}", published.version);
+            HttpResponse::Created().json(&json!({
+                "name": name,
+                "key": secret,
+                "version": published.version,
+            }))
+        }
+        Err(error) => edit_failed(error),
+    }
+}
+
+/// Withdraws a key.
+pub async fn withdraw_key(worker: State<Rc<Worker>>, name: Path<String>) -> HttpResponse {
+    let name = name.into_inner();
+    let key_name = name.clone();
+    let edit = move |objects: &mut ObjectSet| match objects.key.get_mut(&key_name) {
+        Some(key) => {
+            key.withdrawn = true;
+            Ok(())
+        }
+        None => Err(format!(
+            "there is no key {key_name:?}; see dandelionctl show"
+        )),
+    };
+    respond(edit_objects(&worker, unnamed_author(), edit).await)
+}
+
+/// Stops new work for a backend server.
+pub async fn drain_backend(worker: State<Rc<Worker>>, name: Path<String>) -> HttpResponse {
+    let name = name.into_inner();
+    let edit = move |objects: &mut ObjectSet| match objects.backend.get_mut(&name) {
+        Some(backend) => {
+            backend.state = BackendState::Draining;
+            Ok(())
+        }
+        None => Err(format!(
+            "there is no backend {name:?}; see dandelionctl show"
+        )),
+    };
+    respond(edit_objects(&worker, unnamed_author(), edit).await)
+}
+
+/// Publishes the configuration in force with a change, again after each lost race.
+async fn edit_objects<E>(worker: &Worker, author: String, edit: E) -> Result<Published, EditError>
+where
+    E: Fn(&mut ObjectSet) -> Result<(), String> + Send + 'static,
+{
+    let work = move |control: Rc<Control>| async move {
+        let mut tries = 0;
+        loop {
+            let current = control
+                .follower()
+                .newest()
+                .await
+                .map_err(|source| EditError::Publish(PublishError::Platform { source }))?;
+            let mut objects = current.objects().clone();
+            edit(&mut objects).map_err(EditError::Rejected)?;
+            let publication = Publication {
+                base_version: current.version(),
+                publish_id: format!("edit-{:016x}", rand::random::<u64>()),
+                author: author.clone(),
+                objects,
+            };
+            match control.publish(&publication).await {
+                Err(PublishError::Raced { .. }) if tries < RACE_RETRIES => tries += 1,
+                result => return result.map_err(EditError::Publish),
+            }
+        }
+    };
+    match worker.shared.control.run(work).await {
+        Ok(result) => result,
+        Err(refusal) => Err(EditError::Rejected(refusal.message)),
+    }
+}
+
+fn respond(result: Result<Published, EditError>) -> HttpResponse {
+    match result {
+        Ok(published) => HttpResponse::Ok().json(&published),
+        Err(error) => edit_failed(error),
+    }
+}
+
+fn edit_failed(error: EditError) -> HttpResponse {
+    match error {
+        EditError::Rejected(message) => failed(StatusCode::CONFLICT, message),
+        EditError::Publish(error) => publish_failed(error),
+    }
+}
+
+fn publish_failed(error: PublishError) -> HttpResponse {
+    let message = error.to_string();
+    match error {
+        PublishError::Invalid { problems } => {
+            let body = ErrorBody {
+                error: message,
+                problems,
+            };
+            HttpResponse::UnprocessableEntity().json(&body)
+        }
+        PublishError::Raced { .. } => failed(StatusCode::CONFLICT, message),
+        PublishError::Platform { .. } => failed(StatusCode::SERVICE_UNAVAILABLE, message),
+    }
+}
+
+fn failed(status: StatusCode, error: String) -> HttpResponse {
+    HttpResponse::build(status).json(&ErrorBody {
+        error,
+        problems: Vec::new(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/process/clock.rs
@@ -0,0 +1,43 @@
+//! The system's clocks.
+
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use dandelionfront_coordination::Clock;
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
+
+/// Clock of the operating system; clones share their starting point.
+#[derive(Debug, Clone, Copy)]
+pub struct SystemClock {
+    started: Instant,
+}
+
+impl SystemClock {
+    /// Creates a clock that starts now.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            started: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn monotonic(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn unix(&self) -> Duration {
+        UNIX_EPOCH.elapsed().unwrap_or_default()
+    }
+
+    fn sleep(&self, duration: Duration) -> LocalBoxFuture<'static, ()> {
+        tokio::time::sleep(duration).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/control.rs
@@ -0,0 +1,283 @@
+//! State of the control thread: the node, the configuration, the dispatcher.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionfront_coordination::config::publish::{Publication, PublishError, Published};
+use dandelionfront_coordination::ids::{BackendId, ProgramId, program_id, shard_of_program};
+use dandelionfront_coordination::journal::load_body;
+use dandelionfront_coordination::owner::ProgramSpec;
+use dandelionfront_coordination::payload::Body;
+use dandelionfront_coordination::record::CloseReason;
+use dandelionfront_coordination::{
+    Admission, AttemptEnd, CallRequest, CallTicket, Clock as _, ConfigSnapshot, Dispatcher, Node,
+    Payload, Placement, Platform, Refusal, RefusalKind,
+};
+use log::{info, warn};
+use tokio::sync::{mpsc, watch};
+
+use super::clock::SystemClock;
+use super::handle::ControlTask;
+use super::metrics::Metrics;
+use super::platform::HttpPlatform;
+use crate::settings::Settings;
+use crate::version::Follower;
+
+/// Pause between two tries to register.
+const REGISTER_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two updates of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// State of the control thread.
+pub struct Control {
+    settings: Settings,
+    platform: Platform,
+    clock: SystemClock,
+    metrics: Metrics,
+    node: RefCell<Rc<Node>>,
+    follower: Follower,
+    dispatcher: Dispatcher,
+}
+
+impl Control {
+    /// Creates the state; nothing runs before [`Control::serve`].
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        http: Rc<HttpPlatform>,
+        clock: SystemClock,
+        metrics: Metrics,
+        config: watch::Sender<Arc<ConfigSnapshot>>,
+    ) -> Rc<Self> {
+        let platform = Platform {
+            table: Rc::clone(&http) as _,
+            objects: http,
+        };
+        let node = Node::new(
+            platform.clone(),
+            Rc::new(clock),
+            settings.identity.clone(),
+            settings.node.clone(),
+        );
+        Rc::new(Self {
+            follower: Follower::new(platform.clone(), config, metrics.clone()),
+            settings,
+            platform,
+            clock,
+            metrics,
+            node: RefCell::new(node),
+            dispatcher: Dispatcher::default(),
+        })
+    }
+
+    /// Returns the current incarnation of the node.
+    #[must_use]
+    pub fn node(&self) -> Rc<Node> {
+        Rc::clone(&self.node.borrow())
+    }
+
+    /// Returns the dispatcher.
+    #[must_use]
+    pub fn dispatcher(&self) -> &Dispatcher {
+        &self.dispatcher
+    }
+
+    /// Returns the follower of configuration versions.
+    #[must_use]
+    pub fn follower(&self) -> &Follower {
+        &self.follower
+    }
+
+    /// Returns the platform's services.
+    #[must_use]
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// Serves tasks of other threads and runs the node, as a new incarnation after each fencing.
+    pub async fn serve(self: Rc<Self>, mut tasks: mpsc::UnboundedReceiver<ControlTask>) {
+        ntex::rt::spawn(Rc::clone(&self).run_incarnations());
+        ntex::rt::spawn(Rc::clone(&self).update_gauges());
+        while let Some(task) = tasks.recv().await {
+            ntex::rt::spawn(task(Rc::clone(&self)));
+        }
+    }
+
+    /// Admits a call whose program is served here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as [`dandelionfront_coordination::Owner::admit`] does.
+    pub async fn admit(&self, request: &CallRequest) -> Result<Admission, Refusal> {
+        let node = self.node();
+        let shard = shard_of_program(&request.program).ok_or_else(Refusal::program_unknown)?;
+        if !node.shards().is_serving(shard) {
+            return Err(Refusal::not_owner());
+        }
+        let mut admission = node.owner().admit(request).await?;
+        if let Admission::Run(ticket) = &mut admission {
+            ticket.fencing_number = node.shards().epoch(shard).unwrap_or(0);
+        }
+        Ok(admission)
+    }
+
+    /// Records the end of an attempt; an attempt of an earlier incarnation records nothing.
+    pub async fn finish(&self, ticket: &CallTicket, request: &CallRequest, end: AttemptEnd) {
+        let node = self.node();
+        if node.incarnation().id() == ticket.incarnation {
+            node.owner().finish(ticket, request, end).await;
+        } else {
+            ticket.feed.close(Err(Refusal::unknown(
+                RefusalKind::NotOwner,
+                "the program moved to another node; repeat the call with the same Idempotency-Key",
+            )));
+        }
+    }
+
+    /// Chooses a backend server of `route` or of its fallbacks.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no backend server can take the call.
+    pub fn place(&self, route: &str, tried: &[BackendId]) -> Result<Placement, Refusal> {
+        let config = self.follower.current();
+        let mut refusal = None;
+        let mut next = Some(route);
+        while let Some(object) = next.and_then(|name| config.objects().route.get(name)) {
+            let served = object.model.as_ref().or(object.service.as_ref());
+            match self
+                .dispatcher
+                .place(&config, served.map_or("", |name| name), tried)
+            {
+                Ok(placement) => return Ok(placement),
+                Err(refused) => refusal.get_or_insert(refused),
+            };
+            next = object.fallback.as_deref();
+        }
+        Err(refusal.unwrap_or_else(|| {
+            Refusal::not_run(
+                RefusalKind::RouteUnknown,
+                "the route was removed; see GET /v1/models",
+            )
+        }))
+    }
+
+    /// Opens a program on a shard of this node, or on its parent's shard.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the parent is unknown or this node serves no shard.
+    pub async fn open_program(&self, spec: ProgramSpec) -> Result<ProgramId, Refusal> {
+        let node = self.node();
+        let shard = match &spec.parent {
+            Some(parent) => shard_of_program(parent).ok_or_else(Refusal::program_unknown)?,
+            None => self.pick_shard().ok_or_else(not_ready)?,
+        };
+        if !node.shards().is_serving(shard) {
+            return Err(Refusal::not_owner());
+        }
+        let id = program_id(&self.settings.identity.region, shard, rand::random());
+        node.owner().open(id.clone(), spec).await?;
+        Ok(id)
+    }
+
+    /// Ends a program served here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the program is not served here or not one of the team's.
+    pub async fn close_program(
+        &self,
+        id: &str,
+        team: Option<String>,
+        reason: CloseReason,
+    ) -> Result<Vec<ProgramId>, Refusal> {
+        let node = self.node();
+        let shard = shard_of_program(id).ok_or_else(Refusal::program_unknown)?;
+        if !node.shards().is_serving(shard) {
+            return Err(Refusal::not_owner());
+        }
+        node.owner().close(id, team.as_deref(), reason).await
+    }
+
+    /// Publishes a configuration and adopts it here at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`dandelionfront_coordination::ConfigStore::publish`] does.
+    pub async fn publish(&self, publication: &Publication) -> Result<Published, PublishError> {
+        self.follower.publish(publication, self.clock.unix()).await
+    }
+
+    /// Reads a recorded body.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the object store cannot be read.
+    pub async fn load_body(&self, body: &Body) -> Result<Payload, Refusal> {
+        load_body(&*self.platform.objects, body)
+            .await
+            .map_err(|error| {
+                warn!("event=body_unreadable cause={error:?}");
+                Refusal::unknown(
+                    RefusalKind::PlatformUnavailable,
+                    "the recorded answer cannot be read now; repeat the request after the pause",
+                )
+            })
+    }
+
+    fn pick_shard(&self) -> Option<u16> {
+        let serving = self.node().shards().serving();
+        let position = rand::random_range(0..serving.len().max(1));
+        serving.get(position).copied()
+    }
+
+    async fn run_incarnations(self: Rc<Self>) {
+        loop {
+            let node = self.node();
+            while let Err(error) = node.register().await {
+                warn!("event=register_failed cause={error:?}");
+                ntex::time::sleep(REGISTER_PAUSE).await;
+            }
+            let head = node.head();
+            futures_util::future::select(
+                std::pin::pin!(node.run()),
+                std::pin::pin!(self.follower.follow(head)),
+            )
+            .await;
+            let mut identity = self.settings.identity.clone();
+            identity.id = format!("node-{:016x}", rand::random::<u64>());
+            info!("event=new_incarnation incarnation={}", identity.id);
+            let node = Node::new(
+                self.platform.clone(),
+                Rc::new(self.clock),
+                identity,
+                self.settings.node.clone(),
+            );
+            *self.node.borrow_mut() = node;
+        }
+    }
+
+    async fn update_gauges(self: Rc<Self>) {
+        loop {
+            let node = self.node();
+            self.metrics
+                .shards
+                .set(i64::try_from(node.shards().held_count()).unwrap_or(i64::MAX));
+            let programs = node.owner().program_count();
+            self.metrics
+                .programs
+                .set(i64::try_from(programs).unwrap_or(i64::MAX));
+            ntex::time::sleep(GAUGE_INTERVAL).await;
+        }
+    }
+}
+
+fn not_ready() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NotReady,
+        "the node serves no programs yet; repeat the request at another node",
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/process/handle.rs
@@ -0,0 +1,154 @@
+//! Way from the traffic threads to the control thread.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use dandelionfront_coordination::ids::{BackendId, ProgramId, ShardId};
+use dandelionfront_coordination::owner::ProgramSpec;
+use dandelionfront_coordination::record::CloseReason;
+use dandelionfront_coordination::{
+    Admission, AttemptEnd, CallRequest, CallTicket, Location, Placement, Program, Refusal,
+    RefusalKind,
+};
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::{mpsc, oneshot};
+
+use super::control::Control;
+
+/// Work for the control thread.
+pub type ControlTask = Box<dyn FnOnce(Rc<Control>) -> LocalBoxFuture<'static, ()> + Send>;
+
+/// Sends work to the control thread and waits for its result.
+#[derive(Debug, Clone)]
+pub struct ControlHandle {
+    tasks: mpsc::UnboundedSender<ControlTask>,
+}
+
+impl ControlHandle {
+    /// Creates a handle and the queue that the control thread serves.
+    #[must_use]
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<ControlTask>) {
+        let (tasks, queue) = mpsc::unbounded_channel();
+        (Self { tasks }, queue)
+    }
+
+    /// Runs `work` on the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the control thread has stopped.
+    pub async fn run<R, F, W>(&self, work: W) -> Result<R, Refusal>
+    where
+        R: Send + 'static,
+        F: Future<Output = R> + 'static,
+        W: FnOnce(Rc<Control>) -> F + Send + 'static,
+    {
+        let (reply, result) = oneshot::channel();
+        let task: ControlTask = Box::new(move |control| {
+            async move {
+                let _ = reply.send(work(control).await);
+            }
+            .boxed_local()
+        });
+        let stopped = || {
+            Refusal::not_run(
+                RefusalKind::NotReady,
+                "the node is stopping; repeat the request at another node",
+            )
+        };
+        self.tasks.send(task).map_err(|_| stopped())?;
+        result.await.map_err(|_| stopped())
+    }
+
+    /// Returns where calls for `shard` are served.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the control thread has stopped.
+    pub async fn locate(&self, shard: ShardId) -> Result<Location, Refusal> {
+        self.run(move |control| async move { control.node().locate(shard) })
+            .await
+    }
+
+    /// Admits a call of a program served here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as [`dandelionfront_coordination::Owner::admit`] does.
+    pub async fn admit(&self, request: CallRequest) -> Result<Admission, Refusal> {
+        self.run(move |control| async move { control.admit(&request).await })
+            .await?
+    }
+
+    /// Records the end of an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the control thread has stopped.
+    pub async fn finish(
+        &self,
+        ticket: CallTicket,
+        request: CallRequest,
+        end: AttemptEnd,
+    ) -> Result<(), Refusal> {
+        self.run(move |control| async move { control.finish(&ticket, &request, end).await })
+            .await
+    }
+
+    /// Chooses a backend server for an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no backend server can take the call.
+    pub async fn place(&self, route: String, tried: Vec<BackendId>) -> Result<Placement, Refusal> {
+        self.run(move |control| async move { control.place(&route, &tried) })
+            .await?
+    }
+
+    /// Returns the placement of an attempt that has ended.
+    pub fn release(&self, placement: Placement) {
+        let task: ControlTask = Box::new(move |control| {
+            control.dispatcher().release(&placement);
+            futures_util::future::ready(()).boxed_local()
+        });
+        let _ = self.tasks.send(task);
+    }
+
+    /// Opens a program on this node.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as [`dandelionfront_coordination::Owner::open`] does.
+    pub async fn open_program(&self, spec: ProgramSpec) -> Result<ProgramId, Refusal> {
+        self.run(move |control| async move { control.open_program(spec).await })
+            .await?
+    }
+
+    /// Ends a program served here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses as [`dandelionfront_coordination::Owner::close`] does.
+    pub async fn close_program(
+        &self,
+        id: ProgramId,
+        team: Option<String>,
+        reason: CloseReason,
+    ) -> Result<Vec<ProgramId>, Refusal> {
+        self.run(move |control| async move { control.close_program(&id, team, reason).await })
+            .await?
+    }
+
+    /// Returns a program served here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the program is unknown or of another team.
+    pub async fn program(&self, id: ProgramId, team: Option<String>) -> Result<Program, Refusal> {
+        let find = move |control: Rc<Control>| async move {
+            control.node().owner().program(&id, team.as_deref())
+        };
+        self.run(find).await?.ok_or_else(Refusal::program_unknown)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/lifecycle.rs
@@ -0,0 +1,256 @@
+//! Start, listeners and planned stop of a node.
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use std::{io, thread};
+
+use dandelionfront_coordination::{Clock as _, ConfigSnapshot};
+use log::{error, info, warn};
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::rt::System;
+use ntex::server::Server;
+use ntex::time::{Seconds, sleep};
+use ntex::web::{self, App, HttpServer};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::clock::SystemClock;
+use super::control::Control;
+use super::handle::ControlHandle;
+use super::metrics::Metrics;
+use super::platform::HttpPlatform;
+use super::shared::{Shared, Worker};
+use crate::connection::{Clients, clients};
+use crate::operator;
+use crate::request::{chat, forwarded, programs, service};
+use crate::settings::Settings;
+
+/// Time between two checks of a planned stop's progress.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Time for which the listeners stay open after the last call, for the balancer's lag.
+const DRAIN_LINGER: Duration = Duration::from_secs(1);
+/// Connections kept idle by callers and peers.
+const KEEP_ALIVE: Seconds = Seconds(75);
+/// Longest wait for the platform's connections.
+const PLATFORM_KEEP_ALIVE: Seconds = Seconds(30);
+
+/// A node with open listeners.
+pub struct RunningNode {
+    shared: Arc<Shared>,
+    servers: Vec<Server>,
+}
+
+/// Runs a node until it is told to stop.
+#[must_use]
+pub fn run(settings: Settings) -> ExitCode {
+    let system = System::build().name("main").build(ntex::rt::DefaultRuntime);
+    let result = system.block_on(async move {
+        let node = start(settings).await?;
+        wait_for_stop_signal().await?;
+        node.stop().await;
+        io::Result::Ok(())
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!("event=start_failed cause={error:?}");
+            eprintln!("error: {error}; check the listen addresses");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Starts the control thread and the listeners of a node.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or a thread cannot be started.
+pub async fn start(mut settings: Settings) -> io::Result<RunningNode> {
+    let callers = bind(&mut settings.listen)?;
+    let forward = bind(&mut settings.forward_listen)?;
+    let operators = bind(&mut settings.operator_listen)?;
+    settings.advertise();
+    let shared = start_control(settings)?;
+    let settings = &shared.settings;
+    let servers = vec![
+        serve(&shared, callers, settings.workers, caller_routes)?,
+        serve(&shared, forward, settings.workers, forwarded::routes)?,
+        serve(&shared, operators, 1, operator::routes)?,
+    ];
+    info!(
+        "event=started incarnation={} listen={} forward={} operator={}",
+        settings.identity.id, settings.listen, settings.forward_listen, settings.operator_listen
+    );
+    Ok(RunningNode { shared, servers })
+}
+
+/// Binds a listener and replaces port 0 by the port that was picked.
+fn bind(address: &mut SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(*address)
+        .map_err(|error| io::Error::new(error.kind(), format!("cannot bind {address}: {error}")))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
+}
+
+impl RunningNode {
+    /// Returns the state shared by the node's threads.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops as planned: hands the shards over and waits for every call under way.
+    pub async fn stop(self) {
+        info!("event=stop_begun");
+        self.shared.draining.store(true, Ordering::Relaxed);
+        let give_up_at = self.shared.clock.monotonic() + self.shared.settings.drain_max;
+        self.announce_leaving(give_up_at).await;
+        while !(self.is_released().await && self.shared.metrics.calls_in_flight.get() == 0) {
+            if self.shared.clock.monotonic() >= give_up_at {
+                warn!(
+                    "event=stop_overdue in_flight={}",
+                    self.shared.metrics.calls_in_flight.get()
+                );
+                break;
+            }
+            sleep(DRAIN_CHECK).await;
+        }
+        sleep(DRAIN_LINGER).await;
+        self.deregister().await;
+        for server in self.servers {
+            server.stop(true).await;
+        }
+        info!("event=stopped");
+    }
+
+    async fn announce_leaving(&self, give_up_at: Duration) {
+        loop {
+            let announce =
+                |control: Rc<Control>| async move { control.node().announce_leaving().await };
+            match self.shared.control.run(announce).await {
+                Ok(Ok(())) | Err(_) => return,
+                Ok(Err(error)) => warn!("event=leaving_unannounced cause={error:?}"),
+            }
+            if self.shared.clock.monotonic() >= give_up_at {
+                return;
+            }
+            sleep(DRAIN_CHECK).await;
+        }
+    }
+
+    async fn is_released(&self) -> bool {
+        let released = |control: Rc<Control>| async move { control.node().is_released() };
+        self.shared.control.run(released).await.unwrap_or(true)
+    }
+
+    async fn deregister(&self) {
+        let deregister = |control: Rc<Control>| async move { control.node().deregister().await };
+        if let Ok(Err(error)) = self.shared.control.run(deregister).await {
+            warn!("event=deregister_failed cause={error:?}");
+        }
+    }
+}
+
+async fn wait_for_stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Starts the control thread.
+fn start_control(settings: Settings) -> io::Result<Arc<Shared>> {
+    let (control, tasks) = ControlHandle::new();
+    let (config_sender, config) = watch::channel(Arc::new(ConfigSnapshot::default()));
+    let clock = SystemClock::new();
+    let metrics = Metrics::new();
+    let shared = Arc::new(Shared {
+        settings,
+        metrics,
+        clock,
+        config,
+        control,
+        draining: AtomicBool::new(false),
+    });
+    let (settings, metrics) = (shared.settings.clone(), shared.metrics.clone());
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let system = System::build()
+                .name("control")
+                .build(ntex::rt::DefaultRuntime);
+            system.block_on(async move {
+                let client = match clients::build(PLATFORM_KEEP_ALIVE).await {
+                    Ok(client) => client,
+                    Err(cause) => return error!("event=control_failed cause={cause:?}"),
+                };
+                let http = HttpPlatform::new(&settings.platform, client, settings.platform_timeout);
+                Control::new(settings, Rc::new(http), clock, metrics, config_sender)
+                    .serve(tasks)
+                    .await;
+            });
+        })?;
+    Ok(shared)
+}
+
+fn serve(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    workers: usize,
+    configure: fn(&mut web::ServiceConfig),
+) -> io::Result<Server> {
+    let shared = Arc::clone(shared);
+    let drain = Seconds::checked_new(
+        usize::try_from(shared.settings.drain_max.as_secs()).unwrap_or(usize::MAX),
+    );
+    let server = HttpServer::new(async move || {
+        let clients = Clients::new().await.expect("client settings are constants");
+        let limit = shared.settings.body_max_bytes;
+        let worker = Worker {
+            shared: Arc::clone(&shared),
+            clients: Rc::new(clients),
+        };
+        App::new()
+            .state(Rc::new(worker))
+            .state(web::types::PayloadConfig::new(limit))
+            .state(web::types::JsonConfig::default().limit(INTERNAL_BODY_MAX_BYTES))
+            .configure(configure)
+    })
+    .workers(workers)
+    .disable_signals()
+    .shutdown_timeout(drain)
+    .config(SharedCfg::new("HTTP").add(HttpServiceConfig::new().set_keepalive(KEEP_ALIVE)))
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+/// Largest body between nodes and from operators.
+const INTERNAL_BODY_MAX_BYTES: usize = 256 * 1024 * 1024;
+
+/// Registers the handlers of the callers' listener.
+fn caller_routes(config: &mut web::ServiceConfig) {
+    config
+        .service(
+            web::resource("/v1/chat/completions").route(web::post().to(chat::chat_completions)),
+        )
+        .service(web::resource("/v1/models").route(web::get().to(programs::list_models)))
+        .service(web::resource("/v1/programs").route(web::post().to(programs::open_program)))
+        .service(
+            web::resource("/v1/programs/{id}")
+                .route(web::get().to(programs::get_program))
+                .route(web::delete().to(programs::delete_program)),
+        )
+        .service(
+            web::resource(format!("{}{{path}}*", service::SERVICES_PATH))
+                .route(web::route().to(service::call_service)),
+        );
+}
--- /dev/null
+++ b/crates/daemon/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What lives as long as the process: threads, listeners, shared state, planned stop.
+
+pub mod clock;
+pub mod control;
+pub mod handle;
+pub mod lifecycle;
+pub mod metrics;
+pub mod platform;
+pub mod shared;
+
+pub use control::Control;
+pub use handle::ControlHandle;
+pub use lifecycle::{RunningNode, run, start};
+pub use metrics::Metrics;
+pub use shared::{Shared, Worker};
--- /dev/null
+++ b/crates/daemon/src/process/shared.rs
@@ -0,0 +1,54 @@
+//! State that the traffic threads share.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use dandelionfront_coordination::ConfigSnapshot;
+use tokio::sync::watch;
+
+use super::clock::SystemClock;
+use super::handle::ControlHandle;
+use super::metrics::Metrics;
+use crate::connection::Clients;
+use crate::settings::Settings;
+
+/// State shared by all threads of the process.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings of the node.
+    pub settings: Settings,
+    /// Metrics of the node.
+    pub metrics: Metrics,
+    /// Clock of the node.
+    pub clock: SystemClock,
+    /// Configuration in force.
+    pub config: watch::Receiver<Arc<ConfigSnapshot>>,
+    /// Way to the control thread.
+    pub control: ControlHandle,
+    /// Whether the planned stop has begun.
+    pub draining: AtomicBool,
+}
+
+impl Shared {
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Arc<ConfigSnapshot> {
+        Arc::clone(&self.config.borrow())
+    }
+
+    /// Returns whether the planned stop has begun.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
+
+/// State of one traffic thread.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// State shared by all threads.
+    pub shared: Arc<Shared>,
+    /// HTTP clients of this thread.
+    pub clients: Rc<Clients>,
+}
--- /dev/null
+++ b/crates/daemon/src/request/answer.rs
@@ -0,0 +1,84 @@
+//! Answers and refusals as HTTP.
+
+use std::convert::Infallible;
+
+use dandelionfront_coordination::{Answer, Refusal};
+use futures_util::Stream;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::HttpResponse;
+use serde::Serialize;
+
+use crate::consts::JSON;
+use crate::process::Metrics;
+
+/// Pause in whole seconds for the `Retry-After` header.
+fn retry_after_s(retry_after_ms: u64) -> u64 {
+    retry_after_ms.div_ceil(1_000).max(1)
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDetail<'a> {
+    kind: &'a str,
+    message: &'a str,
+    run: dandelionfront_coordination::RunState,
+    retry_after_ms: Option<u64>,
+}
+
+/// Returns the JSON body of a refusal.
+#[must_use]
+pub fn refusal_json(refusal: &Refusal) -> String {
+    let error = ErrorDetail {
+        kind: refusal.kind.label(),
+        message: &refusal.message,
+        run: refusal.run,
+        retry_after_ms: refusal.retry_after_ms,
+    };
+    serde_json::to_string(&ErrorBody { error }).unwrap_or_default()
+}
+
+/// Counts a refusal and returns it as a response.
+#[must_use]
+pub fn refuse(metrics: &Metrics, refusal: &Refusal) -> HttpResponse {
+    metrics.count_refusal(refusal.kind);
+    let status = StatusCode::from_u16(refusal.kind.http_status());
+    let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    if let Some(pause_ms) = refusal.retry_after_ms {
+        response.header("retry-after", retry_after_s(pause_ms).to_string());
+    }
+    response.content_type(JSON).body(refusal_json(refusal))
+}
+
+/// Returns a complete answer as a response.
+#[must_use]
+pub fn complete(program: &str, answer: Answer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    HttpResponse::build(status)
+        .content_type(answer.content_type.as_str())
+        .header("program-id", program)
+        .body(answer.body.0)
+}
+
+/// Returns a response that sends `events` as they come.
+#[must_use]
+pub fn event_stream<S>(program: &str, events: S) -> HttpResponse
+where
+    S: Stream<Item = Result<Bytes, Infallible>> + 'static,
+{
+    HttpResponse::Ok()
+        .content_type(crate::consts::EVENT_STREAM)
+        .header("cache-control", "no-cache")
+        .header("program-id", program)
+        .streaming(Box::pin(events))
+}
+
+/// Returns one server-sent event.
+#[must_use]
+pub fn event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
--- /dev/null
+++ b/crates/daemon/src/request/chat.rs
@@ -0,0 +1,169 @@
+//! `POST /v1/chat/completions`.
+
+use std::rc::Rc;
+
+use dandelionfront_coordination::ids::RouteId;
+use dandelionfront_coordination::{
+    CallEvent, CallRequest, CallTarget, Clock as _, ConfigSnapshot, Payload, Refusal, RefusalKind,
+};
+use futures_util::stream::unfold;
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse, types::State};
+
+use super::answer::{complete, event, event_stream, refusal_json, refuse};
+use super::auth::{KeyGuard, identify};
+use super::routes::{CallIdentity, InFlight, read_identity, route_for};
+use super::submit::CallStream;
+use crate::backend::{ChatBody, single_chunk};
+use crate::process::Worker;
+
+/// Serves a chat completion.
+pub async fn chat_completions(
+    worker: State<Rc<Worker>>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let in_flight = InFlight::new(&worker.shared.metrics);
+    match prepare(&worker, &request, &body) {
+        Ok((call, guard)) => {
+            let stream = CallStream::new((**worker).clone(), call, guard);
+            respond(&worker, stream, in_flight).await
+        }
+        Err(refusal) => refuse(&worker.shared.metrics, &refusal),
+    }
+}
+
+fn prepare(
+    worker: &Worker,
+    request: &HttpRequest,
+    body: &Bytes,
+) -> Result<(CallRequest, KeyGuard), Refusal> {
+    let config = worker.shared.config();
+    let caller = identify(&config, request)?;
+    let chat = ChatBody::parse(body)
+        .map_err(|error| Refusal::not_run(RefusalKind::InvalidRequest, error.to_string()))?;
+    let route_id = chat.model.clone();
+    let (route, team) = route_for(&config, &route_id, caller.as_ref())?;
+    let Some(model) = route.model.clone() else {
+        return Err(Refusal::not_run(
+            RefusalKind::InvalidRequest,
+            format!("route {route_id:?} is a service; call it at /v1/services/{route_id}/"),
+        ));
+    };
+    let identity = read_identity(&worker.shared.settings, request, &team)?;
+    let call = model_call(&config, chat, identity, (route_id, model), team)?;
+    Ok((call, KeyGuard::new(caller, worker.shared.config.clone())))
+}
+
+fn model_call(
+    config: &ConfigSnapshot,
+    chat: ChatBody,
+    identity: CallIdentity,
+    (route, model): (RouteId, String),
+    team: String,
+) -> Result<CallRequest, Refusal> {
+    let object = config.objects().model.get(&model);
+    let context_tokens = object.map_or(u64::MAX, |model| model.context_tokens);
+    let default_tokens = object.map_or(1024, |model| model.default_completion_tokens);
+    let completion_tokens_max = chat.completion_limit().unwrap_or(default_tokens);
+    if completion_tokens_max > context_tokens {
+        return Err(Refusal::not_run(
+            RefusalKind::InvalidRequest,
+            format!("max_tokens is over the model's context; ask for at most {context_tokens}"),
+        ));
+    }
+    let stream = chat.stream;
+    let target = CallTarget::Model {
+        prompt_tokens_max: chat.prompt_tokens_max(),
+        completion_tokens_max,
+    };
+    Ok(CallRequest {
+        program: identity.program,
+        single: identity.single,
+        sequence: identity.sequence,
+        idempotency_key: identity.idempotency_key,
+        team,
+        route,
+        repeatable: true,
+        target,
+        stream,
+        body: Payload(chat.for_engine(&model, completion_tokens_max)),
+    })
+}
+
+/// Answers with a stream if the first event is a part, and with a whole body otherwise.
+async fn respond(worker: &Worker, mut stream: CallStream, in_flight: InFlight) -> HttpResponse {
+    let metrics = worker.shared.metrics.clone();
+    let first = stream.next().await;
+    metrics
+        .first_token_seconds
+        .observe(in_flight.elapsed().as_secs_f64());
+    let wants_stream = stream.wants_stream();
+    let program = stream.program().to_owned();
+    match first {
+        CallEvent::Refused(refusal) => refuse(&metrics, &refusal),
+        CallEvent::Finished(answer) if !wants_stream => {
+            in_flight.answered();
+            complete(&program, answer)
+        }
+        CallEvent::Delta(_) if !wants_stream => match stream.outcome().await {
+            Ok(answer) => {
+                in_flight.answered();
+                complete(&program, answer)
+            }
+            Err(refusal) => refuse(&metrics, &refusal),
+        },
+        first => event_stream(&program, stream_events(worker, stream, first, in_flight)),
+    }
+}
+
+fn stream_events(
+    worker: &Worker,
+    stream: CallStream,
+    first: CallEvent,
+    in_flight: InFlight,
+) -> impl futures_util::Stream<Item = Result<Bytes, std::convert::Infallible>> + 'static {
+    let metrics = worker.shared.metrics.clone();
+    let clock = worker.shared.clock;
+    let state = Some((stream, Some(first), in_flight, false));
+    unfold(state, move |state| {
+        let metrics = metrics.clone();
+        async move {
+            let (mut stream, first, in_flight, parts_sent) = state?;
+            let begun = clock.monotonic();
+            let next = if let Some(event) = first {
+                event
+            } else {
+                let next = stream.next().await;
+                let pause = clock.monotonic().saturating_sub(begun);
+                metrics.between_tokens_seconds.observe(pause.as_secs_f64());
+                next
+            };
+            match next {
+                CallEvent::Delta(part) => {
+                    let bytes = event(&part.to_text());
+                    Some((Ok(bytes), Some((stream, None, in_flight, true))))
+                }
+                CallEvent::Finished(answer) => {
+                    in_flight.answered();
+                    Some((Ok(last_events(&answer.body, parts_sent)), None))
+                }
+                CallEvent::Refused(refusal) => {
+                    metrics.count_refusal(refusal.kind);
+                    Some((Ok(event(&refusal_json(&refusal))), None))
+                }
+            }
+        }
+    })
+}
+
+/// Returns the end of a stream; a recorded answer without parts becomes a single one.
+fn last_events(whole: &Payload, parts_sent: bool) -> Bytes {
+    let mut bytes = Vec::new();
+    if !parts_sent {
+        let chunk = single_chunk(&whole.0);
+        bytes.extend_from_slice(&event(&String::from_utf8_lossy(&chunk)));
+    }
+    bytes.extend_from_slice(&event("[DONE]"));
+    Bytes::from(bytes)
+}
--- /dev/null
+++ b/crates/daemon/src/request/execute.rs
@@ -0,0 +1,229 @@
+//! Executes an admitted call at a backend server.
+
+use std::time::Duration;
+
+use dandelionfront_coordination::ids::BackendId;
+use dandelionfront_coordination::{
+    AttemptEnd, CallRequest, CallTarget, CallTicket, Clock as _, Payload, Placement, Refusal,
+    RefusalKind,
+};
+use futures_util::future::{Either, select};
+use log::{info, warn};
+use ntex::time::sleep;
+
+use crate::backend::{
+    BackendAnswer, BackendError, EngineCall, GenerationSink, HttpEngine, HttpService,
+    ModelEngine as _, PlainService as _, ServiceCall,
+};
+use crate::process::Worker;
+use crate::process::metrics::RetryReason;
+
+/// Tries of one attempt at different backend servers.
+const TRIES_MAX: usize = 3;
+/// Time between two checks for an abandoned call.
+const ABANDON_CHECK: Duration = Duration::from_millis(100);
+
+/// Executes a call and records its end.
+pub async fn run(worker: Worker, ticket: CallTicket, request: CallRequest) {
+    let end = match execute(&worker, &ticket, &request).await {
+        Ok(done) => AttemptEnd::Answered(done.answer, done.usage),
+        Err(BackendError::NotRun(refusal)) => AttemptEnd::NotSent(refusal),
+        Err(BackendError::Lost(refusal)) => AttemptEnd::Lost(refusal),
+    };
+    if let AttemptEnd::NotSent(refusal) | AttemptEnd::Lost(refusal) = &end {
+        info!(
+            "event=attempt_failed program={} sequence={} kind={} run={:?}",
+            ticket.program,
+            ticket.key.sequence,
+            refusal.kind.label(),
+            refusal.run
+        );
+    }
+    let feed = std::sync::Arc::clone(&ticket.feed);
+    if worker
+        .shared
+        .control
+        .finish(ticket, request, end)
+        .await
+        .is_err()
+    {
+        feed.close(Err(Refusal::outcome_unknown()));
+    }
+}
+
+async fn execute(
+    worker: &Worker,
+    ticket: &CallTicket,
+    request: &CallRequest,
+) -> Result<BackendAnswer, BackendError> {
+    let mut tried: Vec<BackendId> = Vec::new();
+    loop {
+        let placement = worker
+            .shared
+            .control
+            .place(request.route.clone(), tried.clone())
+            .await;
+        let placement = placement.map_err(BackendError::NotRun)?;
+        let result = if is_past_deadline(worker, ticket) {
+            Err(BackendError::NotRun(dispatch_too_late()))
+        } else {
+            try_backend(worker, ticket, request, &placement).await
+        };
+        tried.push(placement.backend.clone());
+        worker.shared.control.release(placement);
+        let Some(reason) = retry_reason(request, &result) else {
+            return result;
+        };
+        if tried.len() >= TRIES_MAX {
+            return result;
+        }
+        worker.shared.metrics.count_retry(reason);
+    }
+}
+
+/// Returns why a failed try may be repeated at another backend server.
+fn retry_reason(
+    request: &CallRequest,
+    result: &Result<BackendAnswer, BackendError>,
+) -> Option<RetryReason> {
+    match result {
+        Err(BackendError::NotRun(refusal)) if refusal.kind == RefusalKind::NoBackend => {
+            Some(RetryReason::BackendUnreachable)
+        }
+        // Parts of a stream may already be with the caller; another run may differ from them.
+        Err(BackendError::Lost(_)) if request.repeatable && !request.stream => {
+            Some(RetryReason::AttemptLost)
+        }
+        _ => None,
+    }
+}
+
+fn is_past_deadline(worker: &Worker, ticket: &CallTicket) -> bool {
+    ticket
+        .dispatch_before
+        .is_some_and(|before| worker.shared.clock.monotonic() >= before)
+}
+
+async fn try_backend(
+    worker: &Worker,
+    ticket: &CallTicket,
+    request: &CallRequest,
+    placement: &Placement,
+) -> Result<BackendAnswer, BackendError> {
+    match &request.target {
+        CallTarget::Model { .. } => generate(worker, ticket, request, placement).await,
+        CallTarget::Service {
+            method,
+            path,
+            content_type,
+        } => {
+            let call = ServiceCall {
+                method: method.clone(),
+                path: path.clone(),
+                content_type: content_type.clone(),
+                body: request.body.0.clone(),
+                idempotency_key: request.idempotency_key.clone(),
+                program: request.program.clone(),
+                fencing_number: ticket.fencing_number,
+            };
+            let timeout = worker.shared.settings.service_timeout;
+            let client = worker.clients.services.clone();
+            HttpService::new(client, &placement.address, timeout)
+                .call(&call)
+                .await
+        }
+    }
+}
+
+async fn generate(
+    worker: &Worker,
+    ticket: &CallTicket,
+    request: &CallRequest,
+    placement: &Placement,
+) -> Result<BackendAnswer, BackendError> {
+    let silence = worker.shared.settings.engine_silence;
+    let engine = HttpEngine::new(worker.clients.engines.clone(), &placement.address, silence);
+    let call = EngineCall {
+        request_id: format!(
+            "{}-{}-{}",
+            ticket.program, ticket.key.sequence, ticket.key.attempt
+        ),
+        program: ticket.program.clone(),
+        priority: 0,
+        body: request.body.0.clone(),
+        route: request.route.clone(),
+    };
+    let mut sink = FeedSink {
+        worker,
+        ticket,
+        stream: request.stream,
+    };
+    let result = {
+        let generated = engine.generate(&call, &mut sink);
+        let abandoned = std::pin::pin!(wait_abandoned(worker, ticket));
+        match select(generated, abandoned).await {
+            Either::Left((result, _)) => result,
+            Either::Right(((), _)) => Err(BackendError::Lost(abandoned_refusal())),
+        }
+    };
+    if let Err(BackendError::Lost(_)) = &result {
+        warn!(
+            "event=engine_cancel request={} backend={}",
+            call.request_id, placement.backend
+        );
+        engine.cancel(&call.request_id).await;
+    }
+    result
+}
+
+/// Passes the parts of a completion on to whoever follows the call.
+struct FeedSink<'a> {
+    worker: &'a Worker,
+    ticket: &'a CallTicket,
+    stream: bool,
+}
+
+impl GenerationSink for FeedSink<'_> {
+    fn part(&mut self, data: &str) {
+        if self.stream {
+            self.ticket.feed.push(Payload::from(data));
+        }
+    }
+
+    fn resumed(&mut self) {
+        self.worker
+            .shared
+            .metrics
+            .count_retry(RetryReason::StreamResumed);
+    }
+}
+
+/// Completes once no caller has waited for the call for too long.
+async fn wait_abandoned(worker: &Worker, ticket: &CallTicket) {
+    let mut since = None;
+    loop {
+        sleep(ABANDON_CHECK).await;
+        let now = worker.shared.clock.monotonic();
+        if ticket.feed.reader_count() > 0 {
+            since = None;
+        } else if now.saturating_sub(*since.get_or_insert(now))
+            > worker.shared.settings.abandon_after
+        {
+            return;
+        }
+    }
+}
+
+fn abandoned_refusal() -> Refusal {
+    Refusal::unknown(
+        RefusalKind::Cancelled,
+        "no caller waited for the call any more and it was cancelled; send it again",
+    )
+}
+
+fn dispatch_too_late() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::DeadlineExceeded,
+        "the node was paused too long before it could send the call; repeat it",
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/request/routes.rs
@@ -0,0 +1,158 @@
+//! What the callers' handlers share: identity of a call, its route, counting.
+
+use std::time::{Duration, Instant};
+
+use dandelionfront_coordination::config::objects::Route;
+use dandelionfront_coordination::config::snapshot::Caller;
+use dandelionfront_coordination::ids::{CallSequence, ProgramId, TeamId, single_call_program};
+use dandelionfront_coordination::{ConfigSnapshot, Refusal, RefusalKind};
+use ntex::web::HttpRequest;
+
+use super::auth::{OPEN_TEAM, key_missing};
+use crate::consts::{IDEMPOTENCY_KEY_HEADER, PROGRAM_ID_HEADER, PROGRAM_SEQUENCE_HEADER};
+use crate::process::Metrics;
+use crate::settings::Settings;
+
+/// Longest idempotency key.
+const IDEMPOTENCY_KEY_MAX_BYTES: usize = 256;
+
+/// Which call of which program a request is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallIdentity {
+    /// Program, implicit for a single call.
+    pub program: ProgramId,
+    /// Whether the program consists of this call alone.
+    pub single: bool,
+    /// Position in the program.
+    pub sequence: CallSequence,
+    /// Key that identifies repeats.
+    pub idempotency_key: String,
+}
+
+/// Reads the identity of a call from its headers.
+///
+/// # Errors
+///
+/// Refuses headers that are malformed or contradict each other.
+pub fn read_identity(
+    settings: &Settings,
+    request: &HttpRequest,
+    team: &str,
+) -> Result<CallIdentity, Refusal> {
+    let key = read_header(request, IDEMPOTENCY_KEY_HEADER)?;
+    if key.is_some_and(|key| key.is_empty() || key.len() > IDEMPOTENCY_KEY_MAX_BYTES) {
+        return Err(invalid(format!(
+            "Idempotency-Key must have 1 to {IDEMPOTENCY_KEY_MAX_BYTES} characters"
+        )));
+    }
+    let program = read_header(request, PROGRAM_ID_HEADER)?;
+    let sequence = read_header(request, PROGRAM_SEQUENCE_HEADER)?;
+    match (program, sequence) {
+        (None, None) => {
+            let key = key.map_or_else(random_key, str::to_owned);
+            let (region, shards) = (&settings.identity.region, settings.node.shard_count);
+            let program = single_call_program(region, shards, team, &key);
+            Ok(CallIdentity {
+                program,
+                single: true,
+                sequence: 1,
+                idempotency_key: key,
+            })
+        }
+        (Some(program), Some(sequence)) => {
+            let sequence = sequence
+                .parse()
+                .ok()
+                .filter(|sequence| *sequence > 0)
+                .ok_or_else(|| {
+                    invalid("Program-Sequence must be a whole number from 1".to_owned())
+                })?;
+            let key =
+                key.ok_or_else(|| invalid("a program's call needs an Idempotency-Key".to_owned()))?;
+            Ok(CallIdentity {
+                program: program.to_owned(),
+                single: false,
+                sequence,
+                idempotency_key: key.to_owned(),
+            })
+        }
+        _ => Err(invalid(
+            "send Program-Id and Program-Sequence together, or neither".to_owned(),
+        )),
+    }
+}
+
+/// Returns the route and the team that a request runs for.
+///
+/// # Errors
+///
+/// Refuses unknown routes, and requests without a key on routes that are not open to all.
+pub fn route_for<'a>(
+    config: &'a ConfigSnapshot,
+    route: &str,
+    caller: Option<&Caller>,
+) -> Result<(&'a Route, TeamId), Refusal> {
+    let team = caller.map(|caller| caller.team.as_str());
+    match config.route(route, team) {
+        Ok(object) => Ok((object, team.unwrap_or(OPEN_TEAM).to_owned())),
+        Err(_) if caller.is_none() => Err(key_missing()),
+        Err(refusal) => Err(refusal),
+    }
+}
+
+fn read_header<'a>(request: &'a HttpRequest, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = request.headers().get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| invalid(format!("header {name} must be ASCII text")))?;
+    Ok(Some(text.trim()))
+}
+
+fn random_key() -> String {
+    format!("auto-{:032x}", rand::random::<u128>())
+}
+
+fn invalid(message: String) -> Refusal {
+    Refusal::not_run(RefusalKind::InvalidRequest, message)
+}
+
+/// Counts a call while its caller waits for it.
+#[derive(Debug)]
+pub struct InFlight {
+    metrics: Metrics,
+    arrived: Instant,
+}
+
+impl InFlight {
+    /// Counts a call that just arrived.
+    #[must_use]
+    pub fn new(metrics: &Metrics) -> Self {
+        metrics.calls_in_flight.inc();
+        Self {
+            metrics: metrics.clone(),
+            arrived: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the call arrived.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.arrived.elapsed()
+    }
+
+    /// Records that the complete answer was handed over.
+    pub fn answered(&self) {
+        self.metrics.calls_answered.inc();
+        self.metrics
+            .call_seconds
+            .observe(self.elapsed().as_secs_f64());
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.metrics.calls_in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request/service.rs
@@ -0,0 +1,93 @@
+//! `ANY /v1/services/{route}/...`.
+
+use std::rc::Rc;
+
+use dandelionfront_coordination::{CallRequest, CallTarget, Payload, Refusal, RefusalKind};
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse, types::State};
+
+use super::answer::{complete, refuse};
+use super::auth::{KeyGuard, identify};
+use super::routes::{InFlight, read_identity, route_for};
+use super::submit::CallStream;
+use crate::process::Worker;
+
+/// Path below which services are called.
+pub const SERVICES_PATH: &str = "/v1/services/";
+
+/// Serves a call to a plain service.
+pub async fn call_service(
+    worker: State<Rc<Worker>>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let in_flight = InFlight::new(&worker.shared.metrics);
+    let outcome = match prepare(&worker, &request, &body) {
+        Ok((call, guard)) => {
+            let mut stream = CallStream::new((**worker).clone(), call, guard);
+            stream
+                .outcome()
+                .await
+                .map(|answer| (stream.program().to_owned(), answer))
+        }
+        Err(refusal) => Err(refusal),
+    };
+    match outcome {
+        Ok((program, answer)) => {
+            in_flight.answered();
+            complete(&program, answer)
+        }
+        Err(refusal) => refuse(&worker.shared.metrics, &refusal),
+    }
+}
+
+fn prepare(
+    worker: &Worker,
+    request: &HttpRequest,
+    body: &Bytes,
+) -> Result<(CallRequest, KeyGuard), Refusal> {
+    let config = worker.shared.config();
+    let caller = identify(&config, request)?;
+    let full_path = request
+        .uri()
+        .path_and_query()
+        .map_or("", |path| path.as_str());
+    let below = full_path.strip_prefix(SERVICES_PATH).unwrap_or_default();
+    let (route_id, path) = below.split_at(below.find(['/', '?']).unwrap_or(below.len()));
+    let (route, team) = route_for(&config, route_id, caller.as_ref())?;
+    if route.service.is_none() {
+        return Err(Refusal::not_run(
+            RefusalKind::InvalidRequest,
+            format!("route {route_id:?} is a model; call it at /v1/chat/completions"),
+        ));
+    }
+    let identity = read_identity(&worker.shared.settings, request, &team)?;
+    let content_type = request
+        .headers()
+        .get("content-type")
+        .and_then(|value| value.to_str().ok());
+    let target = CallTarget::Service {
+        method: request.method().as_str().to_owned(),
+        path: if path.starts_with('/') {
+            path.to_owned()
+        } else {
+            format!("/{path}")
+        },
+        content_type: content_type
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
+    };
+    let call = CallRequest {
+        program: identity.program,
+        single: identity.single,
+        sequence: identity.sequence,
+        idempotency_key: identity.idempotency_key,
+        team,
+        route: route_id.to_owned(),
+        repeatable: route.repeatable,
+        target,
+        stream: false,
+        body: Payload(body.to_vec()),
+    };
+    Ok((call, KeyGuard::new(caller, worker.shared.config.clone())))
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,204 @@
+//! Checked settings of a node.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use dandelionfront_coordination::journal::JournalSettings;
+use dandelionfront_coordination::owner::OwnerSettings;
+use dandelionfront_coordination::{Member, MemberState, NodeSettings};
+use snafu::Snafu;
+
+use crate::cli::NodeArgs;
+
+/// A setting that cannot be used.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("--{flag} is {value}; {remedy}"))]
+pub struct SettingFault {
+    /// Flag without dashes.
+    pub flag: &'static str,
+    /// Value as given.
+    pub value: String,
+    /// What to set instead.
+    pub remedy: String,
+}
+
+/// Settings of a node, checked together.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for forwarded calls.
+    pub forward_listen: SocketAddr,
+    /// Address for control messages.
+    pub peer_listen: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Base URL of the platform.
+    pub platform: String,
+    /// Identity towards the fleet.
+    pub identity: Member,
+    /// Traffic threads.
+    pub workers: usize,
+    /// Settings of the coordination parts.
+    pub node: NodeSettings,
+    /// Longest wait for the platform.
+    pub platform_timeout: Duration,
+    /// Longest wait for an owner.
+    pub owner_wait: Duration,
+    /// Longest silence of an engine's stream.
+    pub engine_silence: Duration,
+    /// Longest wait for a plain service.
+    pub service_timeout: Duration,
+    /// Longest time that a call goes on without a waiting caller.
+    pub abandon_after: Duration,
+    /// Largest request body.
+    pub body_max_bytes: usize,
+    /// Longest planned stop.
+    pub drain_max: Duration,
+}
+
+impl Settings {
+    /// Checks the flags together.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault, each naming its flag and the remedy.
+    pub fn from_args(args: &NodeArgs) -> Result<Self, Vec<SettingFault>> {
+        let faults = check(args);
+        if faults.is_empty() {
+            Ok(Self::build(args))
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// Fills in the advertised addresses that are not set, once the listeners are bound.
+    pub fn advertise(&mut self) {
+        if self.identity.forward_address.is_empty() {
+            self.identity.forward_address = self.forward_listen.to_string();
+        }
+        if self.identity.peer_address.is_empty() {
+            self.identity.peer_address = self.peer_listen.to_string();
+        }
+    }
+
+    fn build(args: &NodeArgs) -> Self {
+        let advertised = |address: Option<SocketAddr>| address.map(|address| address.to_string());
+        let identity = Member {
+            id: format!("node-{:016x}", rand::random::<u64>()),
+            forward_address: advertised(args.forward_advertise).unwrap_or_default(),
+            peer_address: advertised(args.peer_advertise).unwrap_or_default(),
+            zone: args.zone.clone(),
+            region: args.region.clone(),
+            state: MemberState::Live,
+        };
+        Self {
+            listen: args.listen,
+            forward_listen: args.forward_listen,
+            peer_listen: args.peer_listen,
+            operator_listen: args.operator_listen,
+            platform: args.platform.trim_end_matches('/').to_owned(),
+            identity,
+            workers: args.workers,
+            node: node_settings(args),
+            platform_timeout: Duration::from_millis(args.platform_timeout_ms),
+            owner_wait: Duration::from_millis(args.owner_wait_ms),
+            engine_silence: Duration::from_millis(args.engine_silence_ms),
+            service_timeout: Duration::from_millis(args.service_timeout_ms),
+            abandon_after: Duration::from_millis(args.abandon_ms),
+            body_max_bytes: args.body_max_bytes,
+            drain_max: Duration::from_secs(args.drain_max_s),
+        }
+    }
+}
+
+fn node_settings(args: &NodeArgs) -> NodeSettings {
+    NodeSettings {
+        head_poll_interval: Duration::from_millis(args.head_poll_ms),
+        shard_count: u16::try_from(args.shard_count).unwrap_or(u16::MAX),
+        checkpoint_interval: Duration::from_millis(args.checkpoint_interval_ms),
+        retention: Duration::from_secs(args.retention_s),
+        journal: JournalSettings {
+            commit_interval: Duration::from_millis(args.commit_interval_ms),
+            ..JournalSettings::default()
+        },
+        owner: OwnerSettings {
+            order_wait: Duration::from_millis(args.order_wait_ms),
+            start_commit_wait: Duration::from_millis(args.start_commit_wait_ms),
+            dispatch_window: Duration::from_millis(args.dispatch_window_ms),
+        },
+    }
+}
+
+fn check(args: &NodeArgs) -> Vec<SettingFault> {
+    let mut faults = Vec::new();
+    let mut range = |flag, value: u64, allowed: RangeInclusive<u64>| {
+        if !allowed.contains(&value) {
+            let remedy = format!("set a number from {} to {}", allowed.start(), allowed.end());
+            faults.push(fault(flag, value, remedy));
+        }
+    };
+    range("workers", args.workers as u64, 1..=64);
+    range("shard-count", u64::from(args.shard_count), 1..=65_535);
+    range("head-poll-ms", args.head_poll_ms, 10..=5_000);
+    range("commit-interval-ms", args.commit_interval_ms, 0..=1_000);
+    range(
+        "checkpoint-interval-ms",
+        args.checkpoint_interval_ms,
+        100..=3_600_000,
+    );
+    range("retention-s", args.retention_s, 1..=86_400);
+    range("platform-timeout-ms", args.platform_timeout_ms, 10..=60_000);
+    range("order-wait-ms", args.order_wait_ms, 1..=600_000);
+    range(
+        "start-commit-wait-ms",
+        args.start_commit_wait_ms,
+        10..=60_000,
+    );
+    range("dispatch-window-ms", args.dispatch_window_ms, 20..=60_000);
+    range("owner-wait-ms", args.owner_wait_ms, 10..=600_000);
+    range("engine-silence-ms", args.engine_silence_ms, 10..=600_000);
+    range("service-timeout-ms", args.service_timeout_ms, 10..=600_000);
+    range("abandon-ms", args.abandon_ms, 10..=600_000);
+    range(
+        "body-max-bytes",
+        args.body_max_bytes as u64,
+        1_024..=67_108_864,
+    );
+    range("drain-max-s", args.drain_max_s, 1..=3_600);
+    if args.dispatch_window_ms <= args.start_commit_wait_ms {
+        let remedy = "set it above --start-commit-wait-ms, so that a committed start can be sent";
+        faults.push(fault("dispatch-window-ms", args.dispatch_window_ms, remedy));
+    }
+    if !args.platform.starts_with("http://") {
+        faults.push(fault(
+            "platform",
+            &args.platform,
+            "set a base URL such as http://10.0.0.2:9000",
+        ));
+    }
+    for (flag, name) in [("region", &args.region), ("zone", &args.zone)] {
+        if name.is_empty()
+            || !name
+                .chars()
+                .all(|char| char.is_ascii_alphanumeric() || char == '-')
+        {
+            faults.push(fault(
+                flag,
+                name,
+                "set a name of letters, digits and dashes",
+            ));
+        }
+    }
+    faults
+}
+
+fn fault(flag: &'static str, value: impl Display, remedy: impl Into<String>) -> SettingFault {
+    SettingFault {
+        flag,
+        value: value.to_string(),
+        remedy: remedy.into(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/trial.rs
@@ -0,0 +1,7 @@
+//! The trial.
+use std::process::ExitCode;
+/// Runs the trial.
+#[must_use]
+pub fn run(_args: &crate::cli::TrialArgs) -> ExitCode {
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/daemon/tests/support/fleet.rs
@@ -0,0 +1,341 @@
+//! A fleet of nodes with stand-ins around it.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::http::{Http, Reply, eventually};
+use super::process::{ChildProcess, value};
+
+/// Key of team `alpha`.
+pub const ALPHA_KEY: &str = "key-of-alpha";
+/// Key of team `beta`.
+pub const BETA_KEY: &str = "key-of-beta";
+
+/// Size and settings of a fleet.
+pub struct FleetOptions {
+    pub nodes: usize,
+    pub engines: usize,
+    pub node_args: Vec<String>,
+    pub engine_args: Vec<String>,
+    pub service_args: Vec<String>,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            nodes: 2,
+            engines: 1,
+            node_args: Vec::new(),
+            engine_args: Vec::new(),
+            service_args: Vec::new(),
+        }
+    }
+}
+
+/// One daemon process and its addresses.
+pub struct Node {
+    pub process: ChildProcess,
+    pub listen: String,
+    pub forward: String,
+    pub operator: String,
+}
+
+/// Processes of one test.
+pub struct Fleet {
+    pub http: Http,
+    pub platform: ChildProcess,
+    pub platform_address: String,
+    pub engines: Vec<(ChildProcess, String)>,
+    pub service: (ChildProcess, String),
+    pub nodes: Vec<Node>,
+    node_args: Vec<String>,
+}
+
+fn strings(args: &[&str]) -> Vec<String> {
+    args.iter().map(|arg| (*arg).to_owned()).collect()
+}
+
+fn start_standin(name: &str, args: &[String]) -> (ChildProcess, String) {
+    let process = ChildProcess::standin(name, args);
+    let address = value(&process.wait_for("listening="), "listening");
+    (process, address)
+}
+
+impl Fleet {
+    /// Starts all processes, publishes a configuration and waits until every node serves.
+    pub async fn start(options: FleetOptions) -> Self {
+        let (platform, platform_address) = start_standin("platform", &[]);
+        let engines = (0..options.engines)
+            .map(|_| start_standin("engine", &options.engine_args))
+            .collect();
+        let service = start_standin("service", &options.service_args);
+        let mut fleet = Self {
+            http: Http::new().await,
+            platform,
+            platform_address,
+            engines,
+            service,
+            nodes: Vec::new(),
+            node_args: options.node_args,
+        };
+        for _ in 0..options.nodes {
+            fleet.add_node();
+        }
+        fleet
+            .publish(fleet.sample_objects(), "first")
+            .await
+            .expect(200);
+        fleet.wait_settled().await;
+        fleet
+    }
+
+    /// Starts one more node.
+    pub fn add_node(&mut self) {
+        let node = self.start_node(&self.platform_address);
+        self.nodes.push(node);
+    }
+
+    /// Starts a node that reaches the platform at `platform`.
+    pub fn start_node(&self, platform: &str) -> Node {
+        let mut args = strings(&[
+            "--listen",
+            "127.0.0.1:0",
+            "--forward-listen",
+            "127.0.0.1:0",
+            "--peer-listen",
+            "127.0.0.1:0",
+            "--operator-listen",
+            "127.0.0.1:0",
+            "--head-poll-ms",
+            "50",
+            "--shard-count",
+            "16",
+            "--log-level",
+            "debug",
+            "--platform",
+        ]);
+        args.push(format!("http://{platform}"));
+        args.extend(self.node_args.iter().cloned());
+        let process = ChildProcess::daemon(&args);
+        let started = process.wait_for("event=started");
+        Node {
+            listen: value(&started, "listen"),
+            forward: value(&started, "forward"),
+            operator: value(&started, "operator"),
+            process,
+        }
+    }
+
+    /// Returns a configuration for two teams, one model, one service.
+    pub fn sample_objects(&self) -> Value {
+        let digest = |key: &str| dandelionfront_coordination::ids::sha256_hex(key.as_bytes());
+        let mut backends = json!({
+            "desk-1": { "address": self.service.1, "zone": "local-a", "serves": ["desk"] },
+        });
+        for (index, (_, address)) in self.engines.iter().enumerate() {
+            backends[format!("engine-{index}")] =
+                json!({ "address": address, "zone": "local-a", "serves": ["geo-llm"] });
+        }
+        json!({
+            "limit": { "wide": { "rate_per_s": 10000.0, "burst": 10000 } },
+            "budget": {},
+            "team": { "alpha": { "limit": "wide" }, "beta": { "limit": "wide" } },
+            "key": {
+                "alpha-1": { "team": "alpha", "sha256": digest(ALPHA_KEY) },
+                "beta-1": { "team": "beta", "sha256": digest(BETA_KEY) },
+            },
+            "model": { "geo-llm": { "context_tokens": 100_000, "default_completion_tokens": 16 } },
+            "service": { "desk": {} },
+            "backend": backends,
+            "route": {
+                "geo": { "model": "geo-llm", "teams": ["alpha", "beta"], "repeatable": true },
+                "desk": { "service": "desk", "teams": ["alpha"] },
+                "status": { "service": "desk", "open": true, "repeatable": true },
+            },
+        })
+    }
+
+    /// Publishes objects through the first node on top of the newest version.
+    pub async fn publish(&self, objects: Value, publish_id: &str) -> Reply {
+        let operator = &self.nodes[0].operator;
+        let current = self.http.get_json(operator, "/v1/config").await;
+        self.publish_on(operator, &current["version"], objects, publish_id)
+            .await
+    }
+
+    /// Publishes objects through `operator` on top of `base_version`.
+    pub async fn publish_on(
+        &self,
+        operator: &str,
+        base_version: &Value,
+        objects: Value,
+        publish_id: &str,
+    ) -> Reply {
+        let publication = json!({
+            "base_version": base_version,
+            "publish_id": publish_id,
+            "author": "test",
+            "objects": objects,
+        });
+        let request = self
+            .http
+            .request("POST", operator, "/v1/config")
+            .content_type("application/json");
+        self.http
+            .send(request, publication.to_string())
+            .await
+            .expect("publish answers")
+    }
+
+    /// Waits until all shards are served and every node has the newest configuration.
+    pub async fn wait_settled(&self) {
+        eventually("the fleet is settled", async || {
+            let mut shards = 0;
+            for node in &self.nodes {
+                let status = self.status(node).await?;
+                if status["settled"] != true || status["config_version"] == 0 {
+                    return None;
+                }
+                let members = status["members"].as_array()?;
+                if members
+                    .iter()
+                    .filter(|member| member["state"] == "live")
+                    .count()
+                    != self.nodes.len()
+                {
+                    return None;
+                }
+                shards += status["shards"].as_u64()?;
+            }
+            (shards == 16).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns a node's status.
+    pub async fn status(&self, node: &Node) -> Option<Value> {
+        let request = self.http.request("GET", &node.operator, "/v1/status");
+        let reply = self.http.send(request, "").await.ok()?;
+        (reply.status == 200).then(|| reply.json())
+    }
+
+    /// Opens a program through a node.
+    pub async fn open_program(&self, node: &Node, key: &str, body: &Value) -> Reply {
+        let request = self
+            .http
+            .request("POST", &node.listen, "/v1/programs")
+            .bearer_auth(key);
+        self.http
+            .send(request, body.to_string())
+            .await
+            .expect("open answers")
+    }
+
+    /// Opens a program whose owner is `owner`.
+    pub async fn program_owned_by(&self, owner: &Node, key: &str) -> String {
+        let reply = self.open_program(owner, key, &json!({})).await.expect(201);
+        reply.json()["id"].as_str().expect("id is text").to_owned()
+    }
+
+    /// Sends a model call of a program.
+    pub async fn model_call(
+        &self,
+        node: &Node,
+        key: &str,
+        call: &ProgramCall<'_>,
+    ) -> Result<Reply, String> {
+        let request = self
+            .http
+            .request("POST", &node.listen, "/v1/chat/completions");
+        let body = json!({
+            "model": "geo",
+            "messages": [{ "role": "user", "content": call.content }],
+            "max_tokens": 64,
+        });
+        self.http
+            .send(call.headers(request.bearer_auth(key)), body.to_string())
+            .await
+    }
+
+    /// Sends a service call of a program that may not be repeated.
+    pub async fn service_call(
+        &self,
+        node: &Node,
+        key: &str,
+        call: &ProgramCall<'_>,
+    ) -> Result<Reply, String> {
+        let request = self
+            .http
+            .request("POST", &node.listen, "/v1/services/desk/checkout");
+        self.http
+            .send(
+                call.headers(request.bearer_auth(key)),
+                call.content.to_owned(),
+            )
+            .await
+    }
+
+    /// Reads a program through a node.
+    pub async fn history(&self, node: &Node, key: &str, program: &str) -> Reply {
+        let request = self
+            .http
+            .request("GET", &node.listen, &format!("/v1/programs/{program}"));
+        self.http
+            .send(request.bearer_auth(key), "")
+            .await
+            .expect("history answers")
+    }
+
+    /// Returns the requests that the engine at `index` executed.
+    pub async fn engine_record(&self, index: usize) -> Vec<Value> {
+        let record = self
+            .http
+            .get_json(&self.engines[index].1, "/standin/record")
+            .await;
+        record.as_array().expect("record is a list").clone()
+    }
+
+    /// Returns the requests that the service executed.
+    pub async fn service_record(&self) -> Vec<Value> {
+        let record = self.http.get_json(&self.service.1, "/standin/record").await;
+        record.as_array().expect("record is a list").clone()
+    }
+
+    /// Returns how often the service executed the call with this idempotency key.
+    pub async fn executions(&self, idempotency_key: &str) -> usize {
+        let record = self.service_record().await;
+        let same = |request: &&Value| request["headers"]["idempotency-key"] == idempotency_key;
+        record.iter().filter(same).count()
+    }
+
+    /// Sets the platform's faults.
+    pub async fn platform_faults(&self, faults: Value) {
+        self.http
+            .put_json(&self.platform_address, "/v1/faults", &faults)
+            .await;
+    }
+
+    /// Pauses the test.
+    pub async fn pause(&self, duration: Duration) {
+        ntex::time::sleep(duration).await;
+    }
+}
+
+/// One call of a program.
+#[derive(Clone, Copy)]
+pub struct ProgramCall<'a> {
+    pub program: &'a str,
+    pub sequence: u64,
+    pub idempotency_key: &'a str,
+    pub content: &'a str,
+}
+
+impl ProgramCall<'_> {
+    fn headers(&self, request: ntex::client::ClientRequest) -> ntex::client::ClientRequest {
+        request
+            .header("program-id", self.program)
+            .header("program-sequence", self.sequence.to_string())
+            .header("idempotency-key", self.idempotency_key)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/process.rs
@@ -0,0 +1,156 @@
+//! Child processes that end with the test.
+
+use std::io::{BufRead as _, BufReader, Read};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
+
+/// Longest wait for a process to announce its address.
+const ANNOUNCE_WAIT: Duration = Duration::from_secs(20);
+
+/// A child process, killed when dropped.
+pub struct ChildProcess {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    announced: mpsc::Receiver<String>,
+}
+
+impl ChildProcess {
+    /// Starts the daemon.
+    pub fn daemon(args: &[String]) -> Self {
+        Self::spawn(Path::new(env!("CARGO_BIN_EXE_dandelionfront")), args)
+    }
+
+    /// Starts a stand-in, an example of the stand-ins package.
+    pub fn standin(name: &str, args: &[String]) -> Self {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_dandelionfront"));
+        let folder = daemon
+            .parent()
+            .expect("the daemon lies in the target folder");
+        Self::spawn(&folder.join("examples").join(name), args)
+    }
+
+    fn spawn(program: &Path, args: &[String]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("cannot start {}: {error}", program.display()));
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (sender, announced) = mpsc::channel();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let stderr = child.stderr.take().expect("stderr is piped");
+        collect(stdout, Arc::clone(&lines), sender.clone());
+        collect(stderr, Arc::clone(&lines), sender);
+        Self {
+            child,
+            lines,
+            announced,
+        }
+    }
+
+    /// Waits for the next line that contains `marker` and returns its values by key.
+    pub fn wait_for(&self, marker: &str) -> Vec<(String, String)> {
+        let deadline = std::time::Instant::now() + ANNOUNCE_WAIT;
+        loop {
+            let left = deadline.saturating_duration_since(std::time::Instant::now());
+            match self.announced.recv_timeout(left) {
+                Ok(line) if line.contains(marker) => return parse_pairs(&line),
+                Ok(_) => {}
+                Err(error) => panic!(
+                    "no line with {marker:?} ({error}); the process printed {:#?}",
+                    self.lines()
+                ),
+            }
+        }
+    }
+
+    /// Returns everything that the process printed so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines
+            .lock()
+            .expect("no panic while holding the lock")
+            .clone()
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.id().to_string())
+            .status();
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "kill -{name} failed"
+        );
+    }
+
+    /// Returns the exit code if the process has ended.
+    pub fn try_exit(&mut self) -> Option<i32> {
+        self.child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() || std::env::var_os("SHOW_LOGS").is_some() {
+            println!(
+                "--- process {} printed:\n{}",
+                self.id(),
+                self.lines().join("\n")
+            );
+        }
+    }
+}
+
+fn collect(
+    output: impl Read + Send + 'static,
+    lines: Arc<Mutex<Vec<String>>>,
+    sender: mpsc::Sender<String>,
+) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            lines
+                .lock()
+                .expect("no panic while holding the lock")
+                .push(line.clone());
+            let _ = sender.send(line);
+        }
+    });
+}
+
+fn parse_pairs(line: &str) -> Vec<(String, String)> {
+    let pairs = line
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .collect()
+}
+
+/// Returns the value of `key`.
+pub fn value(pairs: &[(String, String)], key: &str) -> String {
+    let pair = pairs.iter().find(|(name, _)| name == key);
+    pair.unwrap_or_else(|| panic!("no {key} in {pairs:?}"))
+        .1
+        .clone()
+}
--- /dev/null
+++ b/crates/standins/src/engine/batch.rs
@@ -0,0 +1,86 @@
+//! Slots of the engine stand-in, granted by priority and then by arrival.
+
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+
+use tokio::sync::Notify;
+
+use crate::http::lock;
+
+#[derive(Debug, Default)]
+struct Queue {
+    active: usize,
+    arrivals: u64,
+    waiting: BTreeSet<(u32, u64)>,
+}
+
+/// A fixed number of slots.
+#[derive(Debug)]
+pub struct Batch {
+    slots: usize,
+    queue: Mutex<Queue>,
+    changed: Notify,
+}
+
+/// A slot in use; dropping it lets the next request in.
+#[derive(Debug)]
+pub struct SlotGuard<'a>(&'a Batch);
+
+impl Drop for SlotGuard<'_> {
+    fn drop(&mut self) {
+        lock(&self.0.queue).active -= 1;
+        self.0.changed.notify_waiters();
+    }
+}
+
+/// Removes a waiting request that is dropped before it gets a slot.
+struct Waiting<'a>(&'a Batch, (u32, u64));
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        lock(&self.0.queue).waiting.remove(&self.1);
+    }
+}
+
+impl Batch {
+    /// Creates a batch of `slots`.
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            queue: Mutex::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Waits for a slot; lower `priority` goes first.
+    pub async fn enter(&self, priority: u32) -> SlotGuard<'_> {
+        let ticket = {
+            let mut queue = lock(&self.queue);
+            queue.arrivals += 1;
+            let ticket = (priority, queue.arrivals);
+            queue.waiting.insert(ticket);
+            ticket
+        };
+        let waiting = Waiting(self, ticket);
+        loop {
+            let changed = self.changed.notified();
+            {
+                let mut queue = lock(&self.queue);
+                if queue.active < self.slots && queue.waiting.first() == Some(&ticket) {
+                    queue.active += 1;
+                    break;
+                }
+            }
+            changed.await;
+        }
+        drop(waiting);
+        self.changed.notify_waiters();
+        SlotGuard(self)
+    }
+
+    /// Returns the number of active and of waiting requests.
+    pub fn load(&self) -> (usize, usize) {
+        let queue = lock(&self.queue);
+        (queue.active, queue.waiting.len())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/cache.rs
@@ -0,0 +1,143 @@
+//! Prefix cache of the engine stand-in: blocks of tokens, evicted least recently used first.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Tokens in one block.
+const BLOCK_TOKENS: usize = 16;
+/// Every event whose number is a multiple of this is never published.
+const EVENT_GAP: u64 = 7;
+
+/// Change of the cache as published to schedulers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Number of the event; gaps are events that were never published.
+    pub number: u64,
+    /// Program whose prefix changed.
+    pub program: String,
+    /// Tokens of the program's prefix that the cache holds now.
+    pub held_tokens: u64,
+}
+
+#[derive(Debug)]
+struct Block {
+    programs: BTreeSet<String>,
+    last_used: u64,
+}
+
+/// Cache of prompt prefixes.
+#[derive(Debug)]
+pub struct PrefixCache {
+    capacity_blocks: usize,
+    blocks: HashMap<u64, Block>,
+    clock: u64,
+    events: Vec<CacheEvent>,
+}
+
+impl PrefixCache {
+    /// Creates an empty cache of `capacity_tokens`.
+    #[must_use]
+    pub fn new(capacity_tokens: u64) -> Self {
+        let capacity_blocks = usize::try_from(capacity_tokens).unwrap_or(usize::MAX) / BLOCK_TOKENS;
+        Self {
+            capacity_blocks,
+            blocks: HashMap::new(),
+            clock: 0,
+            events: Vec::new(),
+        }
+    }
+
+    /// Returns how many leading tokens of `prompt` are cached.
+    pub fn lookup(&mut self, prompt: &[&str]) -> u64 {
+        self.clock += 1;
+        let clock = self.clock;
+        let hits = block_hashes(prompt).into_iter().map_while(|hash| {
+            self.blocks
+                .get_mut(&hash)
+                .map(|block| block.last_used = clock)
+        });
+        (hits.count() * BLOCK_TOKENS) as u64
+    }
+
+    /// Keeps the blocks of `prompt` for `program`, evicting the least recently used ones.
+    pub fn insert(&mut self, program: &str, prompt: &[&str]) {
+        self.clock += 1;
+        for hash in block_hashes(prompt) {
+            let clock = self.clock;
+            let block = self.blocks.entry(hash).or_insert_with(|| Block {
+                programs: BTreeSet::new(),
+                last_used: clock,
+            });
+            block.last_used = clock;
+            block.programs.insert(program.to_owned());
+        }
+        while self.blocks.len() > self.capacity_blocks {
+            let oldest = self.blocks.iter().min_by_key(|(_, block)| block.last_used);
+            let Some(hash) = oldest.map(|(hash, _)| *hash) else {
+                break;
+            };
+            self.blocks.remove(&hash);
+        }
+        self.publish(program);
+    }
+
+    /// Frees what is kept for `program` alone; returns the tokens freed.
+    pub fn release(&mut self, program: &str) -> u64 {
+        let before = self.blocks.len();
+        self.blocks.retain(|_, block| {
+            block.programs.remove(program);
+            !block.programs.is_empty()
+        });
+        self.publish(program);
+        ((before - self.blocks.len()) * BLOCK_TOKENS) as u64
+    }
+
+    /// Returns the tokens held, by program.
+    #[must_use]
+    pub fn held_tokens(&self) -> BTreeMap<String, u64> {
+        let mut held = BTreeMap::new();
+        for program in self.blocks.values().flat_map(|block| &block.programs) {
+            *held.entry(program.clone()).or_default() += BLOCK_TOKENS as u64;
+        }
+        held
+    }
+
+    /// Returns the published events after `number`.
+    #[must_use]
+    pub fn events_after(&self, number: u64) -> Vec<CacheEvent> {
+        let published = self
+            .events
+            .iter()
+            .filter(|event| event.number % EVENT_GAP != 0);
+        published
+            .filter(|event| event.number > number)
+            .cloned()
+            .collect()
+    }
+
+    fn publish(&mut self, program: &str) {
+        let held = self
+            .blocks
+            .values()
+            .filter(|block| block.programs.contains(program))
+            .count();
+        self.events.push(CacheEvent {
+            number: self.events.len() as u64 + 1,
+            program: program.to_owned(),
+            held_tokens: (held * BLOCK_TOKENS) as u64,
+        });
+    }
+}
+
+fn block_hashes(prompt: &[&str]) -> Vec<u64> {
+    let mut seed = 0;
+    let whole_blocks = prompt.chunks_exact(BLOCK_TOKENS);
+    whole_blocks
+        .map(|block| {
+            seed = xxh3_64_with_seed(block.join(" ").as_bytes(), seed);
+            seed
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/standins/src/engine/text.rs
@@ -0,0 +1,37 @@
+//! Tokens and texts of the engine stand-in: a token is a word.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Completion length of prompts that do not ask for one.
+const DEFAULT_COMPLETION_TOKENS: u64 = 16;
+
+/// Returns the words of a prompt.
+pub fn tokens(prompt: &str) -> Vec<&str> {
+    prompt.split_whitespace().collect()
+}
+
+/// Returns the number of tokens to generate; a word `tokens=N` in the prompt asks for N.
+pub fn completion_tokens(prompt: &str, max_tokens: u64) -> u64 {
+    let asked = prompt
+        .split_whitespace()
+        .rev()
+        .find_map(|word| word.strip_prefix("tokens="));
+    let asked = asked
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(DEFAULT_COMPLETION_TOKENS);
+    asked.min(max_tokens).max(1)
+}
+
+/// Returns the token at `index` of the completion of a prompt.
+pub fn completion_token(prompt_hash: u64, index: u64) -> String {
+    let mut input = [0; 16];
+    input[..8].copy_from_slice(&prompt_hash.to_be_bytes());
+    input[8..].copy_from_slice(&index.to_be_bytes());
+    let word = format!("w{:04x}", xxh3_64(&input) & 0xffff);
+    if index == 0 { word } else { format!(" {word}") }
+}
+
+/// Returns the hash of a prompt.
+pub fn prompt_hash(prompt: &str) -> u64 {
+    xxh3_64(prompt.as_bytes())
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,18 @@
+//! Small stand-ins for the systems around dandelionfront.
+//!
+//! Each stand-in keeps its state behind one mutex, serves HTTP on one thread and records what it
+//! executed, so that tests can count executions and look for callers' keys. Their programs are the
+//! examples of this package.
+
+pub mod engine;
+pub mod http;
+pub mod platform;
+pub mod proxy;
+pub mod service;
+pub mod table;
+
+pub use engine::{Engine, EngineSettings};
+pub use platform::{Platform, PlatformFaults};
+pub use proxy::{FaultProxy, ProxyFaults};
+pub use service::{Service, ServiceSettings};
+pub use table::MemoryTable;
--- /dev/null
+++ b/crates/standins/src/proxy.rs
@@ -0,0 +1,161 @@
+//! Fault-injecting TCP proxy.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ntex::web::{self, HttpResponse, types::Json, types::State};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::http::{lock, serve};
+
+/// Faults of a link.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent switches, set together over HTTP"
+)]
+pub struct ProxyFaults {
+    /// Refuses new connections.
+    pub refuse: bool,
+    /// Closes each connection after this many bytes from the target.
+    pub cut_after_bytes: Option<usize>,
+    /// Delays each chunk in both directions.
+    pub delay_ms: u64,
+    /// Swallows everything on connections that are open now; new ones work.
+    pub silence_open: bool,
+    /// Swallows everything on all connections, old and new.
+    pub silence_all: bool,
+    /// Closes the connections that are open now.
+    pub close_open: bool,
+}
+
+/// A proxy in front of one target.
+#[derive(Debug)]
+pub struct FaultProxy {
+    target: SocketAddr,
+    faults: Mutex<ProxyFaults>,
+    epoch: watch::Sender<u64>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy to `target`; returns the bound address and the address of its control.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub fn spawn(
+        listen: SocketAddr,
+        control: SocketAddr,
+        target: SocketAddr,
+    ) -> io::Result<(SocketAddr, SocketAddr)> {
+        let proxy = Arc::new(Self {
+            target,
+            faults: Mutex::default(),
+            epoch: watch::Sender::new(0),
+        });
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let accepting = Arc::clone(&proxy);
+        std::thread::Builder::new()
+            .name("proxy".to_owned())
+            .spawn(move || {
+                let runtime = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()?;
+                runtime.block_on(accept(accepting, TcpListener::from_std(listener)?))
+            })?;
+        let control = serve(control, proxy, |config| {
+            config.service(web::resource("/v1/faults").route(web::put().to(put_faults)));
+        })?;
+        Ok((address, control))
+    }
+
+    /// Sets the faults; `silence_open` and `close_open` act on the connections open now.
+    pub fn set_faults(&self, faults: ProxyFaults) {
+        *lock(&self.faults) = faults;
+        self.epoch.send_modify(|epoch| *epoch += 1);
+    }
+}
+
+async fn put_faults(proxy: State<Arc<FaultProxy>>, faults: Json<ProxyFaults>) -> HttpResponse {
+    proxy.set_faults(faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn accept(proxy: Arc<FaultProxy>, listener: TcpListener) -> io::Result<()> {
+    loop {
+        let (caller, _) = listener.accept().await?;
+        if lock(&proxy.faults).refuse {
+            continue;
+        }
+        tokio::spawn(connect(Arc::clone(&proxy), caller));
+    }
+}
+
+async fn connect(proxy: Arc<FaultProxy>, caller: TcpStream) {
+    let opened = *proxy.epoch.borrow();
+    let Ok(target) = TcpStream::connect(proxy.target).await else {
+        return;
+    };
+    let _ = caller.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    let (caller_read, caller_write) = caller.into_split();
+    let (target_read, target_write) = target.into_split();
+    let mut epoch = proxy.epoch.subscribe();
+    let to_target = pump(&proxy, opened, caller_read, target_write, false);
+    let to_caller = pump(&proxy, opened, target_read, caller_write, true);
+    let closed = async {
+        loop {
+            let close = lock(&proxy.faults).close_open && *epoch.borrow_and_update() > opened;
+            if close || epoch.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = to_target => {}
+        () = to_caller => {}
+        () = closed => {}
+    }
+}
+
+async fn pump(
+    proxy: &FaultProxy,
+    opened: u64,
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    counts: bool,
+) {
+    const CHUNK_BYTES: usize = 16 * 1024;
+    let mut chunk = vec![0; CHUNK_BYTES];
+    let mut passed_bytes = 0;
+    while let Ok(read_bytes @ 1..) = from.read(&mut chunk).await {
+        let faults = lock(&proxy.faults).clone();
+        let old = *proxy.epoch.borrow() > opened;
+        if faults.silence_all || faults.silence_open && old {
+            continue;
+        }
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        let limit = faults
+            .cut_after_bytes
+            .filter(|_| counts)
+            .unwrap_or(usize::MAX);
+        let allowed = read_bytes.min(limit.saturating_sub(passed_bytes));
+        if to.write_all(&chunk[..allowed]).await.is_err() {
+            return;
+        }
+        passed_bytes += allowed;
+        if passed_bytes >= limit {
+            return;
+        }
+    }
+}
