--- a/crates/coordination/src/call.rs
+++ b/crates/coordination/src/call.rs
@@ -78,10 +78,9 @@
     #[must_use]
     pub fn tokens_max(&self) -> u64 {
         match self.target {
-            CallTarget::Model {
-                prompt_tokens_max,
-                completion_tokens_max,
-            } => prompt_tokens_max.saturating_add(completion_tokens_max),
+            CallTarget::Model { prompt_tokens_max, completion_tokens_max } => {
+                prompt_tokens_max.saturating_add(completion_tokens_max)
+            }
             CallTarget::Service { .. } => 0,
         }
     }
@@ -165,10 +164,7 @@
     /// Creates an empty feed.
     #[must_use]
     pub fn new() -> Arc<Self> {
-        Arc::new(Self {
-            state: Mutex::default(),
-            changed: watch::Sender::new(()),
-        })
+        Arc::new(Self { state: Mutex::default(), changed: watch::Sender::new(()) })
     }
 
     /// Appends a part of the answer; ignored once the feed is closed.
@@ -206,11 +202,7 @@
     /// Returns a reader that skips the first `position` parts.
     #[must_use]
     pub fn reader_from(self: &Arc<Self>, position: usize) -> FeedReader {
-        FeedReader {
-            changed: self.changed.subscribe(),
-            feed: Arc::clone(self),
-            position,
-        }
+        FeedReader { changed: self.changed.subscribe(), feed: Arc::clone(self), position }
     }
 
     /// Returns whether the outcome is known.
--- a/crates/coordination/src/config/check.rs
+++ b/crates/coordination/src/config/check.rs
@@ -40,21 +40,12 @@
 /// Returns every fault of `set`; an empty list means that it can be published.
 #[must_use]
 pub fn check(set: &ObjectSet) -> Vec<Problem> {
-    let mut checker = Checker {
-        set,
-        problems: Vec::new(),
-    };
+    let mut checker = Checker { set, problems: Vec::new() };
     checker.check_values();
-    set.team
-        .iter()
-        .for_each(|(name, team)| checker.check_team(name, team));
+    set.team.iter().for_each(|(name, team)| checker.check_team(name, team));
     checker.check_keys();
-    set.backend
-        .iter()
-        .for_each(|(name, backend)| checker.check_backend(name, backend));
-    set.route
-        .iter()
-        .for_each(|(name, route)| checker.check_route(name, route));
+    set.backend.iter().for_each(|(name, backend)| checker.check_backend(name, backend));
+    set.route.iter().for_each(|(name, route)| checker.check_route(name, route));
     checker.check_fallback_cycles();
     checker.problems
 }
@@ -66,11 +57,7 @@
 
 impl Checker<'_> {
     fn report(&mut self, object: String, message: impl Into<String>) {
-        self.problems.push(Problem {
-            position: None,
-            object,
-            message: message.into(),
-        });
+        self.problems.push(Problem { position: None, object, message: message.into() });
     }
 
     fn check_values(&mut self) {
@@ -88,20 +75,14 @@
         for (name, budget) in &self.set.budget {
             if budget.program_tokens == 0 {
                 let field = format!("budget.{name}.program_tokens");
-                self.report(
-                    field,
-                    "write at least 1 token, or remove the budget from its teams",
-                );
+                self.report(field, "write at least 1 token, or remove the budget from its teams");
             }
         }
         for (name, model) in &self.set.model {
             if model.default_completion_tokens > model.context_tokens {
                 self.report(
                     format!("model.{name}.default_completion_tokens"),
-                    format!(
-                        "write at most context_tokens, which is {}",
-                        model.context_tokens
-                    ),
+                    format!("write at most context_tokens, which is {}", model.context_tokens),
                 );
             }
         }
@@ -119,10 +100,7 @@
             self.report(format!("team.{name}.budget"), message);
         }
         if team.weight == 0 {
-            self.report(
-                format!("team.{name}.weight"),
-                "write a weight of at least 1",
-            );
+            self.report(format!("team.{name}.weight"), "write a weight of at least 1");
         }
     }
 
@@ -167,10 +145,7 @@
             self.report(format!("backend.{name}.slots"), "write at least 1 slot");
         }
         if backend.serves.is_empty() {
-            self.report(
-                format!("backend.{name}.serves"),
-                "name at least one model or service",
-            );
+            self.report(format!("backend.{name}.serves"), "name at least one model or service");
         }
         for served in &backend.serves {
             if !self.set.model.contains_key(served) && !self.set.service.contains_key(served) {
@@ -221,10 +196,7 @@
         };
         if target.model.is_some() != route.model.is_some() || target.repeatable != route.repeatable
         {
-            self.report(
-                field,
-                "name a route of the same kind and with the same repeatable",
-            );
+            self.report(field, "name a route of the same kind and with the same repeatable");
         }
     }
 
@@ -255,10 +227,6 @@
 fn dangling<'a>(kind: &str, name: &str, known: impl Iterator<Item = &'a String>) -> String {
     const SUGGESTIONS: usize = 5;
     let known: Vec<&str> = known.take(SUGGESTIONS).map(String::as_str).collect();
-    let hint = if known.is_empty() {
-        "none is defined".to_owned()
-    } else {
-        known.join(", ")
-    };
+    let hint = if known.is_empty() { "none is defined".to_owned() } else { known.join(", ") };
     format!("there is no {kind} {name:?}; define it or name one that exists ({hint})")
 }
--- a/crates/coordination/src/config/files.rs
+++ b/crates/coordination/src/config/files.rs
@@ -55,10 +55,7 @@
         for (kind, names) in table.get_ref() {
             let line = position(file, text, kind.span().start);
             let kind = kind.get_ref().as_ref();
-            let parse = KINDS
-                .iter()
-                .find(|(known, _)| *known == kind)
-                .map(|(_, parse)| *parse);
+            let parse = KINDS.iter().find(|(known, _)| *known == kind).map(|(_, parse)| *parse);
             let (Some(parse), DeValue::Table(names)) = (parse, names.get_ref()) else {
                 let known: Vec<&str> = KINDS.iter().map(|(known, _)| *known).collect();
                 let message = format!("write [KIND.NAME] with KIND one of {}", known.join(", "));
@@ -115,15 +112,9 @@
             return self.report(Some(position), &object, &message);
         }
         self.positions.insert(object.clone(), position.clone());
-        match value
-            .ok_or_else(|| "write a table".to_owned())
-            .and_then(parse)
-        {
+        match value.ok_or_else(|| "write a table".to_owned()).and_then(parse) {
             Ok(value) => {
-                self.values
-                    .entry(kind.to_owned())
-                    .or_default()
-                    .insert(name.to_owned(), value);
+                self.values.entry(kind.to_owned()).or_default().insert(name.to_owned(), value);
             }
             Err(message) => self.report(Some(position), &object, &message),
         }
@@ -135,28 +126,19 @@
         };
         for field in fields.keys() {
             let path = format!("{object}.{}", field.get_ref());
-            self.positions
-                .entry(path)
-                .or_insert_with(|| position(file, text, field.span().start));
+            self.positions.entry(path).or_insert_with(|| position(file, text, field.span().start));
         }
     }
 
     /// Returns the position of a field, or of its object when the field is not written.
     fn position_of(&self, path: &str) -> Option<Position> {
         let object = || path.rsplit_once('.').map(|(object, _)| object);
-        self.positions
-            .get(path)
-            .or_else(|| self.positions.get(object()?))
-            .cloned()
+        self.positions.get(path).or_else(|| self.positions.get(object()?)).cloned()
     }
 
     fn report(&mut self, position: Option<Position>, object: &str, message: &str) {
         let object = object.to_owned();
-        self.problems.push(Problem {
-            position,
-            object,
-            message: message.trim().to_owned(),
-        });
+        self.problems.push(Problem { position, object, message: message.trim().to_owned() });
     }
 }
 
@@ -166,14 +148,6 @@
 }
 
 fn position(file: &str, text: &str, offset: usize) -> Position {
-    let line = text
-        .bytes()
-        .take(offset)
-        .filter(|byte| *byte == b'\n')
-        .count()
-        + 1;
-    Position {
-        file: file.to_owned(),
-        line,
-    }
+    let line = text.bytes().take(offset).filter(|byte| *byte == b'\n').count() + 1;
+    Position { file: file.to_owned(), line }
 }
--- a/crates/coordination/src/config/objects.rs
+++ b/crates/coordination/src/config/objects.rs
@@ -241,10 +241,6 @@
 
 impl Change {
     fn new(kind: &str, name: &str, value: Option<Value>) -> Self {
-        Self {
-            kind: kind.to_owned(),
-            name: name.to_owned(),
-            value,
-        }
+        Self { kind: kind.to_owned(), name: name.to_owned(), value }
     }
 }
--- a/crates/coordination/src/config/publish.rs
+++ b/crates/coordination/src/config/publish.rs
@@ -11,7 +11,7 @@
 use crate::ids::ConfigVersion;
 use crate::journal::load_body;
 use crate::members::{HEAD_KEY, Head};
-use crate::node::read_head;
+use crate::membership::read_head;
 use crate::payload::{Body, Payload};
 use crate::platform::{
     Platform, PlatformError, PlatformResult, Table, Transaction, TransactionOutcome, scan_all,
@@ -128,23 +128,16 @@
         let source_error = |source| PublishError::Platform { source };
         let mut row = version_row(publication, current, now);
         loop {
-            let (head_version, head) = read_head(&*self.platform.table)
-                .await
-                .map_err(source_error)?;
+            let (head_version, head) =
+                read_head(&*self.platform.table).await.map_err(source_error)?;
             if let Some(published) = self.earlier_try(publication).await.map_err(source_error)? {
                 return Ok(published);
             }
             if head.config_version != publication.base_version {
                 return Err(self.raced(&head).await);
             }
-            self.spill(&mut row, publication)
-                .await
-                .map_err(source_error)?;
-            if self
-                .commit(head_version, &head, &row)
-                .await
-                .map_err(source_error)?
-            {
+            self.spill(&mut row, publication).await.map_err(source_error)?;
+            if self.commit(head_version, &head, &row).await.map_err(source_error)? {
                 info!(
                     "event=config_published version={} changes={}",
                     row.version, row.change_count
@@ -154,7 +147,8 @@
         }
     }
 
-    /// Returns the newest version with its objects, starting from what the caller already has.
+    /// Returns the newest version with its objects, starting from what the caller already has, and
+    /// the rows of the versions that were applied one by one.
     ///
     /// # Errors
     ///
@@ -163,19 +157,21 @@
         &self,
         from: (ConfigVersion, &ObjectSet),
         to: ConfigVersion,
-    ) -> PlatformResult<(ConfigVersion, ObjectSet)> {
+    ) -> PlatformResult<(ConfigVersion, ObjectSet, Vec<VersionRow>)> {
         let (mut version, mut objects) = (from.0, from.1.clone());
         if to.saturating_sub(version) > FULL_SET_INTERVAL
             && let Some((full_version, full)) = self.full_set(version, to).await?
         {
             (version, objects) = (full_version, full);
         }
+        let mut rows = Vec::new();
         while version < to {
             let row = self.row(version + 1).await?;
             objects = self.apply(&objects, &row).await?;
             version = row.version;
+            rows.push(row);
         }
-        Ok((version, objects))
+        Ok((version, objects, rows))
     }
 
     /// Returns the newest version that was accepted.
@@ -265,10 +261,7 @@
             Ok(row) => row.author,
             Err(_) => "another operator".to_owned(),
         };
-        PublishError::Raced {
-            version: head.config_version,
-            author,
-        }
+        PublishError::Raced { version: head.config_version, author }
     }
 
     async fn spill(&self, row: &mut VersionRow, publication: &Publication) -> PlatformResult<()> {
@@ -278,11 +271,7 @@
             let key = format!("configs/{}/{}/changes", row.version, row.publish_id);
             let len_bytes = payload.0.len() as u64;
             self.platform.objects.put(&key, payload.0.clone()).await?;
-            row.changes = Body::Object {
-                key,
-                offset_bytes: 0,
-                len_bytes,
-            };
+            row.changes = Body::Object { key, offset_bytes: 0, len_bytes };
         }
         if row.version.is_multiple_of(FULL_SET_INTERVAL) && row.full_set.is_none() {
             let key = format!("configs/{}/{}/full", row.version, row.publish_id);
@@ -303,22 +292,14 @@
             config_version: row.version,
             config_digest: row.digest.clone(),
             publish_id: row.publish_id.clone(),
-            members_version: head.members_version,
+            ..head.clone()
         };
         let key = version_key(row.version);
         let transaction = Transaction::default()
             .require(Table::Head, HEAD_KEY, head_version)
             .require(Table::Configs, &key, 0)
-            .put(
-                Table::Head,
-                HEAD_KEY,
-                serde_json::to_value(head).unwrap_or_default(),
-            )
-            .put(
-                Table::Configs,
-                &key,
-                serde_json::to_value(row).unwrap_or_default(),
-            );
+            .put(Table::Head, HEAD_KEY, serde_json::to_value(head).unwrap_or_default())
+            .put(Table::Configs, &key, serde_json::to_value(row).unwrap_or_default());
         match self.platform.table.transact(&transaction).await {
             Ok(outcome) => Ok(matches!(outcome, TransactionOutcome::Committed(_))),
             Err(PlatformError::AnswerLost { .. }) => Ok(false),
@@ -342,11 +323,7 @@
 }
 
 fn published(row: &VersionRow) -> Published {
-    Published {
-        version: row.version,
-        digest: row.digest.clone(),
-        change_count: row.change_count,
-    }
+    Published { version: row.version, digest: row.digest.clone(), change_count: row.change_count }
 }
 
 fn version_key(version: ConfigVersion) -> String {
--- a/crates/coordination/src/config/snapshot.rs
+++ b/crates/coordination/src/config/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::objects::{Backend, BackendState, Key, ObjectSet, Route};
+use super::objects::{Backend, BackendState, Key, Limit, ObjectSet, Route};
 use crate::ids::{BackendId, ConfigVersion, TeamId, sha256_hex};
 use crate::refusal::{Refusal, RefusalKind};
 
@@ -28,17 +28,9 @@
     /// Indexes `objects` as `version`.
     #[must_use]
     pub fn new(version: ConfigVersion, objects: ObjectSet) -> Self {
-        let keys_by_digest = objects
-            .key
-            .iter()
-            .map(|(name, key)| (key.sha256.clone(), name.clone()))
-            .collect();
-        Self {
-            version,
-            digest: objects.digest(),
-            objects,
-            keys_by_digest,
-        }
+        let keys_by_digest =
+            objects.key.iter().map(|(name, key)| (key.sha256.clone(), name.clone())).collect();
+        Self { version, digest: objects.digest(), objects, keys_by_digest }
     }
 
     /// Returns the version; 0 stands for no configuration.
@@ -76,10 +68,7 @@
         let key_name = self.keys_by_digest.get(&digest).ok_or_else(unknown)?;
         let key = self.objects.key.get(key_name).ok_or_else(unknown)?;
         check_withdrawn(key)?;
-        Ok(Caller {
-            team: key.team.clone(),
-            key_name: key_name.clone(),
-        })
+        Ok(Caller { team: key.team.clone(), key_name: key_name.clone() })
     }
 
     /// Checks that the key behind `caller` still admits requests in this version.
@@ -111,6 +100,12 @@
         })
     }
 
+    /// Returns the limit of a team; requests without a key have none.
+    #[must_use]
+    pub fn team_limit(&self, team: &str) -> Option<&Limit> {
+        self.objects.limit.get(&self.objects.team.get(team)?.limit)
+    }
+
     /// Returns the active backend servers of a model or service.
     pub fn active_backends(&self, served: &str) -> impl Iterator<Item = (&BackendId, &Backend)> {
         self.objects.backend.iter().filter(move |(_, backend)| {
@@ -121,11 +116,7 @@
 }
 
 fn check_withdrawn(key: &Key) -> Result<(), Refusal> {
-    if key.withdrawn {
-        Err(key_withdrawn())
-    } else {
-        Ok(())
-    }
+    if key.withdrawn { Err(key_withdrawn()) } else { Ok(()) }
 }
 
 /// Creates the refusal of a request whose key was withdrawn before it ran.
--- /dev/null
+++ b/crates/coordination/src/detector.rs
@@ -0,0 +1,109 @@
+//! Failure detection: who observes whom, and who has been silent for too long.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::ids::IncarnationId;
+use crate::members::{Member, MemberState};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Observers of each member.
+pub const OBSERVERS: usize = 3;
+/// Observers that must agree before a member is fenced.
+pub const OBSERVER_QUORUM: usize = 2;
+
+/// Returns the members that observe `target`, in other zones where possible.
+#[must_use]
+pub fn observers<'a>(members: &'a [Member], target: &Member) -> Vec<&'a Member> {
+    let mut ranked: Vec<&Member> = members
+        .iter()
+        .filter(|member| member.id != target.id && member.region == target.region)
+        .filter(|member| member.state != MemberState::Fenced)
+        .collect();
+    ranked.sort_by_key(|member| std::cmp::Reverse(observer_weight(&member.id, &target.id)));
+    let mut chosen: Vec<&Member> = Vec::with_capacity(OBSERVERS);
+    let mut others = Vec::new();
+    for member in ranked {
+        let new_zone = chosen.iter().all(|known| known.zone != member.zone);
+        if new_zone && member.zone != target.zone {
+            chosen.push(member);
+        } else {
+            others.push(member);
+        }
+    }
+    chosen.extend(others);
+    chosen.truncate(OBSERVERS);
+    chosen
+}
+
+fn observer_weight(observer: &str, target: &str) -> u64 {
+    xxh3_64(format!("{target}/{observer}").as_bytes())
+}
+
+/// Time bounds of failure detection.
+#[derive(Debug, Clone)]
+pub struct DetectorSettings {
+    /// Time between two heartbeats.
+    pub interval: Duration,
+    /// Silence after which a member is suspected.
+    pub suspect_after: Duration,
+}
+
+impl Default for DetectorSettings {
+    fn default() -> Self {
+        Self { interval: Duration::from_secs(1), suspect_after: Duration::from_millis(3_500) }
+    }
+}
+
+/// Remembers when each observed member was last heard.
+#[derive(Debug)]
+pub struct Detector {
+    settings: DetectorSettings,
+    last_heard: HashMap<IncarnationId, Duration>,
+    last_tick: Duration,
+}
+
+impl Detector {
+    /// Creates a detector that has heard nobody.
+    #[must_use]
+    pub fn new(settings: DetectorSettings, now: Duration) -> Self {
+        Self { settings, last_heard: HashMap::new(), last_tick: now }
+    }
+
+    /// Records a sign of life.
+    pub fn heard(&mut self, member: &str, now: Duration) {
+        self.last_heard.insert(member.to_owned(), now);
+    }
+
+    /// Sets whom this node observes; newly observed members count as just heard.
+    ///
+    /// A gap since the last call shows that this node itself was paused: its silence says nothing
+    /// about the others, so everybody counts as just heard.
+    pub fn observe(&mut self, observed: &[IncarnationId], now: Duration) {
+        let paused = now.saturating_sub(self.last_tick) > self.settings.interval * 2;
+        self.last_tick = now;
+        self.last_heard.retain(|member, _| observed.contains(member));
+        for member in observed {
+            let heard = self.last_heard.entry(member.clone()).or_insert(now);
+            if paused {
+                *heard = now;
+            }
+        }
+    }
+
+    /// Returns whether `member` is observed and has been silent for too long.
+    #[must_use]
+    pub fn is_suspect(&self, member: &str, now: Duration) -> bool {
+        let silent = |heard: &Duration| now.saturating_sub(*heard) >= self.settings.suspect_after;
+        self.last_heard.get(member).is_some_and(silent)
+    }
+
+    /// Returns all members that have been silent for too long.
+    #[must_use]
+    pub fn suspects(&self, now: Duration) -> Vec<IncarnationId> {
+        let mut suspects: Vec<_> =
+            self.last_heard.keys().filter(|member| self.is_suspect(member, now)).cloned().collect();
+        suspects.sort();
+        suspects
+    }
+}
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -47,10 +47,7 @@
             ));
         };
         *outstanding.entry(name.clone()).or_default() += 1;
-        Ok(Placement {
-            backend: name.clone(),
-            address: backend.address.clone(),
-        })
+        Ok(Placement { backend: name.clone(), address: backend.address.clone() })
     }
 
     /// Records the end of an attempt.
--- /dev/null
+++ b/crates/coordination/src/heartbeat.rs
@@ -0,0 +1,169 @@
+//! Heartbeats to observers, suspicion, and the promises that cover limit shares.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use log::debug;
+
+use crate::clock::{Clock, millis};
+use crate::detector::{Detector, DetectorSettings, OBSERVER_QUORUM, observers};
+use crate::ids::{ConfigVersion, IncarnationId};
+use crate::members::{Member, MemberState};
+use crate::peers::{Heartbeat, HeartbeatReply, Peers};
+
+/// Time for which a node that answers a heartbeat promises not to reclaim the sender's shares.
+pub const PROMISE: Duration = Duration::from_secs(3);
+
+/// Newest configuration seen at a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewerConfig {
+    /// Version in force at the peer.
+    pub version: ConfigVersion,
+    /// Peer address to fetch it from.
+    pub peer_address: String,
+}
+
+/// Exchange of heartbeats by one node.
+pub struct Heartbeats {
+    peers: Rc<dyn Peers>,
+    clock: Rc<dyn Clock>,
+    detector: RefCell<Detector>,
+    promised_at: RefCell<HashMap<IncarnationId, Duration>>,
+    covered_until: Cell<Duration>,
+    sent: Cell<u64>,
+}
+
+impl Heartbeats {
+    /// Creates the exchange; nothing is sent before [`Heartbeats::beat`].
+    #[must_use]
+    pub fn new(peers: Rc<dyn Peers>, clock: Rc<dyn Clock>, settings: DetectorSettings) -> Self {
+        let detector = Detector::new(settings, clock.monotonic());
+        Self {
+            peers,
+            clock,
+            detector: RefCell::new(detector),
+            promised_at: RefCell::default(),
+            covered_until: Cell::default(),
+            sent: Cell::default(),
+        }
+    }
+
+    /// Returns the time until which this node may spend its limit shares.
+    #[must_use]
+    pub fn covered_until(&self) -> Duration {
+        self.covered_until.get()
+    }
+
+    /// Extends the time until which this node may spend its limit shares.
+    pub fn cover_until(&self, until: Duration) {
+        self.covered_until.set(self.covered_until.get().max(until));
+    }
+
+    /// Returns the number of heartbeats sent.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent.get()
+    }
+
+    /// Answers a heartbeat; a sender that is known to be fenced gets no promise any more.
+    pub fn answer(
+        &self,
+        own: &Member,
+        members: &[Member],
+        beat: &Heartbeat,
+        config_version: ConfigVersion,
+    ) -> HeartbeatReply {
+        let fenced = members
+            .iter()
+            .any(|member| member.id == beat.from && member.state == MemberState::Fenced);
+        let promise = if fenced { Duration::ZERO } else { PROMISE };
+        if !fenced {
+            let now = self.clock.monotonic();
+            self.detector.borrow_mut().heard(&beat.from, now);
+            self.promised_at.borrow_mut().insert(beat.from.clone(), now);
+        }
+        HeartbeatReply { from: own.id.clone(), config_version, promise_ms: millis(promise) }
+    }
+
+    /// Returns the time at which this node last promised not to reclaim the shares of `member`.
+    #[must_use]
+    pub fn promised_at(&self, member: &str) -> Option<Duration> {
+        self.promised_at.borrow().get(member).copied()
+    }
+
+    /// Returns whether this node suspects `member`.
+    #[must_use]
+    pub fn is_suspect(&self, member: &str) -> bool {
+        self.detector.borrow().is_suspect(member, self.clock.monotonic())
+    }
+
+    /// Sends a heartbeat to each observer; returns the newest configuration heard of.
+    pub async fn beat(
+        &self,
+        own: &Member,
+        members: &[Member],
+        config_version: ConfigVersion,
+    ) -> Option<NewerConfig> {
+        let beat = Heartbeat { from: own.id.clone(), config_version };
+        let sends =
+            observers(members, own).into_iter().map(|observer| self.send(own, observer, &beat));
+        let replies = join_all(sends).await;
+        let newer = replies.into_iter().flatten().filter(|newer| newer.version > config_version);
+        newer.max_by_key(|newer| newer.version)
+    }
+
+    async fn send(&self, own: &Member, observer: &Member, beat: &Heartbeat) -> Option<NewerConfig> {
+        let sent_at = self.clock.monotonic();
+        self.sent.set(self.sent.get() + 1);
+        match self.peers.heartbeat(&observer.peer_address, beat).await {
+            Ok(reply) => {
+                if own.reclaimer.as_deref() == Some(&reply.from) {
+                    // Counted from the sending, which is before the promise was made.
+                    self.cover_until(sent_at + Duration::from_millis(reply.promise_ms));
+                }
+                let version = reply.config_version;
+                Some(NewerConfig { version, peer_address: observer.peer_address.clone() })
+            }
+            Err(error) => {
+                debug!("event=heartbeat_lost peer={} cause={error:?}", observer.id);
+                None
+            }
+        }
+    }
+
+    /// Updates whom this node observes.
+    pub fn observe(&self, own: &Member, members: &[Member]) {
+        let observed: Vec<IncarnationId> = members
+            .iter()
+            .filter(|member| member.id != own.id && member.state != MemberState::Fenced)
+            .filter(|member| observers(members, member).iter().any(|seen| seen.id == own.id))
+            .map(|member| member.id.clone())
+            .collect();
+        self.detector.borrow_mut().observe(&observed, self.clock.monotonic());
+    }
+
+    /// Returns the suspects that enough observers agree on.
+    pub async fn confirmed_suspects(&self, own: &Member, members: &[Member]) -> Vec<IncarnationId> {
+        let suspects = self.detector.borrow().suspects(self.clock.monotonic());
+        let mut confirmed = Vec::new();
+        for suspect in suspects {
+            let Some(target) = members.iter().find(|member| member.id == suspect) else { continue };
+            if self.is_confirmed(own, members, target).await {
+                confirmed.push(suspect);
+            }
+        }
+        confirmed
+    }
+
+    async fn is_confirmed(&self, own: &Member, members: &[Member], target: &Member) -> bool {
+        let observing = observers(members, target);
+        let quorum = OBSERVER_QUORUM.min(observing.len());
+        let others = observing.iter().filter(|member| member.id != own.id);
+        let asks = others.map(|other| self.peers.suspects(&other.peer_address, &target.id));
+        let agreeing = join_all(asks).await.into_iter().filter(|ask| matches!(ask, Ok(true)));
+        1 + agreeing.count() >= quorum
+    }
+}
--- a/crates/coordination/src/ids.rs
+++ b/crates/coordination/src/ids.rs
@@ -57,11 +57,8 @@
     team: &str,
     idempotency_key: &str,
 ) -> ProgramId {
-    let digest = Sha256::new()
-        .chain_update(team)
-        .chain_update([0])
-        .chain_update(idempotency_key)
-        .finalize();
+    let digest =
+        Sha256::new().chain_update(team).chain_update([0]).chain_update(idempotency_key).finalize();
     let unique = u128::from_be_bytes(digest[..16].try_into().unwrap_or_default());
     let shard = u16::from_be_bytes([digest[16], digest[17]]) % shard_count.max(1);
     program_id(region, shard, unique)
@@ -70,13 +67,11 @@
 /// Returns the lowercase hexadecimal SHA-256 digest of `bytes`.
 #[must_use]
 pub fn sha256_hex(bytes: &[u8]) -> String {
-    Sha256::digest(bytes)
-        .iter()
-        .fold(String::with_capacity(64), |mut hex, byte| {
-            use std::fmt::Write as _;
-            let _ = write!(hex, "{byte:02x}");
-            hex
-        })
+    Sha256::digest(bytes).iter().fold(String::with_capacity(64), |mut hex, byte| {
+        use std::fmt::Write as _;
+        let _ = write!(hex, "{byte:02x}");
+        hex
+    })
 }
 
 /// Returns the rendezvous weight of `node` for `shard`; the highest weight owns the shard.
--- a/crates/coordination/src/incarnation.rs
+++ b/crates/coordination/src/incarnation.rs
@@ -18,11 +18,7 @@
     /// Creates an incarnation that is not registered yet.
     #[must_use]
     pub fn new(id: IncarnationId) -> Self {
-        Self {
-            id,
-            row_version: Cell::new(0),
-            fenced: watch::Sender::new(false),
-        }
+        Self { id, row_version: Cell::new(0), fenced: watch::Sender::new(false) }
     }
 
     /// Returns the id.
--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -15,7 +15,7 @@
 use crate::members::{Member, MemberState};
 use crate::payload::{Body, Payload};
 use crate::platform::{
-    ObjectStore, PlatformError, PlatformResult, Row, Table, TableService, Transaction,
+    ObjectStore, Platform, PlatformError, PlatformResult, Row, Table, TableService, Transaction,
     TransactionOutcome, scan_all,
 };
 use crate::record::{Entry, Record};
@@ -85,8 +85,7 @@
 
 /// The node's journal.
 pub struct Journal {
-    table: Rc<dyn TableService>,
-    objects: Rc<dyn ObjectStore>,
+    platform: Platform,
     clock: Rc<dyn Clock>,
     incarnation: Rc<Incarnation>,
     settings: JournalSettings,
@@ -94,6 +93,7 @@
     arrived: Notify,
     drained: Notify,
     in_flight: Cell<bool>,
+    stalled: Cell<bool>,
     next_number: Cell<CommitNumber>,
     stats: Cell<JournalStats>,
     applier: RefCell<Option<Rc<dyn CommitApplier>>>,
@@ -109,15 +109,13 @@
     /// Creates a journal for `incarnation`; nothing is written before [`Journal::run`].
     #[must_use]
     pub fn new(
-        table: Rc<dyn TableService>,
-        objects: Rc<dyn ObjectStore>,
+        platform: Platform,
         clock: Rc<dyn Clock>,
         incarnation: Rc<Incarnation>,
         settings: JournalSettings,
     ) -> Self {
         Self {
-            table,
-            objects,
+            platform,
             clock,
             incarnation,
             settings,
@@ -125,6 +123,7 @@
             arrived: Notify::new(),
             drained: Notify::new(),
             in_flight: Cell::new(false),
+            stalled: Cell::new(false),
             next_number: Cell::new(1),
             stats: Cell::default(),
             applier: RefCell::new(None),
@@ -154,6 +153,12 @@
         self.stats.get()
     }
 
+    /// Returns whether the commit under way has met a failure of the platform.
+    #[must_use]
+    pub fn is_stalled(&self) -> bool {
+        self.stalled.get()
+    }
+
     /// Queues records for the next commit; they stay together and in order.
     pub fn append(&self, entries: Vec<Entry>) -> CommitTicket {
         let (done, ticket) = oneshot::channel();
@@ -223,10 +228,7 @@
         if let Ok(commit) = result {
             let mut stats = self.stats.get();
             stats.commits += 1;
-            stats.records += batch
-                .iter()
-                .map(|item| item.entries.len() as u64)
-                .sum::<u64>();
+            stats.records += batch.iter().map(|item| item.entries.len() as u64).sum::<u64>();
             stats.commit_time += elapsed;
             self.stats.set(stats);
             let applier = self.applier.borrow().clone();
@@ -240,7 +242,8 @@
         }
     }
 
-    fn fail_pending(&self) {
+    /// Fails everything that is still queued, after the node was fenced.
+    pub fn fail_pending(&self) {
         for item in self.pending.borrow_mut().drain(..) {
             let _ = item.done.send(Err(JournalError::Fenced));
         }
@@ -249,24 +252,18 @@
 
     async fn commit(&self, batch: &[Pending]) -> Result<Commit, JournalError> {
         let number = self.next_number.get();
-        let mut entries: Vec<Entry> = batch
-            .iter()
-            .flat_map(|item| item.entries.iter().cloned())
-            .collect();
+        let mut entries: Vec<Entry> =
+            batch.iter().flat_map(|item| item.entries.iter().cloned()).collect();
         self.spill(number, &mut entries).await?;
         let commit = Commit { entries };
         let value = serde_json::to_value(&commit).unwrap_or_default();
         let key = commit_key(self.incarnation.id(), number);
         loop {
             let transaction = Transaction::default()
-                .require(
-                    Table::Nodes,
-                    self.incarnation.id(),
-                    self.incarnation.row_version(),
-                )
+                .require(Table::Nodes, self.incarnation.id(), self.incarnation.row_version())
                 .require(Table::Journal, &key, 0)
                 .put(Table::Journal, &key, value.clone());
-            match self.table.transact(&transaction).await {
+            match self.platform.table.transact(&transaction).await {
                 Ok(TransactionOutcome::Committed(_)) => break,
                 Ok(TransactionOutcome::Conflict) => {
                     if self.is_committed(&key, &value).await? {
@@ -277,6 +274,7 @@
             }
         }
         self.next_number.set(number + 1);
+        self.stalled.set(false);
         Ok(commit)
     }
 
@@ -304,13 +302,14 @@
     }
 
     async fn read_back(&self, key: &str) -> PlatformResult<(Option<Row>, Option<Row>)> {
-        let row = self.table.get(Table::Journal, key).await?;
-        let own = self.table.get(Table::Nodes, self.incarnation.id()).await?;
+        let row = self.platform.table.get(Table::Journal, key).await?;
+        let own = self.platform.table.get(Table::Nodes, self.incarnation.id()).await?;
         Ok((row, own))
     }
 
     async fn pause_after(&self, error: &PlatformError) -> Result<(), JournalError> {
         debug!("event=commit_retry cause={error:?}");
+        self.stalled.set(true);
         let mut stats = self.stats.get();
         stats.retries += 1;
         self.stats.set(stats);
@@ -326,10 +325,7 @@
         let key = format!("bodies/{}/{number:012}", self.incarnation.id());
         let mut bytes = Vec::new();
         for entry in entries {
-            if let Record::Finished {
-                request, answer, ..
-            } = &mut entry.record
-            {
+            if let Record::Finished { request, answer, .. } = &mut entry.record {
                 for body in [request, &mut answer.body] {
                     spill_body(body, &key, self.settings.inline_max_bytes, &mut bytes);
                 }
@@ -338,7 +334,7 @@
         if bytes.is_empty() {
             return Ok(());
         }
-        while let Err(error) = self.objects.put(&key, bytes.clone()).await {
+        while let Err(error) = self.platform.objects.put(&key, bytes.clone()).await {
             self.pause_after(&error).await?;
         }
         Ok(())
@@ -358,11 +354,7 @@
     let offset_bytes = bytes.len() as u64;
     let len_bytes = payload.0.len() as u64;
     bytes.append(&mut payload.0);
-    *body = Body::Object {
-        key: key.to_owned(),
-        offset_bytes,
-        len_bytes,
-    };
+    *body = Body::Object { key: key.to_owned(), offset_bytes, len_bytes };
 }
 
 /// Returns the key of a journal row.
@@ -407,21 +399,14 @@
 pub async fn load_body(objects: &dyn ObjectStore, body: &Body) -> PlatformResult<Payload> {
     let (key, offset_bytes, len_bytes) = match body {
         Body::Inline(payload) => return Ok(payload.clone()),
-        Body::Object {
-            key,
-            offset_bytes,
-            len_bytes,
-        } => (key, *offset_bytes, *len_bytes),
+        Body::Object { key, offset_bytes, len_bytes } => (key, *offset_bytes, *len_bytes),
     };
     let bytes = objects.get(key).await?.unwrap_or_default();
     let start = usize::try_from(offset_bytes).unwrap_or(usize::MAX);
     let end = start.saturating_add(usize::try_from(len_bytes).unwrap_or(usize::MAX));
-    bytes
-        .get(start..end)
-        .map(|slice| Payload(slice.to_vec()))
-        .ok_or_else(|| PlatformError::Malformed {
-            detail: format!("object {key} lacks bytes {start}..{end}"),
-        })
+    bytes.get(start..end).map(|slice| Payload(slice.to_vec())).ok_or_else(|| {
+        PlatformError::Malformed { detail: format!("object {key} lacks bytes {start}..{end}") }
+    })
 }
 
 /// Returns the Unix time in milliseconds as `clock` reports it.
--- /dev/null
+++ b/crates/coordination/src/limits/bucket.rs
@@ -0,0 +1,88 @@
+//! Token bucket that accrues only over covered time.
+
+use std::time::Duration;
+
+/// Rate and burst of a bucket.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BucketLimits {
+    /// Tokens accrued per second.
+    pub rate_per_s: f64,
+    /// Most tokens held.
+    pub burst: f64,
+}
+
+/// A token bucket on a monotonic clock.
+///
+/// ```
+/// use std::time::Duration;
+/// use dandelionfront_coordination::limits::{Bucket, bucket::BucketLimits};
+///
+/// let limits = BucketLimits { rate_per_s: 1.0, burst: 2.0 };
+/// let mut bucket = Bucket::filled(Duration::ZERO);
+/// let covered = Duration::MAX;
+/// assert!(bucket.take(limits, Duration::ZERO, covered).is_ok());
+/// assert!(bucket.take(limits, Duration::ZERO, covered).is_ok());
+/// assert_eq!(bucket.take(limits, Duration::ZERO, covered), Err(Some(Duration::from_secs(1))));
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bucket {
+    tokens: f64,
+    updated_at: Duration,
+}
+
+impl Bucket {
+    /// Creates a bucket that holds the whole burst of whatever limits it is first used with.
+    #[must_use]
+    pub fn filled(now: Duration) -> Self {
+        Self { tokens: f64::MAX, updated_at: now }
+    }
+
+    /// Creates an empty bucket.
+    #[must_use]
+    pub fn empty(now: Duration) -> Self {
+        Self { tokens: 0.0, updated_at: now }
+    }
+
+    /// Takes one token.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until a token has accrued, or `None` when nothing may be spent because
+    /// `now` is not covered.
+    pub fn take(
+        &mut self,
+        limits: BucketLimits,
+        now: Duration,
+        covered_until: Duration,
+    ) -> Result<(), Option<Duration>> {
+        self.accrue(limits, now, covered_until);
+        if now >= covered_until {
+            return Err(None);
+        }
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        if limits.burst < 1.0 || limits.rate_per_s <= 0.0 {
+            return Err(None);
+        }
+        let wait_s = (1.0 - self.tokens) / limits.rate_per_s;
+        Err(Some(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)))
+    }
+
+    /// Returns the tokens held.
+    #[must_use]
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
+    /// Adds what accrued up to `now`; time after `covered_until` adds nothing.
+    fn accrue(&mut self, limits: BucketLimits, now: Duration, covered_until: Duration) {
+        let until = now.min(covered_until);
+        if let Some(elapsed) = until.checked_sub(self.updated_at) {
+            self.tokens += elapsed.as_secs_f64() * limits.rate_per_s;
+        }
+        self.updated_at = self.updated_at.max(now);
+        self.tokens = self.tokens.min(limits.burst);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/limits/escrow.rs
@@ -0,0 +1,465 @@
+//! A node's shares of team limits: creation, spending, hand-over and reclaim.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, info};
+use rand::seq::SliceRandom as _;
+
+use super::bucket::Bucket;
+use super::shares::{LimitRow, holder_count, preferred_holders, share_limits};
+use crate::clock::{Clock, millis};
+use crate::config::ConfigSnapshot;
+use crate::config::objects::Limit;
+use crate::heartbeat::{Heartbeats, PROMISE};
+use crate::ids::{IncarnationId, TeamId};
+use crate::incarnation::Incarnation;
+use crate::members::{Member, MemberState};
+use crate::peers::{Peers, TakeReply};
+use crate::platform::{
+    PlatformError, PlatformResult, Row, Table, TableService, Transaction, TransactionOutcome,
+    scan_all,
+};
+use crate::refusal::{Refusal, RefusalKind};
+
+/// Allowance for clocks that run at different speeds.
+const DRIFT_MARGIN: Duration = Duration::from_millis(300);
+/// Rows created in one transaction.
+const CREATE_BATCH: usize = 64;
+/// Times that a request asks the holders.
+const ROUNDS_MAX: usize = 8;
+
+/// Bounds of the limiter.
+#[derive(Debug, Clone)]
+pub struct LimitSettings {
+    /// Longest wait of a request for a token that is about to accrue.
+    pub token_wait: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self { token_wait: Duration::from_millis(500) }
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct KnownRow {
+    version: u64,
+    row: LimitRow,
+}
+
+/// Limits as seen and held by one node.
+pub struct Escrow {
+    table: Rc<dyn TableService>,
+    clock: Rc<dyn Clock>,
+    peers: Rc<dyn Peers>,
+    incarnation: Rc<Incarnation>,
+    heartbeats: Rc<Heartbeats>,
+    settings: LimitSettings,
+    rows: RefCell<HashMap<TeamId, KnownRow>>,
+    buckets: RefCell<HashMap<TeamId, Bucket>>,
+    gone_since: RefCell<HashMap<IncarnationId, Duration>>,
+    reclaimed: RefCell<HashSet<IncarnationId>>,
+    handed_over: Cell<bool>,
+    scanned: Cell<bool>,
+}
+
+impl Escrow {
+    /// Creates a node's view of the limits; it holds nothing yet.
+    #[must_use]
+    pub fn new(
+        table: Rc<dyn TableService>,
+        clock: Rc<dyn Clock>,
+        peers: Rc<dyn Peers>,
+        incarnation: Rc<Incarnation>,
+        heartbeats: Rc<Heartbeats>,
+        settings: LimitSettings,
+    ) -> Self {
+        Self {
+            table,
+            clock,
+            peers,
+            incarnation,
+            heartbeats,
+            settings,
+            rows: RefCell::default(),
+            buckets: RefCell::default(),
+            gone_since: RefCell::default(),
+            reclaimed: RefCell::default(),
+            handed_over: Cell::new(false),
+            scanned: Cell::new(false),
+        }
+    }
+
+    /// Returns the number of teams whose split is known here.
+    #[must_use]
+    pub fn known_teams(&self) -> usize {
+        self.rows.borrow().len()
+    }
+
+    /// Takes one token of `team`, here or from another holder, waiting for a short accrual.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the team is over its rate and burst, with the time of the next token.
+    pub async fn acquire(
+        &self,
+        team: &TeamId,
+        limit: &Limit,
+        members: &[Member],
+    ) -> Result<(), Refusal> {
+        let deadline = self.clock.monotonic() + self.settings.token_wait;
+        let mut next_token = None;
+        for _ in 0..ROUNDS_MAX {
+            let wait = match self.ask_holders(team, limit, members).await {
+                TakeReply::Taken => return Ok(()),
+                TakeReply::Empty { wait_ms } => Some(Duration::from_millis(wait_ms)),
+                TakeReply::NotHolder => None,
+            };
+            next_token = wait.or(next_token);
+            let pause = wait.unwrap_or(self.settings.token_wait / 4);
+            if self.clock.monotonic() + pause > deadline {
+                break;
+            }
+            self.clock.sleep(pause).await;
+        }
+        Err(next_token.map_or_else(limit_unavailable, |wait| rate_limited(team, limit, wait)))
+    }
+
+    /// Takes one token from this node's own share, for itself or for another node.
+    pub async fn take_own(&self, team: &TeamId, limit: &Limit, members: &[Member]) -> TakeReply {
+        if !self.rows.borrow().contains_key(team)
+            && let Err(error) = self.load(team, limit, members).await
+        {
+            debug!("event=limit_unreadable team={team} cause={error:?}");
+        }
+        self.spend(team, limit)
+    }
+
+    /// Reads all splits once and creates those that are missing and this node's task, so that a
+    /// later outage of the table finds them in place.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be read or written; the next call continues.
+    pub async fn prepare(&self, config: &ConfigSnapshot, members: &[Member]) -> PlatformResult<()> {
+        if !self.scanned.get() {
+            for row in scan_all(&*self.table, Table::Limits, "", "").await? {
+                let (team, known) = parse_row(row)?;
+                self.adopt(team, known);
+            }
+            self.scanned.set(true);
+        }
+        let mut missing = Vec::new();
+        for team in config.objects().team.keys() {
+            let known = self.rows.borrow().contains_key(team);
+            if let Some(limit) = config.team_limit(team).filter(|_| !known)
+                && let Some(row) = self.first_split(team, limit, members)
+            {
+                missing.push((team.clone(), row));
+            }
+        }
+        for batch in missing.chunks(CREATE_BATCH) {
+            self.create_all(batch).await?;
+        }
+        Ok(())
+    }
+
+    /// Takes over the shares of members that can spend nothing any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be read or written; the next call continues.
+    pub async fn reclaim(&self, members: &[Member]) -> PlatformResult<()> {
+        self.note_gone(members);
+        let due: Vec<IncarnationId> = members
+            .iter()
+            .filter(|member| member.state == MemberState::Fenced)
+            .filter(|member| !self.reclaimed.borrow().contains(&member.id))
+            .filter(|member| self.is_reclaimable(member, members))
+            .map(|member| member.id.clone())
+            .collect();
+        if due.is_empty() {
+            return Ok(());
+        }
+        for row in scan_all(&*self.table, Table::Limits, "", "").await? {
+            let (team, known) = parse_row(row)?;
+            if let Some(holder) = due.iter().find(|holder| known.row.share(holder).is_some()) {
+                info!("event=limit_reclaimed team={team} from={holder}");
+                self.transfer(&team, known, holder, self.incarnation.id()).await?;
+            }
+        }
+        self.reclaimed.borrow_mut().extend(due);
+        Ok(())
+    }
+
+    /// Returns fenced members whose shares were taken over and that are gone for longer than `age`.
+    #[must_use]
+    pub fn gone_for(&self, age: Duration, members: &[Member]) -> Vec<IncarnationId> {
+        let now = self.clock.monotonic();
+        let gone_since = self.gone_since.borrow();
+        let old = |id: &str| gone_since.get(id).is_some_and(|since| now >= *since + age);
+        let fenced = members.iter().filter(|member| member.state == MemberState::Fenced);
+        fenced.filter(|member| old(&member.id)).map(|member| member.id.clone()).collect()
+    }
+
+    /// Hands all shares over before a planned stop; nothing is spent from here on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be written; the next call continues.
+    pub async fn hand_over(&self, members: &[Member]) -> PlatformResult<()> {
+        self.handed_over.set(true);
+        self.buckets.borrow_mut().clear();
+        let own_id = self.incarnation.id().to_owned();
+        for row in scan_all(&*self.table, Table::Limits, "", "").await? {
+            let (team, known) = parse_row(row)?;
+            let heir = preferred_holders(members, &team).into_iter().find(|id| *id != own_id);
+            if let (Some(_), Some(heir)) = (known.row.share(&own_id), heir) {
+                self.transfer(&team, known, &own_id, &heir).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks this node and then the other holders, each at most once.
+    async fn ask_holders(&self, team: &TeamId, limit: &Limit, members: &[Member]) -> TakeReply {
+        let mut best = self.take_own(team, limit, members).await;
+        let mut stale = false;
+        for address in self.other_holders(team, members) {
+            if best == TakeReply::Taken {
+                return best;
+            }
+            match self.peers.take(&address, team).await {
+                Ok(TakeReply::NotHolder) => stale = true,
+                Ok(reply) => best = sooner(best, reply),
+                Err(error) => {
+                    debug!("event=take_lost team={team} cause={error:?}");
+                    stale = true;
+                }
+            }
+        }
+        if stale && best != TakeReply::Taken {
+            let _ = self.load(team, limit, members).await;
+        }
+        best
+    }
+
+    fn spend(&self, team: &str, limit: &Limit) -> TakeReply {
+        let Some(parts) = self.own_parts(team) else { return TakeReply::NotHolder };
+        let mut buckets = self.buckets.borrow_mut();
+        let Some(bucket) = buckets.get_mut(team) else { return TakeReply::NotHolder };
+        let limits = share_limits(limit, parts);
+        let now = self.clock.monotonic();
+        match bucket.take(limits, now, self.heartbeats.covered_until()) {
+            Ok(()) => TakeReply::Taken,
+            Err(Some(wait)) => TakeReply::Empty { wait_ms: millis(wait).saturating_add(1) },
+            Err(None) => TakeReply::NotHolder,
+        }
+    }
+
+    /// Returns the peer addresses of the other holders in a random order.
+    ///
+    /// Without a known row it names the members that the row would be created with.
+    fn other_holders(&self, team: &str, members: &[Member]) -> Vec<String> {
+        let own_id = self.incarnation.id();
+        let rows = self.rows.borrow();
+        let holders: Vec<IncarnationId> = match rows.get(team) {
+            Some(known) => known.row.shares.iter().map(|share| share.holder.clone()).collect(),
+            None => preferred_holders(members, team).into_iter().take(1).collect(),
+        };
+        let able = members.iter().filter(|member| member.state != MemberState::Fenced);
+        let mut addresses: Vec<String> = able
+            .filter(|member| member.id != own_id && holders.contains(&member.id))
+            .map(|member| member.peer_address.clone())
+            .collect();
+        addresses.shuffle(&mut rand::rng());
+        addresses
+    }
+
+    fn own_parts(&self, team: &str) -> Option<u32> {
+        let rows = self.rows.borrow();
+        Some(rows.get(team)?.row.share(self.incarnation.id())?.parts)
+    }
+
+    /// Reads the row of a team, creates it where that is this node's task, and takes over shares
+    /// of members that have left.
+    async fn load(&self, team: &TeamId, limit: &Limit, members: &[Member]) -> PlatformResult<()> {
+        let Some(row) = self.table.get(Table::Limits, team).await? else {
+            return match self.first_split(team, limit, members) {
+                Some(row) => self.write(team, 0, row).await,
+                None => Ok(()),
+            };
+        };
+        let (_, known) = parse_row(row)?;
+        let left = known.row.shares.iter().find(|share| {
+            // Only a planned stop, which hands its shares over first, or the cleaning of a long
+            // fenced member removes a member's row.
+            !members.iter().any(|member| member.id == share.holder)
+        });
+        let left = left.map(|share| share.holder.clone());
+        self.adopt(team.clone(), known.clone());
+        let heir = preferred_holders(members, team).into_iter().next();
+        match (left, heir) {
+            (Some(left), Some(heir)) if heir == self.incarnation.id() => {
+                self.transfer(team, known, &left, &heir).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes a row over; a share that is new to this node starts full only if it never moved.
+    fn adopt(&self, team: TeamId, known: KnownRow) {
+        let mut rows = self.rows.borrow_mut();
+        if rows.get(&team).is_some_and(|old| old.version >= known.version) {
+            return;
+        }
+        let now = self.clock.monotonic();
+        let mut buckets = self.buckets.borrow_mut();
+        match known.row.share(self.incarnation.id()) {
+            Some(share) if !self.handed_over.get() => {
+                let original = share.original;
+                buckets.entry(team.clone()).or_insert_with(|| {
+                    if original { Bucket::filled(now) } else { Bucket::empty(now) }
+                });
+            }
+            _ => drop(buckets.remove(&team)),
+        }
+        rows.insert(team, known);
+    }
+
+    /// Returns the first split of a team if this node is its preferred first holder.
+    fn first_split(&self, team: &str, limit: &Limit, members: &[Member]) -> Option<LimitRow> {
+        let mut holders = preferred_holders(members, team);
+        if holders.first().map(String::as_str) != Some(self.incarnation.id()) {
+            return None;
+        }
+        holders.truncate(holder_count(limit));
+        Some(LimitRow::split(&holders))
+    }
+
+    /// Creates rows together; after a conflict each is read at its first use instead.
+    async fn create_all(&self, batch: &[(TeamId, LimitRow)]) -> PlatformResult<()> {
+        let mut transaction = Transaction::default().require(
+            Table::Nodes,
+            self.incarnation.id(),
+            self.incarnation.row_version(),
+        );
+        for (team, row) in batch {
+            let value = serde_json::to_value(row).unwrap_or_default();
+            transaction =
+                transaction.require(Table::Limits, team, 0).put(Table::Limits, team, value);
+        }
+        if let TransactionOutcome::Committed(version) = self.table.transact(&transaction).await? {
+            info!("event=limits_split teams={}", batch.len());
+            for (team, row) in batch {
+                self.adopt(team.clone(), KnownRow { version, row: row.clone() });
+            }
+        }
+        Ok(())
+    }
+
+    async fn transfer(
+        &self,
+        team: &TeamId,
+        known: KnownRow,
+        from: &str,
+        to: &str,
+    ) -> PlatformResult<()> {
+        let mut row = known.row;
+        row.transfer(from, to);
+        self.write(team, known.version, row).await
+    }
+
+    async fn write(&self, team: &TeamId, expected: u64, row: LimitRow) -> PlatformResult<()> {
+        let transaction = Transaction::default()
+            .require(Table::Nodes, self.incarnation.id(), self.incarnation.row_version())
+            .require(Table::Limits, team, expected)
+            .put(Table::Limits, team, serde_json::to_value(&row).unwrap_or_default());
+        if let TransactionOutcome::Committed(version) = self.table.transact(&transaction).await? {
+            info!("event=limit_split team={team} holders={}", row.shares.len());
+            self.adopt(team.clone(), KnownRow { version, row });
+        }
+        Ok(())
+    }
+
+    /// Remembers since when members are fenced, and reclaimers fenced or removed.
+    fn note_gone(&self, members: &[Member]) {
+        let now = self.clock.monotonic();
+        let mut gone_since = self.gone_since.borrow_mut();
+        let state = |id: &str| members.iter().find(|member| member.id == id);
+        let named = members.iter().filter_map(|member| member.reclaimer.as_ref());
+        for id in members.iter().map(|member| &member.id).chain(named) {
+            if state(id).is_none_or(|member| member.state == MemberState::Fenced) {
+                gone_since.entry(id.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Returns whether this node is to take the shares of a fenced member now.
+    ///
+    /// A holder spends only while covered by its own read of the table that shows no fence, or by
+    /// its reclaimer's promise. While the reclaimer lives, it alone takes the shares, once its last
+    /// promise has run out. After that, any member may, once both have been gone for longer than a
+    /// promise lasts.
+    fn is_reclaimable(&self, member: &Member, members: &[Member]) -> bool {
+        let now = self.clock.monotonic();
+        let over = |since: Duration| now >= since + PROMISE + DRIFT_MARGIN;
+        let gone = |id: &str| self.gone_since.borrow().get(id).copied();
+        if !gone(&member.id).is_some_and(over) {
+            return false;
+        }
+        match member.reclaimer.as_deref() {
+            Some(reclaimer) if reclaimer == self.incarnation.id() => {
+                self.heartbeats.promised_at(&member.id).is_none_or(over)
+            }
+            Some(reclaimer) => gone(reclaimer).is_some_and(over) && self.is_first_live(members),
+            None => self.is_first_live(members),
+        }
+    }
+
+    /// Returns whether this node is the live member with the lowest id.
+    fn is_first_live(&self, members: &[Member]) -> bool {
+        let live = members.iter().filter(|member| member.state == MemberState::Live);
+        live.map(|member| member.id.as_str()).min() == Some(self.incarnation.id())
+    }
+}
+
+/// Returns the reply that promises a token sooner.
+fn sooner(known: TakeReply, other: TakeReply) -> TakeReply {
+    match (&known, &other) {
+        (TakeReply::Empty { wait_ms: first }, TakeReply::Empty { wait_ms: second }) => {
+            TakeReply::Empty { wait_ms: *first.min(second) }
+        }
+        (_, TakeReply::NotHolder) => known,
+        _ => other,
+    }
+}
+
+fn parse_row(row: Row) -> PlatformResult<(TeamId, KnownRow)> {
+    let parsed = serde_json::from_value(row.value).map_err(|error| PlatformError::Malformed {
+        detail: format!("limit row {}: {error}", row.key),
+    })?;
+    Ok((row.key, KnownRow { version: row.version, row: parsed }))
+}
+
+fn rate_limited(team: &str, limit: &Limit, wait: Duration) -> Refusal {
+    Refusal::not_run(
+        RefusalKind::RateLimited,
+        format!(
+            "team {team} is over its rate of {} requests a second and burst of {}; \
+             send fewer requests or repeat this one after the pause",
+            limit.rate_per_s, limit.burst
+        ),
+    )
+    .retry_after_ms(millis(wait).max(1))
+}
+
+fn limit_unavailable() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::LimitUnavailable,
+        "the nodes that hold the team's limit cannot be reached; repeat the request after the pause",
+    )
+}
--- /dev/null
+++ b/crates/coordination/src/limits/mod.rs
@@ -0,0 +1,9 @@
+//! Team limits over all nodes together: escrowed shares of a token bucket.
+
+pub mod bucket;
+pub mod escrow;
+pub mod shares;
+
+pub use bucket::Bucket;
+pub use escrow::{Escrow, LimitSettings};
+pub use shares::{LimitRow, Share};
--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -19,6 +19,12 @@
     pub publish_id: String,
     /// Rises with each change of the member rows.
     pub members_version: u64,
+    /// Start of the window in which fencings are counted, since the Unix epoch.
+    #[serde(default)]
+    pub fence_window_unix_ms: u64,
+    /// Fencings in that window.
+    #[serde(default)]
+    pub fence_count: u32,
 }
 
 /// State of a member.
@@ -48,6 +54,9 @@
     pub region: RegionId,
     /// State.
     pub state: MemberState,
+    /// Member that may take this one's limit shares while it lives itself.
+    #[serde(default)]
+    pub reclaimer: Option<IncarnationId>,
 }
 
 /// Part of a journal that belongs to a shard's history.
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -1,25 +1,32 @@
-//! Ties the parts together: registration, the head poll, shard assignment, fencing, planned stop.
+//! Ties the parts together: membership, heartbeats, shards, journal, programs, limits.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
-use log::{debug, info, warn};
-use tokio::sync::{Notify, watch};
+use futures_util::future::{Either, join3, select};
+use log::{debug, warn};
+use tokio::sync::Notify;
 
-use crate::clock::Clock;
-use crate::ids::{IncarnationId, ShardId};
+use crate::clock::{Clock, millis};
+use crate::config::ConfigSnapshot;
+use crate::detector::DetectorSettings;
+use crate::heartbeat::{Heartbeats, NewerConfig, PROMISE};
+use crate::ids::{ConfigVersion, ShardId};
 use crate::incarnation::Incarnation;
-use crate::journal::{Journal, JournalSettings};
-use crate::members::{HEAD_KEY, Head, Member, MemberRow, MemberState, preferred_owner};
+use crate::journal::{Journal, JournalSettings, unix_ms};
+use crate::limits::{Escrow, LimitSettings};
+use crate::members::{Member, MemberState, preferred_owner};
+use crate::membership::Membership;
 use crate::owner::{Owner, OwnerSettings};
-use crate::platform::{
-    Platform, PlatformError, PlatformResult, Table, TableService, Transaction, TransactionOutcome,
-    scan_all,
-};
+use crate::peers::{Heartbeat, HeartbeatReply, Peers};
+use crate::platform::{Platform, PlatformResult};
 use crate::shards::Shards;
 
+/// Age at which the row of a fenced member is removed.
+const FENCED_ROW_AGE: Duration = Duration::from_secs(120);
+
 /// Settings of a node.
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -35,6 +42,10 @@
     pub journal: JournalSettings,
     /// Owner time bounds.
     pub owner: OwnerSettings,
+    /// Failure detection.
+    pub detector: DetectorSettings,
+    /// Team limits.
+    pub limits: LimitSettings,
 }
 
 impl Default for NodeSettings {
@@ -46,6 +57,8 @@
             retention: Duration::from_secs(900),
             journal: JournalSettings::default(),
             owner: OwnerSettings::default(),
+            detector: DetectorSettings::default(),
+            limits: LimitSettings::default(),
         }
     }
 }
@@ -61,21 +74,28 @@
     Unknown,
 }
 
-/// One node of the fleet: its membership, shards, journal and programs.
+/// The configuration as the node needs it for its heartbeats.
+pub trait ConfigWatcher {
+    /// Returns the configuration in force.
+    fn current(&self) -> Arc<ConfigSnapshot>;
+
+    /// Learns that a peer has a newer version.
+    fn newer_at_peer(&self, newer: NewerConfig);
+}
+
+/// One node of the fleet.
 pub struct Node {
-    platform: Platform,
     clock: Rc<dyn Clock>,
     settings: NodeSettings,
-    identity: RefCell<Member>,
     incarnation: Rc<Incarnation>,
+    membership: Membership,
+    heartbeats: Rc<Heartbeats>,
     journal: Rc<Journal>,
     owner: Rc<Owner>,
     shards: Shards,
-    head: watch::Sender<Head>,
-    head_read_at: Cell<Option<Duration>>,
-    members: RefCell<Vec<MemberRow>>,
-    members_version: Cell<Option<u64>>,
+    escrow: Escrow,
     settled: Cell<bool>,
+    prepared_version: Cell<ConfigVersion>,
     nudge: Notify,
 }
 
@@ -85,45 +105,56 @@
     pub fn new(
         platform: Platform,
         clock: Rc<dyn Clock>,
+        peers: Rc<dyn Peers>,
         identity: Member,
         settings: NodeSettings,
     ) -> Rc<Self> {
         let incarnation = Rc::new(Incarnation::new(identity.id.clone()));
+        let table = Rc::clone(&platform.table);
         let journal = Rc::new(Journal::new(
-            Rc::clone(&platform.table),
-            Rc::clone(&platform.objects),
+            platform.clone(),
             Rc::clone(&clock),
             Rc::clone(&incarnation),
             settings.journal.clone(),
         ));
-        let owner = Rc::new(Owner::new(
-            Rc::clone(&journal),
-            Rc::clone(&clock),
-            settings.owner.clone(),
-        ));
+        let owner =
+            Rc::new(Owner::new(Rc::clone(&journal), Rc::clone(&clock), settings.owner.clone()));
         journal.set_applier(Rc::clone(&owner) as _);
         let shards = Shards::new(
-            platform.clone(),
+            platform,
             Rc::clone(&incarnation),
             Rc::clone(&journal),
             Rc::clone(&owner),
             identity.region.clone(),
             settings.shard_count,
         );
+        let heartbeats = Rc::new(Heartbeats::new(
+            Rc::clone(&peers),
+            Rc::clone(&clock),
+            settings.detector.clone(),
+        ));
+        let escrow = Escrow::new(
+            Rc::clone(&table),
+            Rc::clone(&clock),
+            peers,
+            Rc::clone(&incarnation),
+            Rc::clone(&heartbeats),
+            settings.limits.clone(),
+        );
+        let membership =
+            Membership::new(table, Rc::clone(&clock), Rc::clone(&incarnation), identity);
         Rc::new(Self {
-            platform,
             clock,
             settings,
-            identity: RefCell::new(identity),
             incarnation,
+            membership,
+            heartbeats,
             journal,
             owner,
             shards,
-            head: watch::Sender::default(),
-            head_read_at: Cell::default(),
-            members: RefCell::default(),
-            members_version: Cell::default(),
+            escrow,
             settled: Cell::new(false),
+            prepared_version: Cell::new(0),
             nudge: Notify::new(),
         })
     }
@@ -152,33 +183,35 @@
         &self.incarnation
     }
 
-    /// Returns the members as last read, fenced ones included.
+    /// Returns the fleet's members.
     #[must_use]
-    pub fn members(&self) -> Vec<Member> {
-        self.members
-            .borrow()
-            .iter()
-            .map(|row| row.member.clone())
-            .collect()
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
-    /// Returns the head row as last read, and its changes.
+    /// Returns the team limits.
     #[must_use]
-    pub fn head(&self) -> watch::Receiver<Head> {
-        self.head.subscribe()
+    pub fn escrow(&self) -> &Escrow {
+        &self.escrow
     }
 
-    /// Returns the time since the head row was last read.
+    /// Returns whether the node's shards are settled and the limits of `version` are prepared.
     #[must_use]
-    pub fn head_age(&self) -> Option<Duration> {
-        let read_at = self.head_read_at.get()?;
-        Some(self.clock.monotonic().saturating_sub(read_at))
+    pub fn is_settled(&self, version: ConfigVersion) -> bool {
+        self.settled.get() && self.prepared_version.get() == version
     }
 
-    /// Returns whether the node is registered and its shards are settled.
+    /// Answers a heartbeat of another member.
     #[must_use]
-    pub fn is_settled(&self) -> bool {
-        self.settled.get()
+    pub fn answer_heartbeat(&self, beat: &Heartbeat, version: ConfigVersion) -> HeartbeatReply {
+        let members = self.membership.members();
+        self.heartbeats.answer(&self.membership.own(), &members, beat, version)
+    }
+
+    /// Returns whether this node suspects `target`.
+    #[must_use]
+    pub fn is_suspect(&self, target: &str) -> bool {
+        self.heartbeats.is_suspect(target)
     }
 
     /// Returns where calls for `shard` are served.
@@ -187,13 +220,12 @@
         if self.shards.is_serving(shard) {
             return Location::Local;
         }
-        let members = self.members.borrow();
-        let live = || members.iter().map(|row| &row.member);
+        let members = self.membership.members();
         let recorded = self.shards.owner_of(shard).and_then(|owner| {
-            live().find(|member| member.id == owner && member.state != MemberState::Fenced)
+            members.iter().find(|member| member.id == owner && member.state != MemberState::Fenced)
         });
-        let region = &self.identity.borrow().region;
-        let target = recorded.or_else(|| preferred_owner(live(), region, shard));
+        let region = self.membership.own().region;
+        let target = recorded.or_else(|| preferred_owner(members.iter(), &region, shard));
         match target {
             Some(member) if member.id != self.incarnation.id() => {
                 Location::Remote(member.forward_address.clone())
@@ -202,34 +234,13 @@
         }
     }
 
-    /// Registers the node in the table.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform cannot be reached; calling again is safe.
-    pub async fn register(&self) -> PlatformResult<()> {
-        let identity = self.identity.borrow().clone();
-        while !self
-            .write_member(&identity, self.incarnation.row_version())
-            .await?
-        {
-            if let Some(row) = self.platform.table.get(Table::Nodes, &identity.id).await? {
-                self.incarnation.set_row_version(row.version);
-                break;
-            }
-        }
-        info!(
-            "event=registered incarnation={} zone={}",
-            identity.id, identity.zone
-        );
-        Ok(())
-    }
-
-    /// Commits the journal and follows the fleet until the node is fenced.
-    pub async fn run(self: &Rc<Self>) {
-        let journal = std::pin::pin!(self.journal.run());
-        let control = std::pin::pin!(self.follow());
-        select(journal, control).await;
+    /// Runs the node until it is fenced; it must be registered.
+    pub async fn run(&self, config: &dyn ConfigWatcher) {
+        let work =
+            std::pin::pin!(join3(self.journal.run(), self.follow(config), self.keep_alive(config)));
+        let fenced = std::pin::pin!(self.incarnation.fenced());
+        select(fenced, work).await;
+        self.journal.fail_pending();
     }
 
     /// Asks for a poll of the head row without waiting for its interval.
@@ -238,86 +249,14 @@
         self.nudge.notify_one();
     }
 
-    /// Reads the head row and brings membership and shards up to date.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform cannot be reached; the next call continues.
-    pub async fn poll(&self) -> PlatformResult<()> {
-        let head = read_head(&*self.platform.table).await?.1;
-        self.head_read_at.set(Some(self.clock.monotonic()));
-        let members_version = head.members_version;
-        self.head.send_if_modified(|known| {
-            *known != head && {
-                *known = head;
-                true
-            }
-        });
-        if self.members_version.get() != Some(members_version) {
-            self.read_members().await?;
-            self.members_version.set(Some(members_version));
-            self.settled.set(false);
-        }
-        if !self.settled.get() {
-            let settled = self.reconcile().await?;
-            self.settled.set(settled);
-        }
-        Ok(())
-    }
-
-    /// Marks `target` as fenced, so that it can commit nothing more.
-    ///
-    /// Returns whether the member is now fenced.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform cannot be reached; calling again is safe.
-    pub async fn fence(&self, target: &IncarnationId) -> PlatformResult<bool> {
-        let row = self
-            .members
-            .borrow()
-            .iter()
-            .find(|row| row.member.id == *target)
-            .cloned();
-        let Some(row) = row else { return Ok(true) };
-        if row.member.state == MemberState::Fenced {
-            return Ok(true);
-        }
-        let fenced = Member {
-            state: MemberState::Fenced,
-            ..row.member
-        };
-        let done = self.write_member(&fenced, row.version).await?;
-        if done {
-            warn!("event=member_fenced incarnation={target}");
-        }
-        self.nudge();
-        Ok(done)
-    }
-
-    /// Announces the planned stop; other members claim the shards as they are released.
+    /// Begins the planned stop: hands over limit shares and then shards.
     ///
     /// # Errors
     ///
     /// Fails when the platform cannot be reached; calling again is safe.
-    pub async fn announce_leaving(&self) -> PlatformResult<()> {
-        let leaving = Member {
-            state: MemberState::Leaving,
-            ..self.identity.borrow().clone()
-        };
-        *self.identity.borrow_mut() = leaving.clone();
-        loop {
-            if self
-                .write_member(&leaving, self.incarnation.row_version())
-                .await?
-            {
-                break;
-            }
-            self.refresh_own_row().await?;
-            if self.incarnation.is_fenced() {
-                return Ok(());
-            }
-        }
+    pub async fn leave(&self) -> PlatformResult<()> {
+        self.membership.announce_leaving().await?;
+        self.escrow.hand_over(&self.membership.members()).await?;
         self.nudge();
         Ok(())
     }
@@ -334,27 +273,14 @@
     ///
     /// Fails when the platform cannot be reached.
     pub async fn deregister(&self) -> PlatformResult<()> {
-        let (version, head) = read_head(&*self.platform.table).await?;
-        let head = Head {
-            members_version: head.members_version + 1,
-            ..head
-        };
-        let transaction = Transaction::default()
-            .require(Table::Head, HEAD_KEY, version)
-            .put(
-                Table::Head,
-                HEAD_KEY,
-                serde_json::to_value(head).unwrap_or_default(),
-            )
-            .delete(Table::Nodes, self.incarnation.id());
-        self.platform.table.transact(&transaction).await?;
-        Ok(())
+        self.membership.remove(&[self.incarnation.id().to_owned()]).await
     }
 
-    async fn follow(&self) {
+    /// Follows the head row and keeps membership and shards up to date.
+    async fn follow(&self, config: &dyn ConfigWatcher) {
         let mut checkpoint_at = self.clock.monotonic() + self.settings.checkpoint_interval;
-        while !self.incarnation.is_fenced() {
-            if let Err(error) = self.poll().await {
+        loop {
+            if let Err(error) = self.poll(config).await {
                 debug!("event=poll_failed cause={error:?}");
             }
             if self.clock.monotonic() >= checkpoint_at {
@@ -369,20 +295,35 @@
         }
     }
 
-    async fn housekeep(&self) {
-        let retention_ms = crate::clock::millis(self.settings.retention);
-        let now_ms = crate::journal::unix_ms(&*self.clock);
-        self.owner.expire(now_ms.saturating_sub(retention_ms));
-        if let Err(error) = self.shards.checkpoint().await {
-            warn!("event=checkpoint_failed cause={error:?}");
+    async fn poll(&self, config: &dyn ConfigWatcher) -> PlatformResult<()> {
+        let begun = self.clock.monotonic();
+        let changed = self.membership.poll().await?;
+        if self.incarnation.is_fenced() {
+            return Ok(());
+        }
+        self.heartbeats.cover_until(begun + PROMISE);
+        if changed {
+            self.settled.set(false);
+            self.membership.name_reclaimer().await?;
+        }
+        if !self.settled.get() {
+            let settled = self.reconcile().await?;
+            self.settled.set(settled);
+        }
+        let members = self.membership.members();
+        let config = config.current();
+        if changed || self.prepared_version.get() != config.version() {
+            self.escrow.prepare(&config, &members).await?;
+            self.prepared_version.set(config.version());
         }
+        self.escrow.reclaim(&members).await
     }
 
     async fn reconcile(&self) -> PlatformResult<bool> {
-        let members = self.members();
-        let region = self.identity.borrow().region.clone();
+        let members = self.membership.members();
+        let region = self.membership.own().region;
         let assignment =
-            |shard| preferred_owner(&members, &region, shard).map(|member| member.id.clone());
+            |shard| preferred_owner(members.iter(), &region, shard).map(|member| member.id.clone());
         let is_free = |incarnation: &str| {
             members
                 .iter()
@@ -392,86 +333,45 @@
         self.shards.reconcile(&assignment, &is_free).await
     }
 
-    async fn read_members(&self) -> PlatformResult<()> {
-        let rows = scan_all(&*self.platform.table, Table::Nodes, "", "").await?;
-        let mut members = Vec::with_capacity(rows.len());
-        for row in rows {
-            let member: Member =
-                serde_json::from_value(row.value).map_err(|error| PlatformError::Malformed {
-                    detail: format!("node row {}: {error}", row.key),
-                })?;
-            members.push(MemberRow {
-                version: row.version,
-                member,
-            });
+    /// Sends heartbeats and fences members that enough observers have found silent.
+    async fn keep_alive(&self, config: &dyn ConfigWatcher) {
+        loop {
+            let (own, members) = (self.membership.own(), self.membership.members());
+            let version = config.current().version();
+            self.heartbeats.observe(&own, &members);
+            if let Some(newer) = self.heartbeats.beat(&own, &members, version).await {
+                config.newer_at_peer(newer);
+            }
+            for suspect in self.heartbeats.confirmed_suspects(&own, &members).await {
+                match self.membership.fence(&suspect).await {
+                    Ok(_) => self.nudge(),
+                    Err(error) => warn!("event=fencing_failed target={suspect} cause={error:?}"),
+                }
+            }
+            self.clock.sleep(self.settings.detector.interval).await;
         }
-        *self.members.borrow_mut() = members;
-        self.refresh_own_row().await
     }
 
-    async fn refresh_own_row(&self) -> PlatformResult<()> {
-        let own = self
-            .platform
-            .table
-            .get(Table::Nodes, self.incarnation.id())
-            .await?;
-        let state = own.as_ref().and_then(|row| {
-            serde_json::from_value::<Member>(row.value.clone())
-                .ok()
-                .map(|member| member.state)
-        });
-        match (own, state) {
-            (Some(row), Some(state)) if state != MemberState::Fenced => {
-                self.incarnation.set_row_version(row.version);
-            }
-            _ => self.incarnation.mark_fenced(),
+    async fn housekeep(&self) {
+        let retention_ms = millis(self.settings.retention);
+        self.owner.expire(unix_ms(&*self.clock).saturating_sub(retention_ms));
+        if let Err(error) = self.shards.checkpoint().await {
+            warn!("event=checkpoint_failed cause={error:?}");
+        }
+        if let Err(error) = self.remove_fenced().await {
+            warn!("event=removal_failed cause={error:?}");
         }
-        Ok(())
     }
 
-    /// Writes a member row and raises the membership version; returns whether it took effect.
-    async fn write_member(&self, member: &Member, expected: u64) -> PlatformResult<bool> {
-        let (head_version, head) = read_head(&*self.platform.table).await?;
-        let head = Head {
-            members_version: head.members_version + 1,
-            ..head
-        };
-        let transaction = Transaction::default()
-            .require(Table::Head, HEAD_KEY, head_version)
-            .require(Table::Nodes, &member.id, expected)
-            .put(
-                Table::Head,
-                HEAD_KEY,
-                serde_json::to_value(head).unwrap_or_default(),
-            )
-            .put(
-                Table::Nodes,
-                &member.id,
-                serde_json::to_value(member).unwrap_or_default(),
-            );
-        match self.platform.table.transact(&transaction).await? {
-            TransactionOutcome::Committed(version) => {
-                if member.id == self.incarnation.id() {
-                    self.incarnation.set_row_version(version);
-                }
-                Ok(true)
-            }
-            TransactionOutcome::Conflict => Ok(false),
+    /// Removes rows of members that were fenced long ago; one member does it for all.
+    async fn remove_fenced(&self) -> PlatformResult<()> {
+        let members = self.membership.members();
+        let gone = self.escrow.gone_for(FENCED_ROW_AGE, &members);
+        let live = members.iter().filter(|member| member.state == MemberState::Live);
+        let first = live.map(|member| member.id.as_str()).min();
+        if gone.is_empty() || first != Some(self.incarnation.id()) {
+            return Ok(());
         }
+        self.membership.remove(&gone).await
     }
 }
-
-/// Reads the head row with its version; an absent row reads as the default.
-///
-/// # Errors
-///
-/// Fails when the platform cannot be read or the row is malformed.
-pub async fn read_head(table: &dyn TableService) -> PlatformResult<(u64, Head)> {
-    let Some(row) = table.get(Table::Head, HEAD_KEY).await? else {
-        return Ok((0, Head::default()));
-    };
-    let head = serde_json::from_value(row.value).map_err(|error| PlatformError::Malformed {
-        detail: format!("head row: {error}"),
-    })?;
-    Ok((row.version, head))
-}
--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -98,12 +98,7 @@
 
 impl Slot {
     fn new(program: Program) -> Self {
-        Self {
-            program,
-            live: None,
-            changed: Rc::new(Notify::new()),
-            hold_until: None,
-        }
+        Self { program, live: None, changed: Rc::new(Notify::new()), hold_until: None }
     }
 
     fn spent_tokens(&self) -> u64 {
@@ -166,13 +161,7 @@
     /// Creates an owner of no programs.
     #[must_use]
     pub fn new(journal: Rc<Journal>, clock: Rc<dyn Clock>, settings: OwnerSettings) -> Self {
-        Self {
-            journal,
-            clock,
-            settings,
-            slots: RefCell::default(),
-            children: RefCell::default(),
-        }
+        Self { journal, clock, settings, slots: RefCell::default(), children: RefCell::default() }
     }
 
     /// Returns the number of programs held.
@@ -186,8 +175,7 @@
     pub fn program(&self, id: &str, team: Option<&str>) -> Option<Program> {
         let slots = self.slots.borrow();
         let program = &slots.get(id)?.program;
-        team.is_none_or(|team| team == program.team)
-            .then(|| program.clone())
+        team.is_none_or(|team| team == program.team).then(|| program.clone())
     }
 
     /// Opens a program and waits until it is recorded.
@@ -197,9 +185,8 @@
     /// Refuses when the parent is not an open program of the team or the node was fenced.
     pub async fn open(&self, id: ProgramId, spec: ProgramSpec) -> Result<(), Refusal> {
         if let Some(parent) = &spec.parent {
-            let parent = self
-                .program(parent, Some(&spec.team))
-                .ok_or_else(Refusal::program_unknown)?;
+            let parent =
+                self.program(parent, Some(&spec.team)).ok_or_else(Refusal::program_unknown)?;
             if parent.closed.is_some() {
                 return Err(program_closed());
             }
@@ -221,24 +208,13 @@
         team: Option<&str>,
         reason: CloseReason,
     ) -> Result<Vec<ProgramId>, Refusal> {
-        self.program(id, team)
-            .ok_or_else(Refusal::program_unknown)?;
+        self.program(id, team).ok_or_else(Refusal::program_unknown)?;
         let family = self.family(id);
         let closed_unix_ms = unix_ms(&*self.clock);
         let mut entries = Vec::new();
         for member in &family {
-            let reason = if member == id {
-                reason
-            } else {
-                CloseReason::ParentEnded
-            };
-            entries.extend(entry(
-                member,
-                Record::Closed {
-                    reason,
-                    closed_unix_ms,
-                },
-            ));
+            let reason = if member == id { reason } else { CloseReason::ParentEnded };
+            entries.extend(entry(member, Record::Closed { reason, closed_unix_ms }));
         }
         self.commit(self.journal.append(entries)).await?;
         Ok(family)
@@ -262,8 +238,14 @@
         }
     }
 
-    /// Records the end of an attempt and closes its feed.
-    pub async fn finish(&self, ticket: &CallTicket, request: &CallRequest, end: AttemptEnd) {
+    /// Records the end of an attempt and closes its feed; `recorded` runs in between.
+    pub async fn finish(
+        &self,
+        ticket: &CallTicket,
+        request: &CallRequest,
+        end: AttemptEnd,
+        recorded: impl FnOnce(),
+    ) {
         let (record, outcome) = Self::end_records(ticket, request, end);
         let committed = match record {
             Some(record) => {
@@ -273,6 +255,7 @@
             }
             None => Ok(()),
         };
+        recorded();
         self.clear_live(&ticket.program);
         ticket.feed.close(committed.and(outcome));
     }
@@ -282,11 +265,7 @@
     pub fn programs_of(&self, shard: ShardId) -> Vec<Program> {
         let slots = self.slots.borrow();
         let of_shard = |slot: &&Slot| shard_of_program(&slot.program.id) == Some(shard);
-        slots
-            .values()
-            .filter(of_shard)
-            .map(|slot| slot.program.clone())
-            .collect()
+        slots.values().filter(of_shard).map(|slot| slot.program.clone()).collect()
     }
 
     /// Returns whether any call of `shard` is running.
@@ -322,28 +301,21 @@
     pub fn forget(&self, shard: ShardId) {
         let mut slots = self.slots.borrow_mut();
         slots.retain(|id, _| shard_of_program(id) != Some(shard));
-        self.children
-            .borrow_mut()
-            .retain(|id, _| shard_of_program(id) != Some(shard));
+        self.children.borrow_mut().retain(|id, _| shard_of_program(id) != Some(shard));
     }
 
     /// Drops programs that ended before `closed_before_unix_ms`.
     pub fn expire(&self, closed_before_unix_ms: u64) {
         self.slots.borrow_mut().retain(|_, slot| {
             slot.live.is_some()
-                || slot
-                    .program
-                    .closed
-                    .is_none_or(|(_, closed)| closed >= closed_before_unix_ms)
+                || slot.program.closed.is_none_or(|(_, closed)| closed >= closed_before_unix_ms)
         });
     }
 
     fn next_step(&self, request: &CallRequest, digest: &str) -> Result<Step, Refusal> {
         self.ensure_single(request);
         let slots = self.slots.borrow();
-        let slot = slots
-            .get(&request.program)
-            .ok_or_else(Refusal::program_unknown)?;
+        let slot = slots.get(&request.program).ok_or_else(Refusal::program_unknown)?;
         if let Some(live) = &slot.live
             && slot.program.team == request.team
             && live.key.sequence == request.sequence
@@ -359,9 +331,7 @@
     }
 
     fn run_or_wait(&self, slot: &Slot, attempt: u32) -> Step {
-        let held = slot
-            .hold_until
-            .filter(|until| self.clock.monotonic() < *until);
+        let held = slot.hold_until.filter(|until| self.clock.monotonic() < *until);
         if slot.live.is_some() || held.is_some() {
             return Step::Wait(Rc::clone(&slot.changed), held);
         }
@@ -404,13 +374,12 @@
         };
         let reserved_tokens = request.tokens_max();
         let budgeted = self.check_budget(&request.program, reserved_tokens)?;
+        let recorded = budgeted || !request.repeatable;
+        if recorded && self.journal.is_stalled() {
+            return Err(platform_unavailable());
+        }
         let feed = CallFeed::new();
-        self.set_live(
-            &request.program,
-            &key,
-            &feed,
-            if budgeted { reserved_tokens } else { 0 },
-        );
+        self.set_live(&request.program, &key, &feed, if budgeted { reserved_tokens } else { 0 });
         let mut ticket = CallTicket {
             program: request.program.clone(),
             key,
@@ -420,7 +389,7 @@
             incarnation: self.journal.incarnation().to_owned(),
             fencing_number: 0,
         };
-        if budgeted || !request.repeatable {
+        if recorded {
             let begun = self.clock.monotonic();
             self.record_start(&ticket).await?;
             ticket.dispatch_before = Some(begun + self.settings.dispatch_window);
@@ -429,10 +398,8 @@
     }
 
     async fn record_start(&self, ticket: &CallTicket) -> Result<(), Refusal> {
-        let record = Record::Started {
-            call: ticket.key.clone(),
-            reserved_tokens: ticket.reserved_tokens,
-        };
+        let record =
+            Record::Started { call: ticket.key.clone(), reserved_tokens: ticket.reserved_tokens };
         let commit = self.append(&ticket.program, vec![record]);
         let timeout = self.clock.sleep(self.settings.start_commit_wait);
         let refusal = match select(commit, timeout).await {
@@ -441,9 +408,7 @@
             Either::Right(_) => platform_unavailable(),
         };
         // The call stays live, so that a repeat cannot run before the cancellation is committed.
-        let cancelled = Record::Cancelled {
-            call: ticket.key.clone(),
-        };
+        let cancelled = Record::Cancelled { call: ticket.key.clone() };
         drop(self.append(&ticket.program, vec![cancelled]));
         ticket.feed.close(Err(refusal.clone()));
         Err(refusal)
@@ -464,33 +429,18 @@
                     body: Body::Inline(answer.body.clone()),
                 };
                 let request = Body::Inline(request.body.clone());
-                (
-                    Some(Record::Finished {
-                        call,
-                        request,
-                        answer: stored,
-                        usage,
-                    }),
-                    Ok(answer),
-                )
+                (Some(Record::Finished { call, request, answer: stored, usage }), Ok(answer))
             }
             AttemptEnd::NotSent(refusal) => {
                 (recorded.then_some(Record::Cancelled { call }), Err(refusal))
             }
             AttemptEnd::Lost(refusal) if call.repeatable => {
                 let charged_tokens = ticket.reserved_tokens;
-                (
-                    recorded.then_some(Record::Failed {
-                        call,
-                        charged_tokens,
-                    }),
-                    Err(refusal),
-                )
+                (recorded.then_some(Record::Failed { call, charged_tokens }), Err(refusal))
+            }
+            AttemptEnd::Lost(_) => {
+                (Some(Record::InDoubt { call }), Err(Refusal::outcome_unknown()))
             }
-            AttemptEnd::Lost(_) => (
-                Some(Record::InDoubt { call }),
-                Err(Refusal::outcome_unknown()),
-            ),
         }
     }
 
@@ -510,11 +460,7 @@
         if !request.single || self.slots.borrow().contains_key(&request.program) {
             return;
         }
-        let spec = ProgramSpec {
-            team: request.team.clone(),
-            parent: None,
-            budget_tokens: None,
-        };
+        let spec = ProgramSpec { team: request.team.clone(), parent: None, budget_tokens: None };
         let record = self.opened_record(&spec, true);
         self.insert(&request.program, &record);
         drop(self.append(&request.program, vec![record]));
@@ -533,19 +479,14 @@
     fn insert(&self, id: &str, record: &Record) {
         if let Some(program) = Program::from_opened(id, record) {
             self.index_child(&program);
-            self.slots
-                .borrow_mut()
-                .insert(id.to_owned(), Slot::new(program));
+            self.slots.borrow_mut().insert(id.to_owned(), Slot::new(program));
         }
     }
 
     fn index_child(&self, program: &Program) {
         if let Some(parent) = &program.parent {
             let mut children = self.children.borrow_mut();
-            children
-                .entry(parent.clone())
-                .or_default()
-                .push(program.id.clone());
+            children.entry(parent.clone()).or_default().push(program.id.clone());
         }
     }
 
@@ -585,20 +526,12 @@
 
     fn family_spent(&self, id: &str) -> u64 {
         let slots = self.slots.borrow();
-        self.family(id)
-            .iter()
-            .filter_map(|id| slots.get(id))
-            .map(Slot::spent_tokens)
-            .sum()
+        self.family(id).iter().filter_map(|id| slots.get(id)).map(Slot::spent_tokens).sum()
     }
 
     fn append(&self, program: &str, records: Vec<Record>) -> CommitTicket {
-        self.journal.append(
-            records
-                .into_iter()
-                .filter_map(|record| entry(program, record))
-                .collect(),
-        )
+        self.journal
+            .append(records.into_iter().filter_map(|record| entry(program, record)).collect())
     }
 
     async fn commit(&self, ticket: CommitTicket) -> Result<(), Refusal> {
@@ -624,11 +557,7 @@
 
     fn set_live(&self, program: &str, key: &CallKey, feed: &Arc<CallFeed>, unrecorded_tokens: u64) {
         if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
-            slot.live = Some(Live {
-                key: key.clone(),
-                feed: Arc::clone(feed),
-                unrecorded_tokens,
-            });
+            slot.live = Some(Live { key: key.clone(), feed: Arc::clone(feed), unrecorded_tokens });
         }
     }
 
@@ -659,19 +588,14 @@
 }
 
 fn unsettled_record(program: &Program) -> Option<Record> {
-    let call = program
-        .calls
-        .values()
-        .find(|call| matches!(call.phase, CallPhase::Started { .. }))?;
+    let call =
+        program.calls.values().find(|call| matches!(call.phase, CallPhase::Started { .. }))?;
     let CallPhase::Started { reserved_tokens } = call.phase else {
         return None;
     };
     let key = call.key.clone();
     Some(if key.repeatable {
-        Record::Failed {
-            call: key,
-            charged_tokens: reserved_tokens,
-        }
+        Record::Failed { call: key, charged_tokens: reserved_tokens }
     } else {
         Record::InDoubt { call: key }
     })
@@ -679,11 +603,7 @@
 
 fn entry(program: &str, record: Record) -> Option<Entry> {
     let shard = shard_of_program(program)?;
-    Some(Entry {
-        shard,
-        program: program.to_owned(),
-        record,
-    })
+    Some(Entry { shard, program: program.to_owned(), record })
 }
 
 fn budget_exhausted(program: &str, remaining: u64, needed: u64) -> Refusal {
--- a/crates/coordination/src/payload.rs
+++ b/crates/coordination/src/payload.rs
@@ -68,10 +68,7 @@
         if field != BASE64_FIELD {
             return Err(A::Error::unknown_field(&field, &[BASE64_FIELD]));
         }
-        STANDARD
-            .decode(encoded)
-            .map(Payload)
-            .map_err(A::Error::custom)
+        STANDARD.decode(encoded).map(Payload).map_err(A::Error::custom)
     }
 }
 
--- a/crates/coordination/src/platform.rs
+++ b/crates/coordination/src/platform.rs
@@ -71,33 +71,21 @@
     /// Adds a condition.
     #[must_use]
     pub fn require(mut self, table: Table, key: impl Into<String>, version: u64) -> Self {
-        self.conditions.push(Condition {
-            table,
-            key: key.into(),
-            version,
-        });
+        self.conditions.push(Condition { table, key: key.into(), version });
         self
     }
 
     /// Adds a write.
     #[must_use]
     pub fn put(mut self, table: Table, key: impl Into<String>, value: Value) -> Self {
-        self.writes.push(Write {
-            table,
-            key: key.into(),
-            value: Some(value),
-        });
+        self.writes.push(Write { table, key: key.into(), value: Some(value) });
         self
     }
 
     /// Adds a deletion.
     #[must_use]
     pub fn delete(mut self, table: Table, key: impl Into<String>) -> Self {
-        self.writes.push(Write {
-            table,
-            key: key.into(),
-            value: None,
-        });
+        self.writes.push(Write { table, key: key.into(), value: None });
         self
     }
 }
@@ -255,9 +243,7 @@
     let mut rows = Vec::new();
     let mut cursor = after.to_owned();
     loop {
-        let page = table_service
-            .scan(table, prefix, &cursor, PAGE_ROWS)
-            .await?;
+        let page = table_service.scan(table, prefix, &cursor, PAGE_ROWS).await?;
         let complete = page.len() < PAGE_ROWS;
         if let Some(last) = page.last() {
             cursor.clone_from(&last.key);
--- a/crates/coordination/src/program.rs
+++ b/crates/coordination/src/program.rs
@@ -88,14 +88,7 @@
     /// Returns `None` for any other record.
     #[must_use]
     pub fn from_opened(id: &str, record: &Record) -> Option<Self> {
-        let Record::Opened {
-            team,
-            parent,
-            budget_tokens,
-            single,
-            opened_unix_ms,
-        } = record
-        else {
+        let Record::Opened { team, parent, budget_tokens, single, opened_unix_ms } = record else {
             return None;
         };
         Some(Self {
@@ -115,22 +108,12 @@
     pub fn apply(&mut self, record: &Record) {
         match record {
             Record::Opened { .. } => {}
-            Record::Started {
-                call,
-                reserved_tokens,
-            } => {
-                let phase = CallPhase::Started {
-                    reserved_tokens: *reserved_tokens,
-                };
+            Record::Started { call, reserved_tokens } => {
+                let phase = CallPhase::Started { reserved_tokens: *reserved_tokens };
                 self.spent_tokens = self.spent_tokens.saturating_add(*reserved_tokens);
                 self.set_call(call, phase);
             }
-            Record::Finished {
-                call,
-                request,
-                answer,
-                usage,
-            } => {
+            Record::Finished { call, request, answer, usage } => {
                 self.refund_reservation(call);
                 self.spent_tokens = self.spent_tokens.saturating_add(usage.total_tokens());
                 let phase = CallPhase::Finished {
@@ -145,18 +128,12 @@
                 self.set_call(call, CallPhase::Open);
             }
             Record::InDoubt { call } => self.set_call(call, CallPhase::InDoubt),
-            Record::Failed {
-                call,
-                charged_tokens,
-            } => {
+            Record::Failed { call, charged_tokens } => {
                 self.refund_reservation(call);
                 self.spent_tokens = self.spent_tokens.saturating_add(*charged_tokens);
                 self.set_call(call, CallPhase::Open);
             }
-            Record::Closed {
-                reason,
-                closed_unix_ms,
-            } => {
+            Record::Closed { reason, closed_unix_ms } => {
                 self.closed.get_or_insert((*reason, *closed_unix_ms));
             }
         }
@@ -190,16 +167,13 @@
     /// Returns the tokens that remain of the program's own budget.
     #[must_use]
     pub fn remaining_tokens(&self) -> Option<u64> {
-        self.budget_tokens
-            .map(|budget| budget.saturating_sub(self.spent_tokens))
+        self.budget_tokens.map(|budget| budget.saturating_sub(self.spent_tokens))
     }
 
     fn decide_known(&self, call: &Call, request: &CallRequest, digest: &str) -> Decision {
         if call.key.idempotency_key != request.idempotency_key {
             if matches!(call.phase, CallPhase::Open) && self.closed.is_none() {
-                return Decision::Run {
-                    attempt: call.key.attempt + 1,
-                };
+                return Decision::Run { attempt: call.key.attempt + 1 };
             }
             return Decision::Refuse(Refusal::not_run(
                 RefusalKind::SequenceTaken,
@@ -219,9 +193,7 @@
             CallPhase::InDoubt => Decision::Refuse(Refusal::outcome_unknown()),
             CallPhase::Started { .. } => Decision::Wait,
             CallPhase::Open if self.closed.is_some() => Decision::Refuse(program_closed()),
-            CallPhase::Open => Decision::Run {
-                attempt: call.key.attempt + 1,
-            },
+            CallPhase::Open => Decision::Run { attempt: call.key.attempt + 1 },
         }
     }
 
@@ -229,31 +201,21 @@
         if self.closed.is_some() {
             return Some(program_closed());
         }
-        let reused = self
-            .calls
-            .values()
-            .any(|call| call.key.idempotency_key == request.idempotency_key);
+        let reused =
+            self.calls.values().any(|call| call.key.idempotency_key == request.idempotency_key);
         reused.then(idempotency_mismatch)
     }
 
     fn refund_reservation(&mut self, key: &CallKey) {
-        if let Some(Call {
-            phase: CallPhase::Started { reserved_tokens },
-            ..
-        }) = self.calls.get(&key.sequence)
+        if let Some(Call { phase: CallPhase::Started { reserved_tokens }, .. }) =
+            self.calls.get(&key.sequence)
         {
             self.spent_tokens = self.spent_tokens.saturating_sub(*reserved_tokens);
         }
     }
 
     fn set_call(&mut self, key: &CallKey, phase: CallPhase) {
-        self.calls.insert(
-            key.sequence,
-            Call {
-                key: key.clone(),
-                phase,
-            },
-        );
+        self.calls.insert(key.sequence, Call { key: key.clone(), phase });
     }
 }
 
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -43,6 +43,8 @@
     BudgetExhausted,
     /// The team is over its rate and burst.
     RateLimited,
+    /// No holder of the team's limit can be reached.
+    LimitUnavailable,
     /// No backend server can take the call.
     NoBackend,
     /// The backend server failed before an answer was complete.
@@ -76,46 +78,24 @@
     RefusalRow(RefusalKind::ProgramClosed, "program_closed", 409, None),
     RefusalRow(RefusalKind::SequenceTaken, "sequence_taken", 409, None),
     RefusalRow(RefusalKind::SequenceAhead, "sequence_ahead", 409, Some(500)),
-    RefusalRow(
-        RefusalKind::IdempotencyMismatch,
-        "idempotency_mismatch",
-        422,
-        None,
-    ),
+    RefusalRow(RefusalKind::IdempotencyMismatch, "idempotency_mismatch", 422, None),
     RefusalRow(RefusalKind::BudgetExhausted, "budget_exhausted", 402, None),
     RefusalRow(RefusalKind::RateLimited, "rate_limited", 429, Some(1_000)),
+    RefusalRow(RefusalKind::LimitUnavailable, "limit_unavailable", 503, Some(1_000)),
     RefusalRow(RefusalKind::NoBackend, "no_backend", 503, Some(1_000)),
     RefusalRow(RefusalKind::BackendFailed, "backend_failed", 502, Some(500)),
-    RefusalRow(
-        RefusalKind::PlatformUnavailable,
-        "platform_unavailable",
-        503,
-        Some(2_000),
-    ),
+    RefusalRow(RefusalKind::PlatformUnavailable, "platform_unavailable", 503, Some(2_000)),
     RefusalRow(RefusalKind::NotOwner, "not_owner", 503, Some(200)),
-    RefusalRow(
-        RefusalKind::OwnerUnreachable,
-        "owner_unreachable",
-        503,
-        Some(1_000),
-    ),
+    RefusalRow(RefusalKind::OwnerUnreachable, "owner_unreachable", 503, Some(1_000)),
     RefusalRow(RefusalKind::OutcomeUnknown, "outcome_unknown", 409, None),
-    RefusalRow(
-        RefusalKind::DeadlineExceeded,
-        "deadline_exceeded",
-        504,
-        Some(1_000),
-    ),
+    RefusalRow(RefusalKind::DeadlineExceeded, "deadline_exceeded", 504, Some(1_000)),
     RefusalRow(RefusalKind::Cancelled, "cancelled", 409, None),
     RefusalRow(RefusalKind::NotReady, "not_ready", 503, Some(1_000)),
 ];
 
 impl RefusalKind {
     fn row(self) -> &'static RefusalRow {
-        REFUSALS
-            .iter()
-            .find(|row| row.0 == self)
-            .unwrap_or(&REFUSALS[0])
+        REFUSALS.iter().find(|row| row.0 == self).unwrap_or(&REFUSALS[0])
     }
 
     /// Returns the label used in JSON bodies and metrics.
@@ -154,21 +134,13 @@
     /// Creates a refusal of a request that never reached a backend server.
     #[must_use]
     pub fn not_run(kind: RefusalKind, message: impl Into<String>) -> Self {
-        Self {
-            kind,
-            message: message.into(),
-            run: RunState::NotRun,
-            retry_after_ms: kind.row().3,
-        }
+        Self { kind, message: message.into(), run: RunState::NotRun, retry_after_ms: kind.row().3 }
     }
 
     /// Creates a refusal of a request that may have been executed.
     #[must_use]
     pub fn unknown(kind: RefusalKind, message: impl Into<String>) -> Self {
-        Self {
-            run: RunState::Unknown,
-            ..Self::not_run(kind, message)
-        }
+        Self { run: RunState::Unknown, ..Self::not_run(kind, message) }
     }
 
     /// Creates the refusal of a call whose earlier attempt has an unknown outcome.
--- a/crates/coordination/src/shards.rs
+++ b/crates/coordination/src/shards.rs
@@ -90,19 +90,14 @@
     /// Returns whether this node serves `shard`.
     #[must_use]
     pub fn is_serving(&self, shard: ShardId) -> bool {
-        self.owned
-            .borrow()
-            .get(&shard)
-            .is_some_and(|owned| owned.phase == Phase::Serving)
+        self.owned.borrow().get(&shard).is_some_and(|owned| owned.phase == Phase::Serving)
     }
 
     /// Returns the shards that this node serves.
     #[must_use]
     pub fn serving(&self) -> Vec<ShardId> {
         let owned = self.owned.borrow();
-        let serving = owned
-            .iter()
-            .filter(|(_, shard)| shard.phase == Phase::Serving);
+        let serving = owned.iter().filter(|(_, shard)| shard.phase == Phase::Serving);
         serving.map(|(shard, _)| *shard).collect()
     }
 
@@ -181,19 +176,14 @@
     pub async fn release_drained(&self) -> PlatformResult<bool> {
         let draining: Vec<ShardId> = {
             let owned = self.owned.borrow();
-            let draining = owned
-                .iter()
-                .filter(|(_, shard)| shard.phase == Phase::Draining);
+            let draining = owned.iter().filter(|(_, shard)| shard.phase == Phase::Draining);
             draining.map(|(shard, _)| *shard).collect()
         };
         if draining.is_empty() {
             return Ok(true);
         }
-        let idle: Vec<ShardId> = draining
-            .iter()
-            .copied()
-            .filter(|shard| !self.owner.is_busy(*shard))
-            .collect();
+        let idle: Vec<ShardId> =
+            draining.iter().copied().filter(|shard| !self.owner.is_busy(*shard)).collect();
         self.journal.flush().await;
         for batch in idle.chunks(CLAIM_BATCH) {
             self.release(batch).await?;
@@ -218,15 +208,11 @@
         let rows = scan_all(&*self.platform.table, Table::Shards, &prefix, &prefix).await?;
         let mut parsed = BTreeMap::new();
         for row in rows {
-            let shard = row
-                .key
-                .strip_prefix(&prefix)
-                .and_then(|hex| u16::from_str_radix(hex, 16).ok());
+            let shard =
+                row.key.strip_prefix(&prefix).and_then(|hex| u16::from_str_radix(hex, 16).ok());
             let value = serde_json::from_value(row.value);
             let (Some(shard), Ok(value)) = (shard, value) else {
-                return Err(PlatformError::Malformed {
-                    detail: format!("shard row {}", row.key),
-                });
+                return Err(PlatformError::Malformed { detail: format!("shard row {}", row.key) });
             };
             parsed.insert(shard, (row.version, value));
         }
@@ -287,14 +273,7 @@
         let mut owners = self.owners.borrow_mut();
         for (shard, row) in claimed {
             owners.insert(shard, self.incarnation.id().to_owned());
-            owned.insert(
-                shard,
-                OwnedShard {
-                    version,
-                    row,
-                    phase: Phase::Recovering,
-                },
-            );
+            owned.insert(shard, OwnedShard { version, row, phase: Phase::Recovering });
         }
         Ok(true)
     }
@@ -321,21 +300,14 @@
     async fn recover_claimed(&self) -> PlatformResult<()> {
         let recovering: Vec<(ShardId, ShardRow)> = {
             let owned = self.owned.borrow();
-            let recovering = owned
-                .iter()
-                .filter(|(_, shard)| shard.phase == Phase::Recovering);
-            recovering
-                .map(|(shard, owned)| (*shard, owned.row.clone()))
-                .collect()
+            let recovering = owned.iter().filter(|(_, shard)| shard.phase == Phase::Recovering);
+            recovering.map(|(shard, owned)| (*shard, owned.row.clone())).collect()
         };
         let mut cache = CommitCache::new();
         for (shard, row) in recovering {
             let programs = self.replay(shard, &row, &mut cache).await?;
             if !programs.is_empty() {
-                info!(
-                    "event=shard_recovered shard={shard} programs={}",
-                    programs.len()
-                );
+                info!("event=shard_recovered shard={shard} programs={}", programs.len());
             }
             self.owner.adopt(programs);
             self.set_phase(shard, Phase::Serving);
@@ -377,12 +349,7 @@
         let malformed = |detail: &str| PlatformError::Malformed {
             detail: format!("checkpoint {key}: {detail}"),
         };
-        let bytes = self
-            .platform
-            .objects
-            .get(key)
-            .await?
-            .ok_or_else(|| malformed("missing"))?;
+        let bytes = self.platform.objects.get(key).await?.ok_or_else(|| malformed("missing"))?;
         serde_json::from_slice(&bytes).map_err(|error| malformed(&error.to_string()))
     }
 
@@ -426,13 +393,11 @@
 
     async fn write_row(&self, shard: ShardId, version: u64, row: ShardRow) -> PlatformResult<bool> {
         let key = shard_key(&self.region, shard);
-        let transaction = Transaction::default()
-            .require(Table::Shards, &key, version)
-            .put(
-                Table::Shards,
-                &key,
-                serde_json::to_value(&row).unwrap_or_default(),
-            );
+        let transaction = Transaction::default().require(Table::Shards, &key, version).put(
+            Table::Shards,
+            &key,
+            serde_json::to_value(&row).unwrap_or_default(),
+        );
         let TransactionOutcome::Committed(version) =
             self.platform.table.transact(&transaction).await?
         else {
@@ -457,8 +422,7 @@
             if let Some(segment) = row.segments.last_mut() {
                 segment.end_commit = Some(self.journal.next_number());
             }
-            row.segments
-                .retain(|segment| Some(segment.first_commit) != segment.end_commit);
+            row.segments.retain(|segment| Some(segment.first_commit) != segment.end_commit);
             let key = shard_key(&self.region, *shard);
             transaction = transaction.require(Table::Shards, &key, owned.version).put(
                 Table::Shards,
--- a/crates/daemon/src/backend/chat.rs
+++ b/crates/daemon/src/backend/chat.rs
@@ -60,10 +60,7 @@
             .map_err(|source| ChatMessageError::Malformed { source })?;
         if body.messages.is_empty() {
             let remedy = "send at least one message";
-            return Err(ChatMessageError::Unsupported {
-                field: "messages",
-                remedy,
-            });
+            return Err(ChatMessageError::Unsupported { field: "messages", remedy });
         }
         if body.n.is_some_and(|completions| completions != 1) {
             let remedy = "leave it out; one completion is generated for each call";
@@ -71,10 +68,7 @@
         }
         if body.completion_limit() == Some(0) {
             let remedy = "ask for at least one token";
-            return Err(ChatMessageError::Unsupported {
-                field: "max_tokens",
-                remedy,
-            });
+            return Err(ChatMessageError::Unsupported { field: "max_tokens", remedy });
         }
         Ok(body)
     }
@@ -88,10 +82,7 @@
     /// Returns an upper bound of the prompt: a token is at least one byte of text.
     #[must_use]
     pub fn prompt_tokens_max(&self) -> u64 {
-        self.messages
-            .iter()
-            .map(|message| message.get().len() as u64)
-            .sum()
+        self.messages.iter().map(|message| message.get().len() as u64).sum()
     }
 
     /// Returns the body to send to an engine.
@@ -101,10 +92,7 @@
         self.max_tokens = Some(max_tokens);
         self.max_completion_tokens = None;
         self.stream = true;
-        self.rest.insert(
-            "stream_options".to_owned(),
-            json!({ "include_usage": true }),
-        );
+        self.rest.insert("stream_options".to_owned(), json!({ "include_usage": true }));
         serde_json::to_vec(&self).unwrap_or_default()
     }
 }
@@ -169,8 +157,7 @@
         self.created = chunk.created;
         self.usage = chunk.usage.or(self.usage);
         for choice in chunk.choices {
-            self.content
-                .push_str(choice.delta.content.as_deref().unwrap_or_default());
+            self.content.push_str(choice.delta.content.as_deref().unwrap_or_default());
             for call in choice.delta.tool_calls {
                 merge_tool_call(&mut self.tool_calls, call);
             }
@@ -188,15 +175,8 @@
     /// Returns the tokens spent, if the engine told.
     #[must_use]
     pub fn usage(&self) -> Option<Usage> {
-        let WireUsage {
-            prompt_tokens,
-            completion_tokens,
-            ..
-        } = self.usage?;
-        Some(Usage {
-            prompt_tokens,
-            completion_tokens,
-        })
+        let WireUsage { prompt_tokens, completion_tokens, .. } = self.usage?;
+        Some(Usage { prompt_tokens, completion_tokens })
     }
 
     /// Returns the whole completion under the route's name.
@@ -220,10 +200,7 @@
 
 /// Merges a partial tool call into the one with the same index.
 fn merge_tool_call(calls: &mut Vec<Value>, mut part: Value) {
-    let index = part["index"]
-        .as_u64()
-        .and_then(|index| usize::try_from(index).ok())
-        .unwrap_or(0);
+    let index = part["index"].as_u64().and_then(|index| usize::try_from(index).ok()).unwrap_or(0);
     if let Some(fields) = part.as_object_mut() {
         fields.remove("index");
     }
@@ -244,9 +221,7 @@
         return whole.to_vec();
     };
     completion["object"] = json!("chat.completion.chunk");
-    if let Some(choice) = completion["choices"]
-        .get_mut(0)
-        .and_then(Value::as_object_mut)
+    if let Some(choice) = completion["choices"].get_mut(0).and_then(Value::as_object_mut)
         && let Some(message) = choice.remove("message")
     {
         choice.insert("delta".to_owned(), message);
--- a/crates/daemon/src/backend/engine.rs
+++ b/crates/daemon/src/backend/engine.rs
@@ -76,11 +76,7 @@
     /// Creates an adapter; `silence` bounds the pause between two parts of a stream.
     #[must_use]
     pub fn new(client: Client, address: &str, silence: Duration) -> Self {
-        Self {
-            client,
-            base_url: format!("http://{address}"),
-            silence,
-        }
+        Self { client, base_url: format!("http://{address}"), silence }
     }
 
     async fn start(&self, call: &EngineCall) -> Result<ClientResponse, BackendError> {
@@ -102,14 +98,8 @@
     }
 
     async fn resume(&self, call: &EngineCall, offset: usize) -> Option<ClientResponse> {
-        let url = format!(
-            "{}/v1/requests/{}?offset={offset}",
-            self.base_url, call.request_id
-        );
-        let response = timeout(self.silence, self.client.get(url).send())
-            .await
-            .ok()?
-            .ok()?;
+        let url = format!("{}/v1/requests/{}?offset={offset}", self.base_url, call.request_id);
+        let response = timeout(self.silence, self.client.get(url).send()).await.ok()?.ok()?;
         response.status().is_success().then_some(response)
     }
 
@@ -138,9 +128,7 @@
 
 impl StreamState<'_> {
     fn take(&mut self, data: &str) -> Result<(), BackendError> {
-        self.assembly
-            .add(data)
-            .map_err(|_| lost("sent a part that is no completion chunk"))?;
+        self.assembly.add(data).map_err(|_| lost("sent a part that is no completion chunk"))?;
         self.parts += 1;
         self.sink.part(data);
         Ok(())
@@ -155,11 +143,7 @@
         sink: &mut dyn GenerationSink,
     ) -> Result<BackendAnswer, BackendError> {
         let mut response = self.start(call).await?;
-        let mut state = StreamState {
-            assembly: Assembly::default(),
-            parts: 0,
-            sink,
-        };
+        let mut state = StreamState { assembly: Assembly::default(), parts: 0, sink };
         let mut resumes = 0;
         while !self.read_parts(&response, &mut state).await? {
             resumes += 1;
@@ -167,10 +151,8 @@
                 return Err(lost("cut the stream too often"));
             }
             state.sink.resumed();
-            response = self
-                .resume(call, state.parts)
-                .await
-                .ok_or_else(|| lost("cut the stream"))?;
+            response =
+                self.resume(call, state.parts).await.ok_or_else(|| lost("cut the stream"))?;
         }
         let usage = state.assembly.usage();
         let (true, Some(usage)) = (state.assembly.is_complete(), usage) else {
@@ -205,11 +187,7 @@
     if status.as_u16() == 503 || status.as_u16() == 429 {
         return Err(not_run("is overloaded"));
     }
-    let body = response
-        .body()
-        .limit(DETAIL_BYTES)
-        .await
-        .unwrap_or_default();
+    let body = response.body().limit(DETAIL_BYTES).await.unwrap_or_default();
     if status.is_client_error() {
         let detail = String::from_utf8_lossy(&body);
         return Err(BackendError::NotRun(Refusal::not_run(
--- a/crates/daemon/src/backend/service.rs
+++ b/crates/daemon/src/backend/service.rs
@@ -56,11 +56,7 @@
     /// Creates an adapter; `timeout` bounds the whole call.
     #[must_use]
     pub fn new(client: Client, address: &str, timeout: Duration) -> Self {
-        Self {
-            client,
-            base_url: format!("http://{address}"),
-            timeout,
-        }
+        Self { client, base_url: format!("http://{address}"), timeout }
     }
 
     async fn send(&self, call: &ServiceCall, method: Method) -> Result<Answer, BackendError> {
@@ -78,20 +74,12 @@
             Err(error) if is_never_sent(&error) => return Err(unreachable()),
             Err(_) => return Err(lost("closed the connection")),
         };
-        let content_type = response
-            .header("content-type")
-            .and_then(|value| value.to_str().ok());
-        let content_type = content_type
-            .unwrap_or("application/octet-stream")
-            .to_owned();
+        let content_type = response.header("content-type").and_then(|value| value.to_str().ok());
+        let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
         let status = response.status().as_u16();
         let body = response.body().limit(usize::MAX).await;
         let body = body.map_err(|_| lost("cut its answer"))?;
-        Ok(Answer {
-            status,
-            content_type,
-            body: Payload(body.to_vec()),
-        })
+        Ok(Answer { status, content_type, body: Payload(body.to_vec()) })
     }
 }
 
@@ -101,17 +89,11 @@
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
             return Err(BackendError::NotRun(Refusal::not_run(
                 RefusalKind::InvalidRequest,
-                format!(
-                    "{:?} is no HTTP method; send GET, POST, PUT or DELETE",
-                    call.method
-                ),
+                format!("{:?} is no HTTP method; send GET, POST, PUT or DELETE", call.method),
             )));
         };
         match timeout(self.timeout, self.send(call, method)).await {
-            Ok(sent) => sent.map(|answer| BackendAnswer {
-                answer,
-                usage: Usage::default(),
-            }),
+            Ok(sent) => sent.map(|answer| BackendAnswer { answer, usage: Usage::default() }),
             Err(()) => Err(lost("did not answer in time")),
         }
     }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -9,19 +9,10 @@
 ///
 /// Every flag can be set by the environment variable named beside it.
 #[derive(Debug, Parser)]
-#[command(
-    name = "dandelionfront",
-    version,
-    args_conflicts_with_subcommands = true
-)]
+#[command(name = "dandelionfront", version, args_conflicts_with_subcommands = true)]
 pub struct Cli {
     /// Most detailed level that is logged: error, warn, info, debug or trace.
-    #[arg(
-        long,
-        global = true,
-        env = "DANDELIONFRONT_LOG_LEVEL",
-        default_value = "info"
-    )]
+    #[arg(long, global = true, env = "DANDELIONFRONT_LOG_LEVEL", default_value = "info")]
     pub log_level: LevelFilter,
 
     /// What to run instead of a node.
@@ -56,27 +47,15 @@
     pub listen: SocketAddr,
 
     /// Address for calls forwarded by other nodes, as IP:PORT.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_FORWARD_LISTEN",
-        default_value = "127.0.0.1:8081"
-    )]
+    #[arg(long, env = "DANDELIONFRONT_FORWARD_LISTEN", default_value = "127.0.0.1:8081")]
     pub forward_listen: SocketAddr,
 
     /// Address for control messages of other nodes, as IP:PORT.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_PEER_LISTEN",
-        default_value = "127.0.0.1:8082"
-    )]
+    #[arg(long, env = "DANDELIONFRONT_PEER_LISTEN", default_value = "127.0.0.1:8082")]
     pub peer_listen: SocketAddr,
 
     /// Address for operators, metrics and health checks, as IP:PORT.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_OPERATOR_LISTEN",
-        default_value = "127.0.0.1:8083"
-    )]
+    #[arg(long, env = "DANDELIONFRONT_OPERATOR_LISTEN", default_value = "127.0.0.1:8083")]
     pub operator_listen: SocketAddr,
 
     /// Forward address that other nodes use, if it differs from --forward-listen.
@@ -88,11 +67,7 @@
     pub peer_advertise: Option<SocketAddr>,
 
     /// Base URL of the platform's table service and object store.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_PLATFORM",
-        default_value = "http://127.0.0.1:9000"
-    )]
+    #[arg(long, env = "DANDELIONFRONT_PLATFORM", default_value = "http://127.0.0.1:9000")]
     pub platform: String,
 
     /// Region of this node.
@@ -120,23 +95,27 @@
     pub commit_interval_ms: u64,
 
     /// Time between two checkpoints of the programs served, in milliseconds.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_CHECKPOINT_INTERVAL_MS",
-        default_value_t = 60_000
-    )]
+    #[arg(long, env = "DANDELIONFRONT_CHECKPOINT_INTERVAL_MS", default_value_t = 60_000)]
     pub checkpoint_interval_ms: u64,
 
+    /// Time between two heartbeats to each observer, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_HEARTBEAT_MS", default_value_t = 1_000)]
+    pub heartbeat_ms: u64,
+
+    /// Silence after which an observer suspects a member, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_SUSPECT_MS", default_value_t = 3_500)]
+    pub suspect_ms: u64,
+
+    /// Longest wait of a request for a token of its team's limit, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_TOKEN_WAIT_MS", default_value_t = 500)]
+    pub token_wait_ms: u64,
+
     /// Time for which ended programs stay readable, in seconds.
     #[arg(long, env = "DANDELIONFRONT_RETENTION_S", default_value_t = 900)]
     pub retention_s: u64,
 
     /// Longest wait for an answer of the platform, in milliseconds.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_PLATFORM_TIMEOUT_MS",
-        default_value_t = 2_000
-    )]
+    #[arg(long, env = "DANDELIONFRONT_PLATFORM_TIMEOUT_MS", default_value_t = 2_000)]
     pub platform_timeout_ms: u64,
 
     /// Longest wait of a call for its predecessor, in milliseconds.
@@ -144,19 +123,11 @@
     pub order_wait_ms: u64,
 
     /// Longest wait for the commit that must precede a dispatch, in milliseconds.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_START_COMMIT_WAIT_MS",
-        default_value_t = 2_000
-    )]
+    #[arg(long, env = "DANDELIONFRONT_START_COMMIT_WAIT_MS", default_value_t = 2_000)]
     pub start_commit_wait_ms: u64,
 
     /// Longest time from that commit's start to the dispatch, in milliseconds.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_DISPATCH_WINDOW_MS",
-        default_value_t = 3_000
-    )]
+    #[arg(long, env = "DANDELIONFRONT_DISPATCH_WINDOW_MS", default_value_t = 3_000)]
     pub dispatch_window_ms: u64,
 
     /// Longest wait for a program's owner to be reachable, in milliseconds.
@@ -164,19 +135,11 @@
     pub owner_wait_ms: u64,
 
     /// Longest silence of an engine's stream before it is resumed, in milliseconds.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_ENGINE_SILENCE_MS",
-        default_value_t = 10_000
-    )]
+    #[arg(long, env = "DANDELIONFRONT_ENGINE_SILENCE_MS", default_value_t = 10_000)]
     pub engine_silence_ms: u64,
 
     /// Longest wait for the answer of a plain service, in milliseconds.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_SERVICE_TIMEOUT_MS",
-        default_value_t = 30_000
-    )]
+    #[arg(long, env = "DANDELIONFRONT_SERVICE_TIMEOUT_MS", default_value_t = 30_000)]
     pub service_timeout_ms: u64,
 
     /// Longest time for which a call without a waiting caller goes on, in milliseconds.
@@ -184,11 +147,7 @@
     pub abandon_ms: u64,
 
     /// Largest request body, in bytes.
-    #[arg(
-        long,
-        env = "DANDELIONFRONT_BODY_MAX_BYTES",
-        default_value_t = 4_194_304
-    )]
+    #[arg(long, env = "DANDELIONFRONT_BODY_MAX_BYTES", default_value_t = 4_194_304)]
     pub body_max_bytes: usize,
 
     /// Longest time that a planned stop waits for running calls, in seconds.
--- a/crates/daemon/src/connection/clients.rs
+++ b/crates/daemon/src/connection/clients.rs
@@ -48,10 +48,8 @@
 ///
 /// Fails when no connector can be built.
 pub async fn build(keep_alive: Seconds) -> Result<Client, ClientBuilderError> {
-    let connector = Connector::new()
-        .limit(CONNECTIONS_MAX)
-        .keep_alive(keep_alive)
-        .lifetime(LIFETIME);
+    let connector =
+        Connector::new().limit(CONNECTIONS_MAX).keep_alive(keep_alive).lifetime(LIFETIME);
     Client::builder()
         .connector::<()>(connector)
         .disable_timeout()
--- a/crates/daemon/src/connection/forward.rs
+++ b/crates/daemon/src/connection/forward.rs
@@ -93,9 +93,7 @@
         if !response.status().is_success() {
             return Err(ForwardError::Lost);
         }
-        Ok(Self {
-            events: response.take_payload().eventsource(),
-        })
+        Ok(Self { events: response.take_payload().eventsource() })
     }
 
     /// Returns the next event, or `None` when the connection broke or was silent for `silence`.
@@ -132,9 +130,7 @@
     wait: Duration,
 ) -> Result<ntex::client::ClientResponse, ForwardError> {
     let body = serde_json::to_vec(message).map_err(|_| ForwardError::NeverSent)?;
-    let request = client
-        .post(format!("http://{address}{path}"))
-        .content_type(JSON);
+    let request = client.post(format!("http://{address}{path}")).content_type(JSON);
     match timeout(wait, request.send_body(body)).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) if is_never_sent(&error) => Err(ForwardError::NeverSent),
--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod clients;
 pub mod forward;
+pub mod peers;
 
 pub use clients::Clients;
--- /dev/null
+++ b/crates/daemon/src/connection/peers.rs
@@ -0,0 +1,251 @@
+//! Control messages between nodes over JSON-RPC.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dandelionfront_coordination::Peers;
+use dandelionfront_coordination::ids::{ConfigVersion, IncarnationId, TeamId};
+use dandelionfront_coordination::peers::{
+    ConfigTransfer, Heartbeat, HeartbeatReply, PeerError, TakeReply,
+};
+use jsonrpsee::core::{ClientError, RpcResult};
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use ntex::time::timeout;
+use prometheus::IntCounter;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::process::{ControlHandle, Metrics};
+
+/// Longest wait for an answer of a peer.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Error code of a node that is stopping.
+const STOPPING_CODE: i32 = -32_000;
+/// Largest message between peers.
+const MESSAGE_MAX_BYTES: u32 = 64 * 1024 * 1024;
+
+/// Control messages that a node answers.
+#[rpc(server, client)]
+pub trait PeerRpc {
+    /// Takes a sign of life.
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, beat: Heartbeat) -> RpcResult<HeartbeatReply>;
+
+    /// Tells whether this node suspects a member.
+    #[method(name = "suspects")]
+    async fn suspects(&self, target: IncarnationId) -> RpcResult<bool>;
+
+    /// Takes tokens from this node's share.
+    #[method(name = "take")]
+    async fn take(&self, team: TeamId) -> RpcResult<TakeReply>;
+
+    /// Hands the configuration after a version over.
+    #[method(name = "config_after")]
+    async fn config_after(&self, version: ConfigVersion) -> RpcResult<ConfigTransfer>;
+}
+
+/// Answers control messages on the control thread.
+#[derive(Debug, Clone)]
+pub struct PeerService {
+    control: ControlHandle,
+    metrics: Metrics,
+}
+
+impl PeerService {
+    /// Creates a service that asks the control thread.
+    #[must_use]
+    pub fn new(control: ControlHandle, metrics: Metrics) -> Self {
+        Self { control, metrics }
+    }
+
+    fn count(&self) {
+        self.metrics.peer_messages.inc();
+    }
+}
+
+fn stopping(refusal: dandelionfront_coordination::Refusal) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(STOPPING_CODE, refusal.message, None::<()>)
+}
+
+#[async_trait]
+impl PeerRpcServer for PeerService {
+    async fn heartbeat(&self, beat: Heartbeat) -> RpcResult<HeartbeatReply> {
+        self.count();
+        let answer = move |control: Rc<crate::process::Control>| async move {
+            control.node().answer_heartbeat(&beat, control.follower().current().version())
+        };
+        self.control.run(answer).await.map_err(stopping)
+    }
+
+    async fn suspects(&self, target: IncarnationId) -> RpcResult<bool> {
+        self.count();
+        let answer = move |control: Rc<crate::process::Control>| async move {
+            control.node().is_suspect(&target)
+        };
+        self.control.run(answer).await.map_err(stopping)
+    }
+
+    async fn take(&self, team: TeamId) -> RpcResult<TakeReply> {
+        self.count();
+        let answer = move |control: Rc<crate::process::Control>| async move {
+            control.take_own(&team).await
+        };
+        self.control.run(answer).await.map_err(stopping)
+    }
+
+    async fn config_after(&self, version: ConfigVersion) -> RpcResult<ConfigTransfer> {
+        self.count();
+        let answer = move |control: Rc<crate::process::Control>| async move {
+            control.follower().transfer_after(version)
+        };
+        self.control.run(answer).await.map_err(stopping)
+    }
+}
+
+/// Connections to peers; a connection that fails or goes silent is replaced at its next use.
+pub struct RpcPeers {
+    metrics: Metrics,
+    clients: RefCell<HashMap<String, Rc<WsClient>>>,
+}
+
+impl RpcPeers {
+    /// Creates an empty set of connections.
+    #[must_use]
+    pub fn new(metrics: Metrics) -> Self {
+        Self { metrics, clients: RefCell::default() }
+    }
+
+    async fn client(&self, address: &str) -> Result<Rc<WsClient>, String> {
+        let known = self.clients.borrow().get(address).cloned();
+        if let Some(client) = known.filter(|client| client.is_connected()) {
+            return Ok(client);
+        }
+        let client = Rc::new(self.connect(address).await?);
+        self.clients.borrow_mut().insert(address.to_owned(), Rc::clone(&client));
+        Ok(client)
+    }
+
+    async fn connect(&self, address: &str) -> Result<WsClient, String> {
+        let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let counted = CountedStream {
+            inner: stream,
+            sent: self.metrics.peer_sent_bytes.clone(),
+            received: self.metrics.peer_received_bytes.clone(),
+        };
+        WsClientBuilder::default()
+            .request_timeout(REQUEST_TIMEOUT)
+            .max_response_size(MESSAGE_MAX_BYTES)
+            .build_with_stream(format!("ws://{address}"), counted)
+            .await
+            .map_err(|error| error.to_string())
+    }
+
+    async fn ask<R, F>(
+        &self,
+        address: &str,
+        request: impl FnOnce(Rc<WsClient>) -> F,
+    ) -> Result<R, PeerError>
+    where
+        F: Future<Output = Result<R, ClientError>>,
+    {
+        let exchange = async {
+            let client = self.client(address).await?;
+            request(client).await.map_err(|error| error.to_string())
+        };
+        let result = timeout(REQUEST_TIMEOUT, exchange).await;
+        let detail = match result {
+            Ok(Ok(reply)) => return Ok(reply),
+            Ok(Err(detail)) => detail,
+            Err(()) => "no answer in time".to_owned(),
+        };
+        self.clients.borrow_mut().remove(address);
+        Err(PeerError { address: address.to_owned(), detail })
+    }
+}
+
+#[async_trait(?Send)]
+impl Peers for RpcPeers {
+    async fn heartbeat(
+        &self,
+        address: &str,
+        beat: &Heartbeat,
+    ) -> Result<HeartbeatReply, PeerError> {
+        let beat = beat.clone();
+        self.ask(address, |client| async move { client.heartbeat(beat).await }).await
+    }
+
+    async fn suspects(&self, address: &str, target: &str) -> Result<bool, PeerError> {
+        let target = target.to_owned();
+        self.ask(address, |client| async move { client.suspects(target).await }).await
+    }
+
+    async fn take(&self, address: &str, team: &TeamId) -> Result<TakeReply, PeerError> {
+        let team = team.clone();
+        self.ask(address, |client| async move { client.take(team).await }).await
+    }
+
+    async fn config_after(
+        &self,
+        address: &str,
+        version: ConfigVersion,
+    ) -> Result<ConfigTransfer, PeerError> {
+        self.ask(address, |client| async move { client.config_after(version).await }).await
+    }
+}
+
+/// A connection that counts its bytes.
+struct CountedStream {
+    inner: TcpStream,
+    sent: IntCounter,
+    received: IntCounter,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        self.received.inc_by((buffer.filled().len() - before) as u64);
+        polled
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(context, bytes);
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.sent.inc_by(*written as u64);
+        }
+        polled
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod connection;
 pub mod consts;
+pub mod crash;
 pub mod logs;
 pub mod operator;
 pub mod process;
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -14,10 +14,7 @@
         .format(|out, message, record| {
             let elapsed = UNIX_EPOCH.elapsed().unwrap_or_default();
             let level = record.level().as_str().to_ascii_lowercase();
-            out.finish(format_args!(
-                "time={:.3} level={level} {message}",
-                elapsed.as_secs_f64()
-            ));
+            out.finish(format_args!("time={:.3} level={level} {message}", elapsed.as_secs_f64()));
         })
         .level(LevelFilter::Warn)
         .level_for("dandelionfront", level)
--- a/crates/daemon/src/operator/config.rs
+++ b/crates/daemon/src/operator/config.rs
@@ -96,22 +96,13 @@
 /// Issues a key; its text is shown once and never stored.
 pub async fn issue_key(worker: State<Rc<Worker>>, body: Json<IssueBody>) -> HttpResponse {
     let IssueBody { name, team, author } = body.into_inner();
-    let secret = format!(
-        "{KEY_PREFIX}{:032x}{:032x}",
-        rand::random::<u128>(),
-        rand::random::<u128>()
-    );
-    let key = Key {
-        team,
-        sha256: sha256_hex(secret.as_bytes()),
-        withdrawn: false,
-    };
+    let secret =
+        format!("{KEY_PREFIX}{:032x}{:032x}", rand::random::<u128>(), rand::random::<u128>());
+    let key = Key { team, sha256: sha256_hex(secret.as_bytes()), withdrawn: false };
     let key_name = name.clone();
     let edit = move |objects: &mut ObjectSet| {
         if objects.key.contains_key(&key_name) {
-            return Err(format!(
-                "key {key_name:?} exists; withdraw it or choose another name"
-            ));
+            return Err(format!("key {key_name:?} exists; withdraw it or choose another name"));
         }
         objects.key.insert(key_name.clone(), key.clone());
         Ok(())
@@ -138,9 +129,7 @@
             key.withdrawn = true;
             Ok(())
         }
-        None => Err(format!(
-            "there is no key {key_name:?}; see dandelionctl show"
-        )),
+        None => Err(format!("there is no key {key_name:?}; see dandelionctl show")),
     };
     respond(edit_objects(&worker, unnamed_author(), edit).await)
 }
@@ -153,9 +142,7 @@
             backend.state = BackendState::Draining;
             Ok(())
         }
-        None => Err(format!(
-            "there is no backend {name:?}; see dandelionctl show"
-        )),
+        None => Err(format!("there is no backend {name:?}; see dandelionctl show")),
     };
     respond(edit_objects(&worker, unnamed_author(), edit).await)
 }
@@ -211,10 +198,7 @@
     let message = error.to_string();
     match error {
         PublishError::Invalid { problems } => {
-            let body = ErrorBody {
-                error: message,
-                problems,
-            };
+            let body = ErrorBody { error: message, problems };
             HttpResponse::UnprocessableEntity().json(&body)
         }
         PublishError::Raced { .. } => failed(StatusCode::CONFLICT, message),
@@ -223,8 +207,5 @@
 }
 
 fn failed(status: StatusCode, error: String) -> HttpResponse {
-    HttpResponse::build(status).json(&ErrorBody {
-        error,
-        problems: Vec::new(),
-    })
+    HttpResponse::build(status).json(&ErrorBody { error, problems: Vec::new() })
 }
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -45,17 +45,11 @@
     } else if worker.shared.config().version() == 0 {
         "no configuration"
     } else {
-        return HttpResponse::Ok()
-            .content_type("text/plain")
-            .body("ready\n");
+        return HttpResponse::Ok().content_type("text/plain").body("ready\n");
     };
-    HttpResponse::ServiceUnavailable()
-        .content_type("text/plain")
-        .body(format!("{reason}\n"))
+    HttpResponse::ServiceUnavailable().content_type("text/plain").body(format!("{reason}\n"))
 }
 
 async fn metrics(worker: State<Rc<Worker>>) -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("text/plain; version=0.0.4")
-        .body(worker.shared.metrics.text())
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(worker.shared.metrics.text())
 }
--- a/crates/daemon/src/operator/status.rs
+++ b/crates/daemon/src/operator/status.rs
@@ -44,15 +44,16 @@
             zone: identity.zone,
             draining,
             config_version,
-            settled: node.is_settled(),
+            settled: node.is_settled(config_version),
             shards: node.shards().serving().len(),
             programs: node.owner().program_count(),
             head_age_ms: node
+                .membership()
                 .head_age()
                 .map(dandelionfront_coordination::clock::millis),
             commits: stats.commits,
             commit_retries: stats.retries,
-            members: node.members(),
+            members: node.membership().members().to_vec(),
         }
     };
     match worker.shared.control.run(read).await {
@@ -63,10 +64,7 @@
 
 /// Returns any team's program.
 pub async fn get_program(worker: State<Rc<Worker>>, id: Path<String>) -> HttpResponse {
-    let get = ProgramRequest::Get {
-        id: id.clone(),
-        team: None,
-    };
+    let get = ProgramRequest::Get { id: id.clone(), team: None };
     match program_view(&worker, &id, get).await {
         Ok(view) => HttpResponse::Ok().json(&view),
         Err(refusal) => refuse(&worker.shared.metrics, &refusal),
--- a/crates/daemon/src/process/clock.rs
+++ b/crates/daemon/src/process/clock.rs
@@ -16,9 +16,7 @@
     /// Creates a clock that starts now.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            started: Instant::now(),
-        }
+        Self { started: Instant::now() }
     }
 }
 
--- a/crates/daemon/src/process/control.rs
+++ b/crates/daemon/src/process/control.rs
@@ -1,15 +1,19 @@
 //! State of the control thread: the node, the configuration, the dispatcher.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dandelionfront_coordination::config::publish::{Publication, PublishError, Published};
-use dandelionfront_coordination::ids::{BackendId, ProgramId, program_id, shard_of_program};
+use dandelionfront_coordination::ids::{
+    BackendId, ProgramId, TeamId, program_id, shard_of_program,
+};
 use dandelionfront_coordination::journal::load_body;
 use dandelionfront_coordination::owner::ProgramSpec;
 use dandelionfront_coordination::payload::Body;
+use dandelionfront_coordination::peers::TakeReply;
+use dandelionfront_coordination::platform::PlatformResult;
 use dandelionfront_coordination::record::CloseReason;
 use dandelionfront_coordination::{
     Admission, AttemptEnd, CallRequest, CallTicket, Clock as _, ConfigSnapshot, Dispatcher, Node,
@@ -22,6 +26,9 @@
 use super::handle::ControlTask;
 use super::metrics::Metrics;
 use super::platform::HttpPlatform;
+use crate::connection::peers::RpcPeers;
+use crate::crash::Step;
+use crate::request::execute;
 use crate::settings::Settings;
 use crate::version::Follower;
 
@@ -36,9 +43,11 @@
     platform: Platform,
     clock: SystemClock,
     metrics: Metrics,
+    peers: Rc<RpcPeers>,
     node: RefCell<Rc<Node>>,
     follower: Follower,
     dispatcher: Dispatcher,
+    leaving: Cell<bool>,
 }
 
 impl Control {
@@ -51,24 +60,30 @@
         metrics: Metrics,
         config: watch::Sender<Arc<ConfigSnapshot>>,
     ) -> Rc<Self> {
-        let platform = Platform {
-            table: Rc::clone(&http) as _,
-            objects: http,
-        };
+        let peers = Rc::new(RpcPeers::new(metrics.clone()));
+        let platform = Platform { table: Rc::clone(&http) as _, objects: http };
         let node = Node::new(
             platform.clone(),
             Rc::new(clock),
+            Rc::clone(&peers) as _,
             settings.identity.clone(),
             settings.node.clone(),
         );
         Rc::new(Self {
-            follower: Follower::new(platform.clone(), config, metrics.clone()),
+            follower: Follower::new(
+                platform.clone(),
+                Rc::clone(&peers) as _,
+                config,
+                metrics.clone(),
+            ),
             settings,
             platform,
             clock,
             metrics,
+            peers,
             node: RefCell::new(node),
             dispatcher: Dispatcher::default(),
+            leaving: Cell::new(false),
         })
     }
 
@@ -90,6 +105,16 @@
         &self.follower
     }
 
+    /// Begins the planned stop of the node; a fenced node gets no new incarnation any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be reached; calling again is safe.
+    pub async fn leave(&self) -> PlatformResult<()> {
+        self.leaving.set(true);
+        self.node().leave().await
+    }
+
     /// Returns the platform's services.
     #[must_use]
     pub fn platform(&self) -> &Platform {
@@ -123,11 +148,32 @@
         Ok(admission)
     }
 
+    /// Takes one token of `team` before a request is served.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the team is over its rate and burst.
+    pub async fn acquire(&self, team: &TeamId) -> Result<(), Refusal> {
+        let config = self.follower.current();
+        let Some(limit) = config.team_limit(team) else { return Ok(()) };
+        let node = self.node();
+        node.escrow().acquire(team, limit, &node.membership().members()).await
+    }
+
+    /// Takes one token of `team` from this node's share, for another node.
+    pub async fn take_own(&self, team: &TeamId) -> TakeReply {
+        let config = self.follower.current();
+        let Some(limit) = config.team_limit(team) else { return TakeReply::NotHolder };
+        let node = self.node();
+        node.escrow().take_own(team, limit, &node.membership().members()).await
+    }
+
     /// Records the end of an attempt; an attempt of an earlier incarnation records nothing.
     pub async fn finish(&self, ticket: &CallTicket, request: &CallRequest, end: AttemptEnd) {
         let node = self.node();
         if node.incarnation().id() == ticket.incarnation {
-            node.owner().finish(ticket, request, end).await;
+            let recorded = || execute::reach(request.repeatable, Step::Finished);
+            node.owner().finish(ticket, request, end, recorded).await;
         } else {
             ticket.feed.close(Err(Refusal::unknown(
                 RefusalKind::NotOwner,
@@ -147,20 +193,14 @@
         let mut next = Some(route);
         while let Some(object) = next.and_then(|name| config.objects().route.get(name)) {
             let served = object.model.as_ref().or(object.service.as_ref());
-            match self
-                .dispatcher
-                .place(&config, served.map_or("", |name| name), tried)
-            {
+            match self.dispatcher.place(&config, served.map_or("", |name| name), tried) {
                 Ok(placement) => return Ok(placement),
                 Err(refused) => refusal.get_or_insert(refused),
             };
             next = object.fallback.as_deref();
         }
         Err(refusal.unwrap_or_else(|| {
-            Refusal::not_run(
-                RefusalKind::RouteUnknown,
-                "the route was removed; see GET /v1/models",
-            )
+            Refusal::not_run(RefusalKind::RouteUnknown, "the route was removed; see GET /v1/models")
         }))
     }
 
@@ -217,15 +257,13 @@
     ///
     /// Refuses when the object store cannot be read.
     pub async fn load_body(&self, body: &Body) -> Result<Payload, Refusal> {
-        load_body(&*self.platform.objects, body)
-            .await
-            .map_err(|error| {
-                warn!("event=body_unreadable cause={error:?}");
-                Refusal::unknown(
-                    RefusalKind::PlatformUnavailable,
-                    "the recorded answer cannot be read now; repeat the request after the pause",
-                )
-            })
+        load_body(&*self.platform.objects, body).await.map_err(|error| {
+            warn!("event=body_unreadable cause={error:?}");
+            Refusal::unknown(
+                RefusalKind::PlatformUnavailable,
+                "the recorded answer cannot be read now; repeat the request after the pause",
+            )
+        })
     }
 
     fn pick_shard(&self) -> Option<u16> {
@@ -237,22 +275,26 @@
     async fn run_incarnations(self: Rc<Self>) {
         loop {
             let node = self.node();
-            while let Err(error) = node.register().await {
+            while let Err(error) = node.membership().register().await {
                 warn!("event=register_failed cause={error:?}");
                 ntex::time::sleep(REGISTER_PAUSE).await;
             }
-            let head = node.head();
+            let head = node.membership().head();
             futures_util::future::select(
-                std::pin::pin!(node.run()),
+                std::pin::pin!(node.run(&self.follower)),
                 std::pin::pin!(self.follower.follow(head)),
             )
             .await;
+            if self.leaving.get() {
+                return;
+            }
             let mut identity = self.settings.identity.clone();
             identity.id = format!("node-{:016x}", rand::random::<u64>());
             info!("event=new_incarnation incarnation={}", identity.id);
             let node = Node::new(
                 self.platform.clone(),
                 Rc::new(self.clock),
+                Rc::clone(&self.peers) as _,
                 identity,
                 self.settings.node.clone(),
             );
@@ -263,13 +305,9 @@
     async fn update_gauges(self: Rc<Self>) {
         loop {
             let node = self.node();
-            self.metrics
-                .shards
-                .set(i64::try_from(node.shards().held_count()).unwrap_or(i64::MAX));
+            self.metrics.shards.set(i64::try_from(node.shards().held_count()).unwrap_or(i64::MAX));
             let programs = node.owner().program_count();
-            self.metrics
-                .programs
-                .set(i64::try_from(programs).unwrap_or(i64::MAX));
+            self.metrics.programs.set(i64::try_from(programs).unwrap_or(i64::MAX));
             ntex::time::sleep(GAUGE_INTERVAL).await;
         }
     }
--- a/crates/daemon/src/process/handle.rs
+++ b/crates/daemon/src/process/handle.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::rc::Rc;
 
-use dandelionfront_coordination::ids::{BackendId, ProgramId, ShardId};
+use dandelionfront_coordination::ids::{BackendId, ProgramId, ShardId, TeamId};
 use dandelionfront_coordination::owner::ProgramSpec;
 use dandelionfront_coordination::record::CloseReason;
 use dandelionfront_coordination::{
@@ -67,8 +67,16 @@
     ///
     /// Refuses when the control thread has stopped.
     pub async fn locate(&self, shard: ShardId) -> Result<Location, Refusal> {
-        self.run(move |control| async move { control.node().locate(shard) })
-            .await
+        self.run(move |control| async move { control.node().locate(shard) }).await
+    }
+
+    /// Takes one token of `team` before a request is served.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the team is over its rate and burst.
+    pub async fn acquire(&self, team: TeamId) -> Result<(), Refusal> {
+        self.run(move |control| async move { control.acquire(&team).await }).await?
     }
 
     /// Admits a call of a program served here.
@@ -77,8 +85,7 @@
     ///
     /// Refuses as [`dandelionfront_coordination::Owner::admit`] does.
     pub async fn admit(&self, request: CallRequest) -> Result<Admission, Refusal> {
-        self.run(move |control| async move { control.admit(&request).await })
-            .await?
+        self.run(move |control| async move { control.admit(&request).await }).await?
     }
 
     /// Records the end of an attempt.
@@ -92,8 +99,7 @@
         request: CallRequest,
         end: AttemptEnd,
     ) -> Result<(), Refusal> {
-        self.run(move |control| async move { control.finish(&ticket, &request, end).await })
-            .await
+        self.run(move |control| async move { control.finish(&ticket, &request, end).await }).await
     }
 
     /// Chooses a backend server for an attempt.
@@ -102,8 +108,7 @@
     ///
     /// Refuses when no backend server can take the call.
     pub async fn place(&self, route: String, tried: Vec<BackendId>) -> Result<Placement, Refusal> {
-        self.run(move |control| async move { control.place(&route, &tried) })
-            .await?
+        self.run(move |control| async move { control.place(&route, &tried) }).await?
     }
 
     /// Returns the placement of an attempt that has ended.
@@ -121,8 +126,7 @@
     ///
     /// Refuses as [`dandelionfront_coordination::Owner::open`] does.
     pub async fn open_program(&self, spec: ProgramSpec) -> Result<ProgramId, Refusal> {
-        self.run(move |control| async move { control.open_program(spec).await })
-            .await?
+        self.run(move |control| async move { control.open_program(spec).await }).await?
     }
 
     /// Ends a program served here.
--- a/crates/daemon/src/process/lifecycle.rs
+++ b/crates/daemon/src/process/lifecycle.rs
@@ -9,6 +9,7 @@
 use std::{io, thread};
 
 use dandelionfront_coordination::{Clock as _, ConfigSnapshot};
+use jsonrpsee::server::{ServerBuilder, ServerHandle};
 use log::{error, info, warn};
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
@@ -25,6 +26,7 @@
 use super::metrics::Metrics;
 use super::platform::HttpPlatform;
 use super::shared::{Shared, Worker};
+use crate::connection::peers::{PeerRpcServer as _, PeerService};
 use crate::connection::{Clients, clients};
 use crate::operator;
 use crate::request::{chat, forwarded, programs, service};
@@ -74,8 +76,9 @@
     let callers = bind(&mut settings.listen)?;
     let forward = bind(&mut settings.forward_listen)?;
     let operators = bind(&mut settings.operator_listen)?;
+    let peers = bind(&mut settings.peer_listen)?;
     settings.advertise();
-    let shared = start_control(settings)?;
+    let shared = start_control(settings, peers)?;
     let settings = &shared.settings;
     let servers = vec![
         serve(&shared, callers, settings.workers, caller_routes)?,
@@ -112,10 +115,7 @@
         self.announce_leaving(give_up_at).await;
         while !(self.is_released().await && self.shared.metrics.calls_in_flight.get() == 0) {
             if self.shared.clock.monotonic() >= give_up_at {
-                warn!(
-                    "event=stop_overdue in_flight={}",
-                    self.shared.metrics.calls_in_flight.get()
-                );
+                warn!("event=stop_overdue in_flight={}", self.shared.metrics.calls_in_flight.get());
                 break;
             }
             sleep(DRAIN_CHECK).await;
@@ -130,8 +130,7 @@
 
     async fn announce_leaving(&self, give_up_at: Duration) {
         loop {
-            let announce =
-                |control: Rc<Control>| async move { control.node().announce_leaving().await };
+            let announce = |control: Rc<Control>| async move { control.leave().await };
             match self.shared.control.run(announce).await {
                 Ok(Ok(())) | Err(_) => return,
                 Ok(Err(error)) => warn!("event=leaving_unannounced cause={error:?}"),
@@ -167,7 +166,7 @@
 }
 
 /// Starts the control thread.
-fn start_control(settings: Settings) -> io::Result<Arc<Shared>> {
+fn start_control(settings: Settings, peers: TcpListener) -> io::Result<Arc<Shared>> {
     let (control, tasks) = ControlHandle::new();
     let (config_sender, config) = watch::channel(Arc::new(ConfigSnapshot::default()));
     let clock = SystemClock::new();
@@ -181,26 +180,38 @@
         draining: AtomicBool::new(false),
     });
     let (settings, metrics) = (shared.settings.clone(), shared.metrics.clone());
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            let system = System::build()
-                .name("control")
-                .build(ntex::rt::DefaultRuntime);
-            system.block_on(async move {
-                let client = match clients::build(PLATFORM_KEEP_ALIVE).await {
-                    Ok(client) => client,
-                    Err(cause) => return error!("event=control_failed cause={cause:?}"),
-                };
-                let http = HttpPlatform::new(&settings.platform, client, settings.platform_timeout);
-                Control::new(settings, Rc::new(http), clock, metrics, config_sender)
-                    .serve(tasks)
-                    .await;
-            });
-        })?;
+    let service = PeerService::new(shared.control.clone(), metrics.clone());
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        let system = System::build().name("control").build(ntex::rt::DefaultRuntime);
+        system.block_on(async move {
+            let client = match clients::build(PLATFORM_KEEP_ALIVE).await {
+                Ok(client) => client,
+                Err(cause) => return error!("event=control_failed cause={cause:?}"),
+            };
+            let http = HttpPlatform::new(
+                &settings.platform,
+                client,
+                settings.platform_timeout,
+                metrics.clone(),
+            );
+            let peers = match serve_peers(peers, service) {
+                Ok(handle) => handle,
+                Err(cause) => return error!("event=control_failed cause={cause:?}"),
+            };
+            Control::new(settings, Rc::new(http), clock, metrics, config_sender).serve(tasks).await;
+            drop(peers);
+        });
+    })?;
     Ok(shared)
 }
 
+/// Serves control messages of other nodes on the current thread.
+fn serve_peers(listener: TcpListener, service: PeerService) -> io::Result<ServerHandle> {
+    listener.set_nonblocking(true)?;
+    let server = ServerBuilder::default().build_from_tcp(listener)?;
+    Ok(server.start(service.into_rpc()))
+}
+
 fn serve(
     shared: &Arc<Shared>,
     listener: TcpListener,
@@ -214,10 +225,7 @@
     let server = HttpServer::new(async move || {
         let clients = Clients::new().await.expect("client settings are constants");
         let limit = shared.settings.body_max_bytes;
-        let worker = Worker {
-            shared: Arc::clone(&shared),
-            clients: Rc::new(clients),
-        };
+        let worker = Worker { shared: Arc::clone(&shared), clients: Rc::new(clients) };
         App::new()
             .state(Rc::new(worker))
             .state(web::types::PayloadConfig::new(limit))
--- a/crates/daemon/src/process/metrics.rs
+++ b/crates/daemon/src/process/metrics.rs
@@ -57,15 +57,22 @@
     pub commit_seconds: Histogram,
     /// Configuration version in force.
     pub config_version: IntGauge,
+    /// Bytes sent on control links that this node opened.
+    pub peer_sent_bytes: IntCounter,
+    /// Bytes received on control links that this node opened.
+    pub peer_received_bytes: IntCounter,
+    /// Control messages answered.
+    pub peer_messages: IntCounter,
+    /// Requests to the platform.
+    pub platform_requests: IntCounterVec,
     /// Shards held.
     pub shards: IntGauge,
     /// Programs held.
     pub programs: IntGauge,
 }
 
-const LATENCY_BUCKETS_S: &[f64] = &[
-    0.001, 0.0025, 0.005, 0.01, 0.027, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0, 30.0,
-];
+const LATENCY_BUCKETS_S: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.027, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0, 30.0];
 
 impl Metrics {
     /// Creates and registers all metrics.
@@ -77,18 +84,8 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         let metrics = Self {
-            refusals: counters(
-                &registry,
-                "refusals_total",
-                "Requests refused, by reason.",
-                "kind",
-            ),
-            retries: counters(
-                &registry,
-                "retries_total",
-                "Tries repeated, by reason.",
-                "reason",
-            ),
+            refusals: counters(&registry, "refusals_total", "Requests refused, by reason.", "kind"),
+            retries: counters(&registry, "retries_total", "Tries repeated, by reason.", "reason"),
             calls_in_flight: gauge(&registry, "calls_in_flight", "Calls that callers wait for."),
             calls_answered: counter(&registry, "calls_answered_total", "Calls answered."),
             call_seconds: histogram(&registry, "call_seconds", "Arrival to complete answer."),
@@ -105,6 +102,19 @@
             ),
             commit_seconds: histogram(&registry, "journal_commit_seconds", "Journal commits."),
             config_version: gauge(&registry, "config_version", "Configuration in force."),
+            peer_sent_bytes: counter(&registry, "peer_sent_bytes_total", "Control bytes sent."),
+            peer_received_bytes: counter(
+                &registry,
+                "peer_received_bytes_total",
+                "Control bytes received.",
+            ),
+            peer_messages: counter(&registry, "peer_messages_total", "Control messages answered."),
+            platform_requests: counters(
+                &registry,
+                "platform_requests_total",
+                "Platform requests, by kind.",
+                "kind",
+            ),
             shards: gauge(&registry, "shards", "Shards held."),
             programs: gauge(&registry, "programs", "Programs held."),
             registry,
@@ -128,9 +138,7 @@
     pub fn text(&self) -> String {
         let mut text = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        encoded
-            .map(|()| String::from_utf8_lossy(&text).into_owned())
-            .unwrap_or_default()
+        encoded.map(|()| String::from_utf8_lossy(&text).into_owned()).unwrap_or_default()
     }
 
     /// Creates every label, so that a counter exists before its first event.
@@ -151,10 +159,7 @@
 }
 
 fn retry_label(reason: RetryReason) -> &'static str {
-    RETRY_LABELS
-        .iter()
-        .find(|(known, _)| *known == reason)
-        .map_or("other", |(_, label)| label)
+    RETRY_LABELS.iter().find(|(known, _)| *known == reason).map_or("other", |(_, label)| label)
 }
 
 fn name(name: &str) -> String {
@@ -166,17 +171,12 @@
     metric: prometheus::Result<M>,
 ) -> M {
     let metric = metric.expect("metric names and labels are constants");
-    registry
-        .register(Box::new(metric.clone()))
-        .expect("metric names are unique");
+    registry.register(Box::new(metric.clone())).expect("metric names are unique");
     metric
 }
 
 fn counters(registry: &Registry, metric: &str, help: &str, label: &str) -> IntCounterVec {
-    register(
-        registry,
-        IntCounterVec::new(Opts::new(name(metric), help), &[label]),
-    )
+    register(registry, IntCounterVec::new(Opts::new(name(metric), help), &[label]))
 }
 
 fn counter(registry: &Registry, metric: &str, help: &str) -> IntCounter {
--- a/crates/daemon/src/process/platform.rs
+++ b/crates/daemon/src/process/platform.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::metrics::Metrics;
 use crate::connection::clients::is_never_sent;
 
 /// Platform services over HTTP.
@@ -21,26 +22,23 @@
     base_url: String,
     client: Client,
     timeout: Duration,
+    metrics: Metrics,
 }
 
 impl HttpPlatform {
     /// Creates an adapter for the service at `base_url`.
     #[must_use]
-    pub fn new(base_url: &str, client: Client, timeout: Duration) -> Self {
-        Self {
-            base_url: base_url.to_owned(),
-            client,
-            timeout,
-        }
+    pub fn new(base_url: &str, client: Client, timeout: Duration, metrics: Metrics) -> Self {
+        Self { base_url: base_url.to_owned(), client, timeout, metrics }
     }
 
     async fn send(&self, request: ClientRequest, body: Vec<u8>) -> PlatformResult<ClientResponse> {
         let lost = |detail: String| PlatformError::AnswerLost { detail };
         match timeout(self.timeout, request.send_body(body)).await {
             Ok(Ok(response)) => check_status(response),
-            Ok(Err(error)) if is_never_sent(&error) => Err(PlatformError::Unreachable {
-                detail: error.to_string(),
-            }),
+            Ok(Err(error)) if is_never_sent(&error) => {
+                Err(PlatformError::Unreachable { detail: error.to_string() })
+            }
             Ok(Err(error)) => Err(lost(error.to_string())),
             Err(()) => Err(lost("no answer in time".to_owned())),
         }
@@ -62,9 +60,8 @@
     ) -> PlatformResult<T> {
         let response = self.send(request, body).await?;
         let bytes = self.body(&response).await?;
-        serde_json::from_slice(&bytes).map_err(|error| PlatformError::Malformed {
-            detail: error.to_string(),
-        })
+        serde_json::from_slice(&bytes)
+            .map_err(|error| PlatformError::Malformed { detail: error.to_string() })
     }
 
     async fn read<T: DeserializeOwned>(
@@ -72,49 +69,40 @@
         path: &str,
         query: &impl Serialize,
     ) -> PlatformResult<T> {
-        let request = self
-            .client
-            .get(format!("{}{path}", self.base_url))
-            .query(query);
+        let request = self.client.get(format!("{}{path}", self.base_url)).query(query);
         let request = request.map_err(|error| malformed_query(&error))?;
         self.json(request, Vec::new()).await
     }
 
+    fn count(&self, kind: &str) {
+        self.metrics.platform_requests.with_label_values(&[kind]).inc();
+    }
+
     fn object_url(&self, key: &str) -> String {
         format!("{}/v1/objects/{key}", self.base_url)
     }
 }
 
 fn malformed_query(error: &impl ToString) -> PlatformError {
-    PlatformError::Malformed {
-        detail: error.to_string(),
-    }
+    PlatformError::Malformed { detail: error.to_string() }
 }
 
 /// A definite 503 tells that nothing took effect; any other failure leaves that open.
 fn check_status(response: ClientResponse) -> PlatformResult<ClientResponse> {
     match response.status() {
         status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
-        StatusCode::SERVICE_UNAVAILABLE => Err(PlatformError::Unreachable {
-            detail: "status 503".to_owned(),
-        }),
-        status => Err(PlatformError::AnswerLost {
-            detail: format!("status {status}"),
-        }),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            Err(PlatformError::Unreachable { detail: "status 503".to_owned() })
+        }
+        status => Err(PlatformError::AnswerLost { detail: format!("status {status}") }),
     }
 }
 
 #[async_trait(?Send)]
 impl TableService for HttpPlatform {
     async fn get(&self, table: Table, key: &str) -> PlatformResult<Option<Row>> {
-        self.read(
-            "/v1/table/row",
-            &KeyQuery {
-                table,
-                key: key.to_owned(),
-            },
-        )
-        .await
+        self.count("get");
+        self.read("/v1/table/row", &KeyQuery { table, key: key.to_owned() }).await
     }
 
     async fn scan(
@@ -124,19 +112,15 @@
         after: &str,
         limit: usize,
     ) -> PlatformResult<Vec<Row>> {
-        let query = ScanQuery {
-            table,
-            prefix: prefix.to_owned(),
-            after: after.to_owned(),
-            limit,
-        };
+        self.count("scan");
+        let query = ScanQuery { table, prefix: prefix.to_owned(), after: after.to_owned(), limit };
         self.read("/v1/table/rows", &query).await
     }
 
     async fn transact(&self, transaction: &Transaction) -> PlatformResult<TransactionOutcome> {
-        let body = serde_json::to_vec(transaction).map_err(|error| PlatformError::Malformed {
-            detail: error.to_string(),
-        })?;
+        self.count("transact");
+        let body = serde_json::to_vec(transaction)
+            .map_err(|error| PlatformError::Malformed { detail: error.to_string() })?;
         let request = self
             .client
             .post(format!("{}/v1/table/transactions", self.base_url))
@@ -148,15 +132,13 @@
 #[async_trait(?Send)]
 impl ObjectStore for HttpPlatform {
     async fn put(&self, key: &str, bytes: Vec<u8>) -> PlatformResult<()> {
-        self.send(self.client.put(self.object_url(key)), bytes)
-            .await
-            .map(drop)
+        self.count("object");
+        self.send(self.client.put(self.object_url(key)), bytes).await.map(drop)
     }
 
     async fn get(&self, key: &str) -> PlatformResult<Option<Vec<u8>>> {
-        let response = self
-            .send(self.client.get(self.object_url(key)), Vec::new())
-            .await?;
+        self.count("object");
+        let response = self.send(self.client.get(self.object_url(key)), Vec::new()).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -164,9 +146,7 @@
     }
 
     async fn delete(&self, key: &str) -> PlatformResult<()> {
-        self.send(self.client.delete(self.object_url(key)), Vec::new())
-            .await
-            .map(drop)
+        self.send(self.client.delete(self.object_url(key)), Vec::new()).await.map(drop)
     }
 }
 
--- a/crates/daemon/src/request/auth.rs
+++ b/crates/daemon/src/request/auth.rs
@@ -14,13 +14,7 @@
 
 /// Returns the key that a request presents.
 fn bearer_key(request: &HttpRequest) -> Option<&str> {
-    request
-        .headers()
-        .get("authorization")?
-        .to_str()
-        .ok()?
-        .strip_prefix(BEARER)
-        .map(str::trim)
+    request.headers().get("authorization")?.to_str().ok()?.strip_prefix(BEARER).map(str::trim)
 }
 
 /// Returns the caller of a request, or `None` when it presents no key.
@@ -35,9 +29,7 @@
             "the node has no configuration yet; repeat the request after the pause",
         ));
     }
-    bearer_key(request)
-        .map(|key| config.authenticate(key))
-        .transpose()
+    bearer_key(request).map(|key| config.authenticate(key)).transpose()
 }
 
 /// Creates the refusal of a request that needs a key and presents none.
@@ -70,10 +62,7 @@
         };
         loop {
             if let Err(refusal) = self.config.borrow_and_update().recheck(caller) {
-                return Refusal {
-                    run: RunState::Unknown,
-                    ..refusal
-                };
+                return Refusal { run: RunState::Unknown, ..refusal };
             }
             if self.config.changed().await.is_err() {
                 return std::future::pending().await;
--- a/crates/daemon/src/request/chat.rs
+++ b/crates/daemon/src/request/chat.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{complete, event, event_stream, refusal_json, refuse};
 use super::auth::{KeyGuard, identify};
-use super::routes::{CallIdentity, InFlight, read_identity, route_for};
+use super::routes::{CallIdentity, InFlight, admit_team, read_identity, route_for};
 use super::submit::CallStream;
 use crate::backend::{ChatBody, single_chunk};
 use crate::process::Worker;
@@ -24,7 +24,11 @@
     body: Bytes,
 ) -> HttpResponse {
     let in_flight = InFlight::new(&worker.shared.metrics);
-    match prepare(&worker, &request, &body) {
+    let prepared = match prepare(&worker, &request, &body) {
+        Ok((call, guard)) => admit_team(&worker, &call).await.map(|()| (call, guard)),
+        Err(refusal) => Err(refusal),
+    };
+    match prepared {
         Ok((call, guard)) => {
             let stream = CallStream::new((**worker).clone(), call, guard);
             respond(&worker, stream, in_flight).await
@@ -73,10 +77,8 @@
         ));
     }
     let stream = chat.stream;
-    let target = CallTarget::Model {
-        prompt_tokens_max: chat.prompt_tokens_max(),
-        completion_tokens_max,
-    };
+    let target =
+        CallTarget::Model { prompt_tokens_max: chat.prompt_tokens_max(), completion_tokens_max };
     Ok(CallRequest {
         program: identity.program,
         single: identity.single,
@@ -95,9 +97,7 @@
 async fn respond(worker: &Worker, mut stream: CallStream, in_flight: InFlight) -> HttpResponse {
     let metrics = worker.shared.metrics.clone();
     let first = stream.next().await;
-    metrics
-        .first_token_seconds
-        .observe(in_flight.elapsed().as_secs_f64());
+    metrics.first_token_seconds.observe(in_flight.elapsed().as_secs_f64());
     let wants_stream = stream.wants_stream();
     let program = stream.program().to_owned();
     match first {
--- a/crates/daemon/src/request/execute.rs
+++ b/crates/daemon/src/request/execute.rs
@@ -15,6 +15,7 @@
     BackendAnswer, BackendError, EngineCall, GenerationSink, HttpEngine, HttpService,
     ModelEngine as _, PlainService as _, ServiceCall,
 };
+use crate::crash::{self, Step};
 use crate::process::Worker;
 use crate::process::metrics::RetryReason;
 
@@ -25,11 +26,14 @@
 
 /// Executes a call and records its end.
 pub async fn run(worker: Worker, ticket: CallTicket, request: CallRequest) {
+    let repeatable = request.repeatable;
+    reach(repeatable, Step::Started);
     let end = match execute(&worker, &ticket, &request).await {
         Ok(done) => AttemptEnd::Answered(done.answer, done.usage),
         Err(BackendError::NotRun(refusal)) => AttemptEnd::NotSent(refusal),
         Err(BackendError::Lost(refusal)) => AttemptEnd::Lost(refusal),
     };
+    reach(repeatable, Step::Answered);
     if let AttemptEnd::NotSent(refusal) | AttemptEnd::Lost(refusal) = &end {
         info!(
             "event=attempt_failed program={} sequence={} kind={} run={:?}",
@@ -40,17 +44,18 @@
         );
     }
     let feed = std::sync::Arc::clone(&ticket.feed);
-    if worker
-        .shared
-        .control
-        .finish(ticket, request, end)
-        .await
-        .is_err()
-    {
+    if worker.shared.control.finish(ticket, request, end).await.is_err() {
         feed.close(Err(Refusal::outcome_unknown()));
     }
 }
 
+/// Marks a step of a non-repeatable call.
+pub fn reach(repeatable: bool, step: Step) {
+    if !repeatable {
+        crash::reach(step);
+    }
+}
+
 async fn execute(
     worker: &Worker,
     ticket: &CallTicket,
@@ -58,11 +63,7 @@
 ) -> Result<BackendAnswer, BackendError> {
     let mut tried: Vec<BackendId> = Vec::new();
     loop {
-        let placement = worker
-            .shared
-            .control
-            .place(request.route.clone(), tried.clone())
-            .await;
+        let placement = worker.shared.control.place(request.route.clone(), tried.clone()).await;
         let placement = placement.map_err(BackendError::NotRun)?;
         let result = if is_past_deadline(worker, ticket) {
             Err(BackendError::NotRun(dispatch_too_late()))
@@ -99,9 +100,7 @@
 }
 
 fn is_past_deadline(worker: &Worker, ticket: &CallTicket) -> bool {
-    ticket
-        .dispatch_before
-        .is_some_and(|before| worker.shared.clock.monotonic() >= before)
+    ticket.dispatch_before.is_some_and(|before| worker.shared.clock.monotonic() >= before)
 }
 
 async fn try_backend(
@@ -112,11 +111,7 @@
 ) -> Result<BackendAnswer, BackendError> {
     match &request.target {
         CallTarget::Model { .. } => generate(worker, ticket, request, placement).await,
-        CallTarget::Service {
-            method,
-            path,
-            content_type,
-        } => {
+        CallTarget::Service { method, path, content_type } => {
             let call = ServiceCall {
                 method: method.clone(),
                 path: path.clone(),
@@ -128,9 +123,7 @@
             };
             let timeout = worker.shared.settings.service_timeout;
             let client = worker.clients.services.clone();
-            HttpService::new(client, &placement.address, timeout)
-                .call(&call)
-                .await
+            HttpService::new(client, &placement.address, timeout).call(&call).await
         }
     }
 }
@@ -144,20 +137,13 @@
     let silence = worker.shared.settings.engine_silence;
     let engine = HttpEngine::new(worker.clients.engines.clone(), &placement.address, silence);
     let call = EngineCall {
-        request_id: format!(
-            "{}-{}-{}",
-            ticket.program, ticket.key.sequence, ticket.key.attempt
-        ),
+        request_id: format!("{}-{}-{}", ticket.program, ticket.key.sequence, ticket.key.attempt),
         program: ticket.program.clone(),
         priority: 0,
         body: request.body.0.clone(),
         route: request.route.clone(),
     };
-    let mut sink = FeedSink {
-        worker,
-        ticket,
-        stream: request.stream,
-    };
+    let mut sink = FeedSink { worker, ticket, stream: request.stream };
     let result = {
         let generated = engine.generate(&call, &mut sink);
         let abandoned = std::pin::pin!(wait_abandoned(worker, ticket));
@@ -167,10 +153,7 @@
         }
     };
     if let Err(BackendError::Lost(_)) = &result {
-        warn!(
-            "event=engine_cancel request={} backend={}",
-            call.request_id, placement.backend
-        );
+        warn!("event=engine_cancel request={} backend={}", call.request_id, placement.backend);
         engine.cancel(&call.request_id).await;
     }
     result
@@ -191,10 +174,7 @@
     }
 
     fn resumed(&mut self) {
-        self.worker
-            .shared
-            .metrics
-            .count_retry(RetryReason::StreamResumed);
+        self.worker.shared.metrics.count_retry(RetryReason::StreamResumed);
     }
 }
 
--- a/crates/daemon/src/request/forwarded.rs
+++ b/crates/daemon/src/request/forwarded.rs
@@ -47,9 +47,7 @@
         let (bytes, stage) = next_event(stage).await?;
         Some((Ok::<_, Infallible>(bytes), stage))
     });
-    HttpResponse::Ok()
-        .content_type(EVENT_STREAM)
-        .streaming(Box::pin(events))
+    HttpResponse::Ok().content_type(EVENT_STREAM).streaming(Box::pin(events))
 }
 
 async fn next_event(stage: Stage) -> Option<(Bytes, Stage)> {
@@ -82,14 +80,12 @@
     let control = &worker.shared.control;
     let reply: Result<ProgramReply, Refusal> = match request {
         ProgramRequest::Open(spec) => control.open_program(spec).await.map(ProgramReply::Opened),
-        ProgramRequest::Get { id, team } => control
-            .program(id, team)
-            .await
-            .map(|program| ProgramReply::State(Box::new(program))),
-        ProgramRequest::Close { id, team, reason } => control
-            .close_program(id, team, reason)
-            .await
-            .map(ProgramReply::Closed),
+        ProgramRequest::Get { id, team } => {
+            control.program(id, team).await.map(|program| ProgramReply::State(Box::new(program)))
+        }
+        ProgramRequest::Close { id, team, reason } => {
+            control.close_program(id, team, reason).await.map(ProgramReply::Closed)
+        }
     };
     reply.unwrap_or_else(ProgramReply::Refused)
 }
--- a/crates/daemon/src/request/programs.rs
+++ b/crates/daemon/src/request/programs.rs
@@ -45,13 +45,11 @@
     body: Bytes,
 ) -> HttpResponse {
     match open(&worker, &request, &body).await {
-        Ok(id) => HttpResponse::Created()
-            .header("program-id", id.as_str())
-            .json(&json!({
-                "id": id,
-                "state": "open",
-                "next_sequence": 1,
-            })),
+        Ok(id) => HttpResponse::Created().header("program-id", id.as_str()).json(&json!({
+            "id": id,
+            "state": "open",
+            "next_sequence": 1,
+        })),
         Err(refusal) => refuse(&worker.shared.metrics, &refusal),
     }
 }
@@ -64,10 +62,7 @@
 ) -> HttpResponse {
     let found = async {
         let team = require_team(&worker, &request)?;
-        let get = ProgramRequest::Get {
-            id: id.clone(),
-            team: Some(team),
-        };
+        let get = ProgramRequest::Get { id: id.clone(), team: Some(team) };
         program_view(&worker, &id, get).await
     };
     match found.await {
@@ -104,11 +99,7 @@
     reason: CloseReason,
 ) -> Result<Vec<ProgramId>, Refusal> {
     let shard = shard_of_program(id).ok_or_else(Refusal::program_unknown)?;
-    let close = ProgramRequest::Close {
-        id: id.to_owned(),
-        team,
-        reason,
-    };
+    let close = ProgramRequest::Close { id: id.to_owned(), team, reason };
     match ask_owner(worker, shard, close).await? {
         ProgramReply::Closed(ended) => Ok(ended),
         _ => Err(owner_confused()),
@@ -154,10 +145,7 @@
 ) -> impl Iterator<Item = &'a RouteId> {
     let routes = config.objects().route.iter();
     let usable = move |name: &&RouteId| config.route(name, team).is_ok();
-    routes
-        .filter(|(_, route)| route.model.is_some())
-        .map(|(name, _)| name)
-        .filter(usable)
+    routes.filter(|(_, route)| route.model.is_some()).map(|(name, _)| name).filter(usable)
 }
 
 async fn open(worker: &Worker, request: &HttpRequest, body: &Bytes) -> Result<ProgramId, Refusal> {
@@ -173,14 +161,9 @@
         })?
     };
     let config = worker.shared.config();
-    let budget_tokens = team_budget(&config, &team).map_or(wanted.budget_tokens, |own| {
-        Some(wanted.budget_tokens.unwrap_or(own).min(own))
-    });
-    let spec = ProgramSpec {
-        team,
-        parent: wanted.parent,
-        budget_tokens,
-    };
+    let budget_tokens = team_budget(&config, &team)
+        .map_or(wanted.budget_tokens, |own| Some(wanted.budget_tokens.unwrap_or(own).min(own)));
+    let spec = ProgramSpec { team, parent: wanted.parent, budget_tokens };
     let shard = match &spec.parent {
         Some(parent) => shard_of_program(parent).ok_or_else(Refusal::program_unknown)?,
         None => home_shard(worker).await?,
@@ -303,11 +286,7 @@
         id: program.id,
         team: program.team,
         parent: program.parent,
-        state: if program.closed.is_some() {
-            "closed"
-        } else {
-            "open"
-        },
+        state: if program.closed.is_some() { "closed" } else { "open" },
         closed: program.closed.map(|(reason, _)| reason),
         budget_tokens: program.budget_tokens,
         spent_tokens: program.spent_tokens,
@@ -331,11 +310,7 @@
         CallPhase::Started { .. } => view.state = "running",
         CallPhase::InDoubt => view.state = "unknown",
         CallPhase::Open => {}
-        CallPhase::Finished {
-            request,
-            answer,
-            usage,
-        } => {
+        CallPhase::Finished { request, answer, usage } => {
             view.state = "finished";
             view.request = Some(control.load_body(&request).await?);
             view.answer = Some(control.load_body(&answer.body).await?);
--- a/crates/daemon/src/request/routes.rs
+++ b/crates/daemon/src/request/routes.rs
@@ -5,12 +5,12 @@
 use dandelionfront_coordination::config::objects::Route;
 use dandelionfront_coordination::config::snapshot::Caller;
 use dandelionfront_coordination::ids::{CallSequence, ProgramId, TeamId, single_call_program};
-use dandelionfront_coordination::{ConfigSnapshot, Refusal, RefusalKind};
+use dandelionfront_coordination::{CallRequest, ConfigSnapshot, Refusal, RefusalKind};
 use ntex::web::HttpRequest;
 
 use super::auth::{OPEN_TEAM, key_missing};
 use crate::consts::{IDEMPOTENCY_KEY_HEADER, PROGRAM_ID_HEADER, PROGRAM_SEQUENCE_HEADER};
-use crate::process::Metrics;
+use crate::process::{Metrics, Worker};
 use crate::settings::Settings;
 
 /// Longest idempotency key.
@@ -52,19 +52,11 @@
             let key = key.map_or_else(random_key, str::to_owned);
             let (region, shards) = (&settings.identity.region, settings.node.shard_count);
             let program = single_call_program(region, shards, team, &key);
-            Ok(CallIdentity {
-                program,
-                single: true,
-                sequence: 1,
-                idempotency_key: key,
-            })
+            Ok(CallIdentity { program, single: true, sequence: 1, idempotency_key: key })
         }
         (Some(program), Some(sequence)) => {
-            let sequence = sequence
-                .parse()
-                .ok()
-                .filter(|sequence| *sequence > 0)
-                .ok_or_else(|| {
+            let sequence =
+                sequence.parse().ok().filter(|sequence| *sequence > 0).ok_or_else(|| {
                     invalid("Program-Sequence must be a whole number from 1".to_owned())
                 })?;
             let key =
@@ -76,12 +68,22 @@
                 idempotency_key: key.to_owned(),
             })
         }
-        _ => Err(invalid(
-            "send Program-Id and Program-Sequence together, or neither".to_owned(),
-        )),
+        _ => Err(invalid("send Program-Id and Program-Sequence together, or neither".to_owned())),
     }
 }
 
+/// Takes the token of a caller's request, once, before it is forwarded anywhere.
+///
+/// # Errors
+///
+/// Refuses when the team is over its rate and burst.
+pub async fn admit_team(worker: &Worker, call: &CallRequest) -> Result<(), Refusal> {
+    if call.team == OPEN_TEAM {
+        return Ok(());
+    }
+    worker.shared.control.acquire(call.team.clone()).await
+}
+
 /// Returns the route and the team that a request runs for.
 ///
 /// # Errors
@@ -104,9 +106,7 @@
     let Some(value) = request.headers().get(name) else {
         return Ok(None);
     };
-    let text = value
-        .to_str()
-        .map_err(|_| invalid(format!("header {name} must be ASCII text")))?;
+    let text = value.to_str().map_err(|_| invalid(format!("header {name} must be ASCII text")))?;
     Ok(Some(text.trim()))
 }
 
@@ -130,10 +130,7 @@
     #[must_use]
     pub fn new(metrics: &Metrics) -> Self {
         metrics.calls_in_flight.inc();
-        Self {
-            metrics: metrics.clone(),
-            arrived: Instant::now(),
-        }
+        Self { metrics: metrics.clone(), arrived: Instant::now() }
     }
 
     /// Returns the time since the call arrived.
@@ -145,9 +142,7 @@
     /// Records that the complete answer was handed over.
     pub fn answered(&self) {
         self.metrics.calls_answered.inc();
-        self.metrics
-            .call_seconds
-            .observe(self.elapsed().as_secs_f64());
+        self.metrics.call_seconds.observe(self.elapsed().as_secs_f64());
     }
 }
 
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -2,13 +2,14 @@
 
 use std::rc::Rc;
 
-use dandelionfront_coordination::{CallRequest, CallTarget, Payload, Refusal, RefusalKind};
+use dandelionfront_coordination::ids::ProgramId;
+use dandelionfront_coordination::{Answer, CallRequest, CallTarget, Payload, Refusal, RefusalKind};
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse, types::State};
 
 use super::answer::{complete, refuse};
 use super::auth::{KeyGuard, identify};
-use super::routes::{InFlight, read_identity, route_for};
+use super::routes::{InFlight, admit_team, read_identity, route_for};
 use super::submit::CallStream;
 use crate::process::Worker;
 
@@ -23,13 +24,7 @@
 ) -> HttpResponse {
     let in_flight = InFlight::new(&worker.shared.metrics);
     let outcome = match prepare(&worker, &request, &body) {
-        Ok((call, guard)) => {
-            let mut stream = CallStream::new((**worker).clone(), call, guard);
-            stream
-                .outcome()
-                .await
-                .map(|answer| (stream.program().to_owned(), answer))
-        }
+        Ok((call, guard)) => serve(&worker, call, guard).await,
         Err(refusal) => Err(refusal),
     };
     match outcome {
@@ -41,6 +36,17 @@
     }
 }
 
+async fn serve(
+    worker: &Worker,
+    call: CallRequest,
+    guard: KeyGuard,
+) -> Result<(ProgramId, Answer), Refusal> {
+    admit_team(worker, &call).await?;
+    let mut stream = CallStream::new(worker.clone(), call, guard);
+    let answer = stream.outcome().await?;
+    Ok((stream.program().to_owned(), answer))
+}
+
 fn prepare(
     worker: &Worker,
     request: &HttpRequest,
@@ -48,10 +54,7 @@
 ) -> Result<(CallRequest, KeyGuard), Refusal> {
     let config = worker.shared.config();
     let caller = identify(&config, request)?;
-    let full_path = request
-        .uri()
-        .path_and_query()
-        .map_or("", |path| path.as_str());
+    let full_path = request.uri().path_and_query().map_or("", |path| path.as_str());
     let below = full_path.strip_prefix(SERVICES_PATH).unwrap_or_default();
     let (route_id, path) = below.split_at(below.find(['/', '?']).unwrap_or(below.len()));
     let (route, team) = route_for(&config, route_id, caller.as_ref())?;
@@ -62,20 +65,11 @@
         ));
     }
     let identity = read_identity(&worker.shared.settings, request, &team)?;
-    let content_type = request
-        .headers()
-        .get("content-type")
-        .and_then(|value| value.to_str().ok());
+    let content_type = request.headers().get("content-type").and_then(|value| value.to_str().ok());
     let target = CallTarget::Service {
         method: request.method().as_str().to_owned(),
-        path: if path.starts_with('/') {
-            path.to_owned()
-        } else {
-            format!("/{path}")
-        },
-        content_type: content_type
-            .unwrap_or("application/octet-stream")
-            .to_owned(),
+        path: if path.starts_with('/') { path.to_owned() } else { format!("/{path}") },
+        content_type: content_type.unwrap_or("application/octet-stream").to_owned(),
     };
     let call = CallRequest {
         program: identity.program,
--- a/crates/daemon/src/request/submit.rs
+++ b/crates/daemon/src/request/submit.rs
@@ -19,6 +19,7 @@
 use super::auth::KeyGuard;
 use super::execute;
 use crate::connection::forward::{ForwardError, RemoteCall};
+use crate::crash::Step;
 use crate::process::metrics::RetryReason;
 use crate::process::{Control, Worker};
 
@@ -181,10 +182,7 @@
 
     fn detach(&mut self, reason: RetryReason) {
         self.worker.shared.metrics.count_retry(reason);
-        debug!(
-            "event=call_detached program={} reason={reason:?}",
-            self.request.program
-        );
+        debug!("event=call_detached program={} reason={reason:?}", self.request.program);
         self.source = Source::Detached;
         self.replayed = Delivered::default();
         let settings = &self.worker.shared.settings;
@@ -240,15 +238,8 @@
     fn owner_unreachable(&self) -> Refusal {
         let message = "the program's owner cannot be reached; \
                        repeat the call with the same Idempotency-Key";
-        let run = if self.sent {
-            RunState::Unknown
-        } else {
-            RunState::NotRun
-        };
-        Refusal {
-            run,
-            ..Refusal::not_run(RefusalKind::OwnerUnreachable, message)
-        }
+        let run = if self.sent { RunState::Unknown } else { RunState::NotRun };
+        Refusal { run, ..Refusal::not_run(RefusalKind::OwnerUnreachable, message) }
     }
 }
 
@@ -261,9 +252,7 @@
     let (reply, admitted) = oneshot::channel();
     // A task of its own: a caller that goes away must not strand an admitted call.
     ntex::rt::spawn(admit_and_run(worker.clone(), request.clone(), reply));
-    admitted
-        .await
-        .unwrap_or_else(|_| Err(Refusal::outcome_unknown()))
+    admitted.await.unwrap_or_else(|_| Err(Refusal::outcome_unknown()))
 }
 
 async fn admit_and_run(
@@ -271,6 +260,7 @@
     request: CallRequest,
     reply: oneshot::Sender<Result<FeedReader, Refusal>>,
 ) {
+    execute::reach(request.repeatable, Step::Arrived);
     let result = match worker.shared.control.admit(request.clone()).await {
         Ok(Admission::Run(ticket)) => {
             let _ = reply.send(Ok(ticket.feed.reader()));
@@ -285,19 +275,11 @@
 
 /// Returns a reader of a recorded answer.
 async fn replay(worker: &Worker, stored: StoredAnswer) -> Result<FeedReader, Refusal> {
-    let StoredAnswer {
-        status,
-        content_type,
-        body,
-    } = stored;
+    let StoredAnswer { status, content_type, body } = stored;
     let load = move |control: Rc<Control>| async move { control.load_body(&body).await };
     let body = worker.shared.control.run(load).await??;
     let feed = CallFeed::new();
-    feed.close(Ok(Answer {
-        status,
-        content_type,
-        body,
-    }));
+    feed.close(Ok(Answer { status, content_type, body }));
     Ok(feed.reader())
 }
 
