--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,7 +5,9 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use dandelionfront_coordination::detector::DetectorSettings;
 use dandelionfront_coordination::journal::JournalSettings;
+use dandelionfront_coordination::limits::LimitSettings;
 use dandelionfront_coordination::owner::OwnerSettings;
 use dandelionfront_coordination::{Member, MemberState, NodeSettings};
 use snafu::Snafu;
@@ -67,11 +69,7 @@
     /// Returns every fault, each naming its flag and the remedy.
     pub fn from_args(args: &NodeArgs) -> Result<Self, Vec<SettingFault>> {
         let faults = check(args);
-        if faults.is_empty() {
-            Ok(Self::build(args))
-        } else {
-            Err(faults)
-        }
+        if faults.is_empty() { Ok(Self::build(args)) } else { Err(faults) }
     }
 
     /// Fills in the advertised addresses that are not set, once the listeners are bound.
@@ -93,6 +91,7 @@
             zone: args.zone.clone(),
             region: args.region.clone(),
             state: MemberState::Live,
+            reclaimer: None,
         };
         Self {
             listen: args.listen,
@@ -129,6 +128,11 @@
             start_commit_wait: Duration::from_millis(args.start_commit_wait_ms),
             dispatch_window: Duration::from_millis(args.dispatch_window_ms),
         },
+        detector: DetectorSettings {
+            interval: Duration::from_millis(args.heartbeat_ms),
+            suspect_after: Duration::from_millis(args.suspect_ms),
+        },
+        limits: LimitSettings { token_wait: Duration::from_millis(args.token_wait_ms) },
     }
 }
 
@@ -144,34 +148,30 @@
     range("shard-count", u64::from(args.shard_count), 1..=65_535);
     range("head-poll-ms", args.head_poll_ms, 10..=5_000);
     range("commit-interval-ms", args.commit_interval_ms, 0..=1_000);
-    range(
-        "checkpoint-interval-ms",
-        args.checkpoint_interval_ms,
-        100..=3_600_000,
-    );
+    range("checkpoint-interval-ms", args.checkpoint_interval_ms, 100..=3_600_000);
+    range("heartbeat-ms", args.heartbeat_ms, 20..=5_000);
+    range("suspect-ms", args.suspect_ms, 100..=60_000);
+    range("token-wait-ms", args.token_wait_ms, 0..=10_000);
     range("retention-s", args.retention_s, 1..=86_400);
     range("platform-timeout-ms", args.platform_timeout_ms, 10..=60_000);
     range("order-wait-ms", args.order_wait_ms, 1..=600_000);
-    range(
-        "start-commit-wait-ms",
-        args.start_commit_wait_ms,
-        10..=60_000,
-    );
+    range("start-commit-wait-ms", args.start_commit_wait_ms, 10..=60_000);
     range("dispatch-window-ms", args.dispatch_window_ms, 20..=60_000);
     range("owner-wait-ms", args.owner_wait_ms, 10..=600_000);
     range("engine-silence-ms", args.engine_silence_ms, 10..=600_000);
     range("service-timeout-ms", args.service_timeout_ms, 10..=600_000);
     range("abandon-ms", args.abandon_ms, 10..=600_000);
-    range(
-        "body-max-bytes",
-        args.body_max_bytes as u64,
-        1_024..=67_108_864,
-    );
+    range("body-max-bytes", args.body_max_bytes as u64, 1_024..=67_108_864);
     range("drain-max-s", args.drain_max_s, 1..=3_600);
     if args.dispatch_window_ms <= args.start_commit_wait_ms {
         let remedy = "set it above --start-commit-wait-ms, so that a committed start can be sent";
         faults.push(fault("dispatch-window-ms", args.dispatch_window_ms, remedy));
     }
+    if args.suspect_ms < args.heartbeat_ms * 3 {
+        let remedy =
+            "set it to at least three times --heartbeat-ms, so that one loss is no failure";
+        faults.push(fault("suspect-ms", args.suspect_ms, remedy));
+    }
     if !args.platform.starts_with("http://") {
         faults.push(fault(
             "platform",
@@ -180,25 +180,14 @@
         ));
     }
     for (flag, name) in [("region", &args.region), ("zone", &args.zone)] {
-        if name.is_empty()
-            || !name
-                .chars()
-                .all(|char| char.is_ascii_alphanumeric() || char == '-')
+        if name.is_empty() || !name.chars().all(|char| char.is_ascii_alphanumeric() || char == '-')
         {
-            faults.push(fault(
-                flag,
-                name,
-                "set a name of letters, digits and dashes",
-            ));
+            faults.push(fault(flag, name, "set a name of letters, digits and dashes"));
         }
     }
     faults
 }
 
 fn fault(flag: &'static str, value: impl Display, remedy: impl Into<String>) -> SettingFault {
-    SettingFault {
-        flag,
-        value: value.to_string(),
-        remedy: remedy.into(),
-    }
+    SettingFault { flag, value: value.to_string(), remedy: remedy.into() }
 }
--- a/crates/daemon/src/version/follower.rs
+++ b/crates/daemon/src/version/follower.rs
@@ -1,27 +1,40 @@
 //! Follows the head row to the newest configuration.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dandelionfront_coordination::config::publish::{
-    ConfigStore, Publication, PublishError, Published,
+    ConfigStore, Publication, PublishError, Published, VersionRow,
 };
+use dandelionfront_coordination::heartbeat::NewerConfig;
 use dandelionfront_coordination::ids::ConfigVersion;
 use dandelionfront_coordination::members::Head;
+use dandelionfront_coordination::payload::Body;
+use dandelionfront_coordination::peers::ConfigTransfer;
 use dandelionfront_coordination::platform::PlatformResult;
-use dandelionfront_coordination::{ConfigSnapshot, ObjectSet, Platform};
-use log::{info, warn};
-use tokio::sync::watch;
+use dandelionfront_coordination::{ConfigSnapshot, ConfigWatcher, ObjectSet, Peers, Platform};
+use futures_util::future::select;
+use log::{debug, info, warn};
+use tokio::sync::{Notify, watch};
 
 use crate::process::Metrics;
 
+/// Versions whose changes are kept for peers.
+const RECENT_MAX: usize = 64;
 /// Pause after a version that could not be read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Holds the version in force and adopts newer ones.
 pub struct Follower {
     store: ConfigStore,
+    peers: Rc<dyn Peers>,
     current: watch::Sender<Arc<ConfigSnapshot>>,
+    recent: RefCell<VecDeque<VersionRow>>,
+    newer_peer: RefCell<Option<NewerConfig>>,
+    peer_has_newer: Notify,
     metrics: Metrics,
 }
 
@@ -30,12 +43,17 @@
     #[must_use]
     pub fn new(
         platform: Platform,
+        peers: Rc<dyn Peers>,
         current: watch::Sender<Arc<ConfigSnapshot>>,
         metrics: Metrics,
     ) -> Self {
         Self {
             store: ConfigStore::new(platform),
+            peers,
             current,
+            recent: RefCell::default(),
+            newer_peer: RefCell::default(),
+            peer_has_newer: Notify::new(),
             metrics,
         }
     }
@@ -63,21 +81,102 @@
         &self.store
     }
 
-    /// Adopts each newer version that the head row names.
+    /// Adopts each newer version that the head row names or a peer has.
     pub async fn follow(&self, mut head: watch::Receiver<Head>) {
         loop {
             let newest = head.borrow_and_update().config_version;
-            if let Err(error) = self.catch_up(newest).await {
+            let from_store = self.catch_up(newest).await;
+            let from_peer = self.catch_up_from_peer().await;
+            if let Err(error) = from_store {
                 warn!("event=config_unreadable version={newest} cause={error:?}");
+            }
+            let behind = self.current().version() < newest || !from_peer;
+            if behind {
                 ntex::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
-            if head.changed().await.is_err() {
-                return;
+            let changed = std::pin::pin!(head.changed());
+            let told = std::pin::pin!(self.peer_has_newer.notified());
+            select(changed, told).await;
+        }
+    }
+
+    /// Returns what a peer needs to get from `version` to the version in force.
+    #[must_use]
+    pub fn transfer_after(&self, version: ConfigVersion) -> ConfigTransfer {
+        let recent = self.recent.borrow();
+        let rows: Vec<VersionRow> =
+            recent.iter().filter(|row| row.version > version).cloned().collect();
+        let current = self.current();
+        if rows.first().is_some_and(|row| row.version == version + 1) {
+            return ConfigTransfer::Changes(rows);
+        }
+        ConfigTransfer::Full {
+            version: current.version(),
+            digest: current.digest().to_owned(),
+            objects: Box::new(current.objects().clone()),
+        }
+    }
+
+    /// Fetches a newer version from a peer that has one; returns whether none is left to fetch.
+    async fn catch_up_from_peer(&self) -> bool {
+        let Some(newer) = self.newer_peer.borrow_mut().take() else { return true };
+        let current = self.current();
+        if newer.version <= current.version() {
+            return true;
+        }
+        match self.peers.config_after(&newer.peer_address, current.version()).await {
+            Ok(transfer) => self.adopt_transfer(&current, transfer).await,
+            Err(error) => {
+                debug!("event=config_transfer_failed cause={error:?}");
+                false
             }
         }
     }
 
+    async fn adopt_transfer(&self, current: &ConfigSnapshot, transfer: ConfigTransfer) -> bool {
+        match transfer {
+            ConfigTransfer::Full { version, digest, objects } => {
+                let intact = objects.digest() == digest;
+                if intact {
+                    self.adopt(version, *objects);
+                }
+                intact
+            }
+            ConfigTransfer::Changes(rows) => {
+                let mut objects = current.objects().clone();
+                for row in rows {
+                    match self.store.apply(&objects, &row).await {
+                        Ok(next) => objects = next,
+                        Err(error) => {
+                            warn!("event=config_transfer_unusable cause={error:?}");
+                            return false;
+                        }
+                    }
+                    self.adopt(row.version, objects.clone());
+                    self.remember(row);
+                }
+                true
+            }
+        }
+    }
+
+    /// Keeps a version's changes for peers that are behind, if they are small.
+    fn remember(&self, row: VersionRow) {
+        let mut recent = self.recent.borrow_mut();
+        if !matches!(row.changes, Body::Inline(_)) {
+            recent.clear();
+            return;
+        }
+        if recent.back().is_some_and(|last| last.version + 1 != row.version) {
+            recent.clear();
+        }
+        recent.push_back(row);
+        if recent.len() > RECENT_MAX {
+            recent.pop_front();
+        }
+    }
+
     /// Publishes a configuration and adopts it at once.
     ///
     /// # Errors
@@ -92,10 +191,7 @@
             .await
             .map_err(|source| PublishError::Platform { source })?;
         let current = self.current();
-        let published = self
-            .store
-            .publish(publication, current.objects(), now)
-            .await?;
+        let published = self.store.publish(publication, current.objects(), now).await?;
         self.adopt(published.version, publication.objects.clone());
         Ok(published)
     }
@@ -106,8 +202,9 @@
             return Ok(());
         }
         let from = (current.version(), current.objects());
-        let (version, objects) = self.store.catch_up(from, newest).await?;
+        let (version, objects, rows) = self.store.catch_up(from, newest).await?;
         self.adopt(version, objects);
+        rows.into_iter().for_each(|row| self.remember(row));
         Ok(())
     }
 
@@ -121,10 +218,19 @@
             newer
         });
         if adopted {
-            self.metrics
-                .config_version
-                .set(i64::try_from(version).unwrap_or(i64::MAX));
+            self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             info!("event=config_adopted version={version}");
         }
     }
 }
+
+impl ConfigWatcher for Follower {
+    fn current(&self) -> Arc<ConfigSnapshot> {
+        Self::current(self)
+    }
+
+    fn newer_at_peer(&self, newer: NewerConfig) {
+        *self.newer_peer.borrow_mut() = Some(newer);
+        self.peer_has_newer.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/at_most_once.rs
@@ -0,0 +1,166 @@
+//! A call that may not be repeated runs at most once, and "not run" is true.
+
+mod support;
+
+use serde_json::json;
+use support::fleet::{ALPHA_KEY, Fleet, FleetOptions, ProgramCall};
+use support::http::{Reply, eventually};
+
+/// Repeats a call at `node` until its answer is final, as a caller with the same key would.
+async fn settle(fleet: &Fleet, node: usize, call: &ProgramCall<'_>) -> Reply {
+    eventually("the call has a final answer", async || {
+        let reply = fleet.service_call(&fleet.nodes[node], ALPHA_KEY, call).await.ok()?;
+        check_refusal(fleet, call, &reply).await;
+        let is_final = reply.status == 200 || reply.kind() == "outcome_unknown";
+        is_final.then_some(reply)
+    })
+    .await
+}
+
+/// A refusal as not run must be true when it is given.
+async fn check_refusal(fleet: &Fleet, call: &ProgramCall<'_>, reply: &Reply) {
+    if reply.status != 200 && reply.run() == "not_run" {
+        assert_eq!(fleet.executions(call.idempotency_key).await, 0, "not run: {}", reply.body);
+    }
+}
+
+/// Sends a call whose owner fails at `crash_point`; returns its executions and final status.
+async fn run_with_crash(crash_point: &str) -> (usize, u16) {
+    let mut fleet = Fleet::start(FleetOptions::default()).await;
+    let owner = fleet.add_crashing_node(crash_point).await;
+    let program = fleet.program_owned_by(&fleet.nodes[owner], ALPHA_KEY).await;
+    let call = ProgramCall {
+        program: &program,
+        sequence: 1,
+        idempotency_key: "transfer",
+        content: "10 lipsticks",
+    };
+    let first = fleet.service_call(&fleet.nodes[0], ALPHA_KEY, &call).await;
+    if let Ok(reply) = &first {
+        check_refusal(&fleet, &call, reply).await;
+    }
+    fleet.wait_taken_over(&[0, 1]).await;
+    let last = settle(&fleet, 1, &call).await;
+    if crash_point.ends_with("stop") {
+        fleet.nodes[owner].process.signal("CONT");
+        fleet.wait_settled().await;
+    }
+    let again = settle(&fleet, 0, &call).await;
+    assert_eq!(again.status, last.status, "a repeat got another outcome: {}", again.body);
+
+    // The program goes on in order after the failure.
+    let next = ProgramCall { sequence: 2, idempotency_key: "next", ..call };
+    settle(&fleet, 1, &next).await;
+    let record = fleet.service_record().await;
+    let keys: Vec<_> = record.iter().map(|call| &call["headers"]["idempotency-key"]).collect();
+    assert_eq!(keys.last().expect("the next call ran"), &"next");
+    (fleet.executions("transfer").await, last.status)
+}
+
+#[ntex::test]
+async fn owner_killed_on_arrival_runs_once() {
+    assert_eq!(run_with_crash("arrived:abort").await, (1, 200));
+}
+
+#[ntex::test]
+async fn owner_killed_before_dispatch_never_runs() {
+    assert_eq!(run_with_crash("started:abort").await, (0, 409));
+}
+
+#[ntex::test]
+async fn owner_killed_after_answer_runs_once_and_is_in_doubt() {
+    assert_eq!(run_with_crash("answered:abort").await, (1, 409));
+}
+
+#[ntex::test]
+async fn owner_killed_after_record_repeats_the_answer() {
+    assert_eq!(run_with_crash("finished:abort").await, (1, 200));
+}
+
+#[ntex::test]
+async fn owner_frozen_on_arrival_runs_once() {
+    assert_eq!(run_with_crash("arrived:stop").await, (1, 200));
+}
+
+#[ntex::test]
+async fn owner_frozen_before_dispatch_never_runs() {
+    assert_eq!(run_with_crash("started:stop").await, (0, 409));
+}
+
+#[ntex::test]
+async fn owner_frozen_after_answer_runs_once_and_is_in_doubt() {
+    assert_eq!(run_with_crash("answered:stop").await, (1, 409));
+}
+
+#[ntex::test]
+async fn owner_killed_during_execution_runs_once() {
+    let service_args = vec!["--delay-ms".to_owned(), "3000".to_owned()];
+    let mut fleet =
+        Fleet::start(FleetOptions { nodes: 3, service_args, ..FleetOptions::default() }).await;
+    let program = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content: "x" };
+    let http = fleet.http.clone();
+    let first = ntex::rt::spawn({
+        let request = call.request(&http, &fleet.nodes[0].listen, ALPHA_KEY);
+        async move { http.send(request, "x").await }
+    });
+    eventually("the service executes", async || (fleet.executions("k").await == 1).then_some(()))
+        .await;
+    fleet.nodes[2].process.kill();
+    let first = first.await.expect("caller task ends").expect("caller gets an answer");
+    assert_eq!((first.status, first.run().as_str()), (409, "unknown"), "{}", first.body);
+    let again = settle(&fleet, 1, &call).await;
+    assert_eq!(again.kind(), "outcome_unknown");
+    assert_eq!(fleet.executions("k").await, 1);
+}
+
+#[ntex::test]
+async fn lost_commit_answers_run_once() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    for sequence in 1..=5 {
+        fleet.platform_faults(json!({ "lose_answers": 2 })).await;
+        let key = format!("lost-{sequence}");
+        let call = ProgramCall { program: &program, sequence, idempotency_key: &key, content: "x" };
+        settle(&fleet, 0, &call).await;
+        settle(&fleet, 1, &call).await;
+        assert_eq!(fleet.executions(&key).await, 1);
+    }
+}
+
+#[ntex::test]
+async fn table_outage_refuses_as_not_run_at_once() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content: "x" };
+    fleet.platform_faults(json!({ "outage": true })).await;
+    for node in [0, 1, 0] {
+        let reply = fleet.service_call(&fleet.nodes[node], ALPHA_KEY, &call).await.expect("answer");
+        assert_eq!(
+            (reply.kind().as_str(), reply.run().as_str()),
+            ("platform_unavailable", "not_run")
+        );
+    }
+    assert_eq!(fleet.executions("k").await, 0);
+    fleet.platform_faults(json!({})).await;
+    assert_eq!(settle(&fleet, 0, &call).await.status, 200);
+    assert_eq!(fleet.executions("k").await, 1);
+}
+
+#[ntex::test]
+async fn concurrent_repeats_at_all_nodes_run_once() {
+    let fleet = Fleet::start(FleetOptions { nodes: 3, ..FleetOptions::default() }).await;
+    let program = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content: "x" };
+    let mut repeats = Vec::new();
+    for node in fleet.nodes.iter().cycle().take(12) {
+        let http = fleet.http.clone();
+        let request = call.request(&http, &node.listen, ALPHA_KEY);
+        repeats.push(ntex::rt::spawn(async move { http.send(request, "x").await }));
+    }
+    for repeat in repeats {
+        let reply = repeat.await.expect("caller task ends").expect("answer");
+        assert_eq!(reply.expect(200).json()["execution"], 1);
+    }
+    assert_eq!(fleet.executions("k").await, 1);
+}
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -8,10 +8,7 @@
 
 /// Returns the answer text of a chat completion.
 fn text(completion: &Value) -> String {
-    completion["choices"][0]["message"]["content"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned()
+    completion["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
 }
 
 #[ntex::test]
@@ -26,14 +23,10 @@
         idempotency_key,
         content,
     };
-    let first = fleet
-        .model_call(edge, ALPHA_KEY, &call(1, "a", "which datum"))
-        .await;
+    let first = fleet.model_call(edge, ALPHA_KEY, &call(1, "a", "which datum")).await;
     let first = text(&first.expect("first call").expect(200).json());
     let second = format!("{first} and the antenna");
-    let second = fleet
-        .model_call(edge, ALPHA_KEY, &call(2, "b", &second))
-        .await;
+    let second = fleet.model_call(edge, ALPHA_KEY, &call(2, "b", &second)).await;
     second.expect("second call").expect(200);
     let checkout = call(3, "c", "rover 7");
     let third = fleet.service_call(edge, ALPHA_KEY, &checkout).await;
@@ -48,40 +41,20 @@
     assert_eq!(fleet.executions("c").await, 1);
 
     let executed = fleet.engine_record(0).await;
-    let prompts: Vec<_> = executed
-        .iter()
-        .map(|request| request["body"].to_string())
-        .collect();
+    let prompts: Vec<_> = executed.iter().map(|request| request["body"].to_string()).collect();
     assert_eq!(prompts.len(), 2);
-    assert!(
-        prompts[1].contains(&first),
-        "the second call depends on the first answer"
-    );
+    assert!(prompts[1].contains(&first), "the second call depends on the first answer");
 
-    let history = fleet
-        .history(edge, ALPHA_KEY, &program)
-        .await
-        .expect(200)
-        .json();
+    let history = fleet.history(edge, ALPHA_KEY, &program).await.expect(200).json();
     let states: Vec<_> = history["calls"].as_array().expect("calls").iter().collect();
     let summary: Vec<_> = states
         .iter()
-        .map(|call| {
-            json!([
-                call["sequence"],
-                call["route"],
-                call["state"],
-                call["status"]
-            ])
-        })
+        .map(|call| json!([call["sequence"], call["route"], call["state"], call["status"]]))
         .collect();
     insta::assert_json_snapshot!(summary);
 
     for request in executed.iter().chain(&fleet.service_record().await) {
-        assert!(
-            !request.to_string().contains(ALPHA_KEY),
-            "a backend server saw the caller's key"
-        );
+        assert!(!request.to_string().contains(ALPHA_KEY), "a backend server saw the caller's key");
     }
     fleet.history(edge, BETA_KEY, &program).await.expect(404);
 }
--- a/crates/daemon/tests/support/fleet.rs
+++ b/crates/daemon/tests/support/fleet.rs
@@ -66,9 +66,8 @@
     /// Starts all processes, publishes a configuration and waits until every node serves.
     pub async fn start(options: FleetOptions) -> Self {
         let (platform, platform_address) = start_standin("platform", &[]);
-        let engines = (0..options.engines)
-            .map(|_| start_standin("engine", &options.engine_args))
-            .collect();
+        let engines =
+            (0..options.engines).map(|_| start_standin("engine", &options.engine_args)).collect();
         let service = start_standin("service", &options.service_args);
         let mut fleet = Self {
             http: Http::new().await,
@@ -82,22 +81,28 @@
         for _ in 0..options.nodes {
             fleet.add_node();
         }
-        fleet
-            .publish(fleet.sample_objects(), "first")
-            .await
-            .expect(200);
+        fleet.publish(fleet.sample_objects(), "first").await.expect(200);
         fleet.wait_settled().await;
         fleet
     }
 
+    /// Starts one more node that fails at a crash point, and waits until it serves.
+    pub async fn add_crashing_node(&mut self, crash_point: &str) -> usize {
+        let environment = [("DANDELIONFRONT_CRASH_POINT", crash_point)];
+        let node = self.start_node(&self.platform_address, &environment);
+        self.nodes.push(node);
+        self.wait_settled().await;
+        self.nodes.len() - 1
+    }
+
     /// Starts one more node.
     pub fn add_node(&mut self) {
-        let node = self.start_node(&self.platform_address);
+        let node = self.start_node(&self.platform_address, &[]);
         self.nodes.push(node);
     }
 
     /// Starts a node that reaches the platform at `platform`.
-    pub fn start_node(&self, platform: &str) -> Node {
+    pub fn start_node(&self, platform: &str, environment: &[(&str, &str)]) -> Node {
         let mut args = strings(&[
             "--listen",
             "127.0.0.1:0",
@@ -109,6 +114,16 @@
             "127.0.0.1:0",
             "--head-poll-ms",
             "50",
+            "--heartbeat-ms",
+            "50",
+            "--suspect-ms",
+            "500",
+            "--platform-timeout-ms",
+            "500",
+            "--start-commit-wait-ms",
+            "1000",
+            "--dispatch-window-ms",
+            "1500",
             "--shard-count",
             "16",
             "--log-level",
@@ -117,7 +132,7 @@
         ]);
         args.push(format!("http://{platform}"));
         args.extend(self.node_args.iter().cloned());
-        let process = ChildProcess::daemon(&args);
+        let process = ChildProcess::daemon(&args, environment);
         let started = process.wait_for("event=started");
         Node {
             listen: value(&started, "listen"),
@@ -160,8 +175,7 @@
     pub async fn publish(&self, objects: Value, publish_id: &str) -> Reply {
         let operator = &self.nodes[0].operator;
         let current = self.http.get_json(operator, "/v1/config").await;
-        self.publish_on(operator, &current["version"], objects, publish_id)
-            .await
+        self.publish_on(operator, &current["version"], objects, publish_id).await
     }
 
     /// Publishes objects through `operator` on top of `base_version`.
@@ -178,14 +192,9 @@
             "author": "test",
             "objects": objects,
         });
-        let request = self
-            .http
-            .request("POST", operator, "/v1/config")
-            .content_type("application/json");
-        self.http
-            .send(request, publication.to_string())
-            .await
-            .expect("publish answers")
+        let request =
+            self.http.request("POST", operator, "/v1/config").content_type("application/json");
+        self.http.send(request, publication.to_string()).await.expect("publish answers")
     }
 
     /// Waits until all shards are served and every node has the newest configuration.
@@ -198,10 +207,7 @@
                     return None;
                 }
                 let members = status["members"].as_array()?;
-                if members
-                    .iter()
-                    .filter(|member| member["state"] == "live")
-                    .count()
+                if members.iter().filter(|member| member["state"] == "live").count()
                     != self.nodes.len()
                 {
                     return None;
@@ -213,6 +219,18 @@
         .await;
     }
 
+    /// Waits until the nodes at `indices` serve all shards.
+    pub async fn wait_taken_over(&self, indices: &[usize]) {
+        eventually("the shards are taken over", async || {
+            let mut shards = 0;
+            for index in indices {
+                shards += self.status(&self.nodes[*index]).await?["shards"].as_u64()?;
+            }
+            (shards == 16).then_some(())
+        })
+        .await;
+    }
+
     /// Returns a node's status.
     pub async fn status(&self, node: &Node) -> Option<Value> {
         let request = self.http.request("GET", &node.operator, "/v1/status");
@@ -222,14 +240,8 @@
 
     /// Opens a program through a node.
     pub async fn open_program(&self, node: &Node, key: &str, body: &Value) -> Reply {
-        let request = self
-            .http
-            .request("POST", &node.listen, "/v1/programs")
-            .bearer_auth(key);
-        self.http
-            .send(request, body.to_string())
-            .await
-            .expect("open answers")
+        let request = self.http.request("POST", &node.listen, "/v1/programs").bearer_auth(key);
+        self.http.send(request, body.to_string()).await.expect("open answers")
     }
 
     /// Opens a program whose owner is `owner`.
@@ -245,17 +257,13 @@
         key: &str,
         call: &ProgramCall<'_>,
     ) -> Result<Reply, String> {
-        let request = self
-            .http
-            .request("POST", &node.listen, "/v1/chat/completions");
+        let request = self.http.request("POST", &node.listen, "/v1/chat/completions");
         let body = json!({
             "model": "geo",
             "messages": [{ "role": "user", "content": call.content }],
             "max_tokens": 64,
         });
-        self.http
-            .send(call.headers(request.bearer_auth(key)), body.to_string())
-            .await
+        self.http.send(call.headers(request.bearer_auth(key)), body.to_string()).await
     }
 
     /// Sends a service call of a program that may not be repeated.
@@ -265,34 +273,18 @@
         key: &str,
         call: &ProgramCall<'_>,
     ) -> Result<Reply, String> {
-        let request = self
-            .http
-            .request("POST", &node.listen, "/v1/services/desk/checkout");
-        self.http
-            .send(
-                call.headers(request.bearer_auth(key)),
-                call.content.to_owned(),
-            )
-            .await
+        self.http.send(call.request(&self.http, &node.listen, key), call.content.to_owned()).await
     }
 
     /// Reads a program through a node.
     pub async fn history(&self, node: &Node, key: &str, program: &str) -> Reply {
-        let request = self
-            .http
-            .request("GET", &node.listen, &format!("/v1/programs/{program}"));
-        self.http
-            .send(request.bearer_auth(key), "")
-            .await
-            .expect("history answers")
+        let request = self.http.request("GET", &node.listen, &format!("/v1/programs/{program}"));
+        self.http.send(request.bearer_auth(key), "").await.expect("history answers")
     }
 
     /// Returns the requests that the engine at `index` executed.
     pub async fn engine_record(&self, index: usize) -> Vec<Value> {
-        let record = self
-            .http
-            .get_json(&self.engines[index].1, "/standin/record")
-            .await;
+        let record = self.http.get_json(&self.engines[index].1, "/standin/record").await;
         record.as_array().expect("record is a list").clone()
     }
 
@@ -311,9 +303,7 @@
 
     /// Sets the platform's faults.
     pub async fn platform_faults(&self, faults: Value) {
-        self.http
-            .put_json(&self.platform_address, "/v1/faults", &faults)
-            .await;
+        self.http.put_json(&self.platform_address, "/v1/faults", &faults).await;
     }
 
     /// Pauses the test.
@@ -332,6 +322,12 @@
 }
 
 impl ProgramCall<'_> {
+    /// Creates the request of a service call that may not be repeated.
+    pub fn request(&self, http: &Http, listen: &str, key: &str) -> ntex::client::ClientRequest {
+        let request = http.request("POST", listen, "/v1/services/desk/checkout");
+        self.headers(request.bearer_auth(key))
+    }
+
     fn headers(&self, request: ntex::client::ClientRequest) -> ntex::client::ClientRequest {
         request
             .header("program-id", self.program)
--- a/crates/daemon/tests/support/http.rs
+++ b/crates/daemon/tests/support/http.rs
@@ -28,18 +28,12 @@
 
     /// Returns the field `run` of a refusal.
     pub fn run(&self) -> String {
-        self.json()["error"]["run"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned()
+        self.json()["error"]["run"].as_str().unwrap_or_default().to_owned()
     }
 
     /// Returns the field `kind` of a refusal.
     pub fn kind(&self) -> String {
-        self.json()["error"]["kind"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned()
+        self.json()["error"]["kind"].as_str().unwrap_or_default().to_owned()
     }
 
     /// Panics unless the status is `expected`.
@@ -73,8 +67,7 @@
     /// Starts a request to `http://{address}{path}`.
     pub fn request(&self, method: &str, address: &str, path: &str) -> ClientRequest {
         let method = method.parse().expect("method is a constant");
-        self.client
-            .request(method, format!("http://{address}{path}"))
+        self.client.request(method, format!("http://{address}{path}"))
     }
 
     /// Sends a request and reads the whole answer.
@@ -85,47 +78,25 @@
     ) -> Result<Reply, String> {
         let body: String = body.into();
         let exchange = async {
-            let response = request
-                .send_body(body)
-                .await
-                .map_err(|error| error.to_string())?;
+            let response = request.send_body(body).await.map_err(|error| error.to_string())?;
             let status = response.status().as_u16();
             let body = response.body().await.map_err(|error| error.to_string())?;
-            Ok(Reply {
-                status,
-                body: String::from_utf8_lossy(&body).into_owned(),
-            })
+            Ok(Reply { status, body: String::from_utf8_lossy(&body).into_owned() })
         };
-        timeout(ANSWER_WAIT, exchange)
-            .await
-            .unwrap_or_else(|()| Err("timeout".to_owned()))
+        timeout(ANSWER_WAIT, exchange).await.unwrap_or_else(|()| Err("timeout".to_owned()))
     }
 
     /// Reads JSON from `path`.
     pub async fn get_json(&self, address: &str, path: &str) -> Value {
         let request = self.request("GET", address, path);
-        self.send(request, "")
-            .await
-            .expect("GET answers")
-            .expect(200)
-            .json()
+        self.send(request, "").await.expect("GET answers").expect(200).json()
     }
 
     /// Writes JSON to `path`.
     pub async fn put_json(&self, address: &str, path: &str, value: &Value) {
-        let request = self
-            .request("PUT", address, path)
-            .content_type("application/json");
-        let reply = self
-            .send(request, value.to_string())
-            .await
-            .expect("PUT answers");
-        assert!(
-            reply.status < 300,
-            "PUT {path}: {} {}",
-            reply.status,
-            reply.body
-        );
+        let request = self.request("PUT", address, path).content_type("application/json");
+        let reply = self.send(request, value.to_string()).await.expect("PUT answers");
+        assert!(reply.status < 300, "PUT {path}: {} {}", reply.status, reply.body);
     }
 }
 
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -18,22 +18,21 @@
 
 impl ChildProcess {
     /// Starts the daemon.
-    pub fn daemon(args: &[String]) -> Self {
-        Self::spawn(Path::new(env!("CARGO_BIN_EXE_dandelionfront")), args)
+    pub fn daemon(args: &[String], environment: &[(&str, &str)]) -> Self {
+        Self::spawn(Path::new(env!("CARGO_BIN_EXE_dandelionfront")), args, environment)
     }
 
     /// Starts a stand-in, an example of the stand-ins package.
     pub fn standin(name: &str, args: &[String]) -> Self {
         let daemon = Path::new(env!("CARGO_BIN_EXE_dandelionfront"));
-        let folder = daemon
-            .parent()
-            .expect("the daemon lies in the target folder");
-        Self::spawn(&folder.join("examples").join(name), args)
+        let folder = daemon.parent().expect("the daemon lies in the target folder");
+        Self::spawn(&folder.join("examples").join(name), args, &[])
     }
 
-    fn spawn(program: &Path, args: &[String]) -> Self {
+    fn spawn(program: &Path, args: &[String], environment: &[(&str, &str)]) -> Self {
         let mut child = Command::new(program)
             .args(args)
+            .envs(environment.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -45,11 +44,7 @@
         let stderr = child.stderr.take().expect("stderr is piped");
         collect(stdout, Arc::clone(&lines), sender.clone());
         collect(stderr, Arc::clone(&lines), sender);
-        Self {
-            child,
-            lines,
-            announced,
-        }
+        Self { child, lines, announced }
     }
 
     /// Waits for the next line that contains `marker` and returns its values by key.
@@ -70,10 +65,7 @@
 
     /// Returns everything that the process printed so far.
     pub fn lines(&self) -> Vec<String> {
-        self.lines
-            .lock()
-            .expect("no panic while holding the lock")
-            .clone()
+        self.lines.lock().expect("no panic while holding the lock").clone()
     }
 
     /// Returns the process id.
@@ -89,23 +81,14 @@
 
     /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.id().to_string())
-            .status();
-        assert!(
-            status.is_ok_and(|status| status.success()),
-            "kill -{name} failed"
-        );
+        let status =
+            Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill -{name} failed");
     }
 
     /// Returns the exit code if the process has ended.
     pub fn try_exit(&mut self) -> Option<i32> {
-        self.child
-            .try_wait()
-            .ok()
-            .flatten()
-            .map(|status| status.code().unwrap_or(-1))
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
     }
 }
 
@@ -113,11 +96,7 @@
     fn drop(&mut self) {
         self.kill();
         if std::thread::panicking() || std::env::var_os("SHOW_LOGS").is_some() {
-            println!(
-                "--- process {} printed:\n{}",
-                self.id(),
-                self.lines().join("\n")
-            );
+            println!("--- process {} printed:\n{}", self.id(), self.lines().join("\n"));
         }
     }
 }
@@ -129,28 +108,19 @@
 ) {
     std::thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
-            lines
-                .lock()
-                .expect("no panic while holding the lock")
-                .push(line.clone());
+            lines.lock().expect("no panic while holding the lock").push(line.clone());
             let _ = sender.send(line);
         }
     });
 }
 
 fn parse_pairs(line: &str) -> Vec<(String, String)> {
-    let pairs = line
-        .split_whitespace()
-        .filter_map(|pair| pair.split_once('='));
-    pairs
-        .map(|(key, value)| (key.to_owned(), value.to_owned()))
-        .collect()
+    let pairs = line.split_whitespace().filter_map(|pair| pair.split_once('='));
+    pairs.map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
 }
 
 /// Returns the value of `key`.
 pub fn value(pairs: &[(String, String)], key: &str) -> String {
     let pair = pairs.iter().find(|(name, _)| name == key);
-    pair.unwrap_or_else(|| panic!("no {key} in {pairs:?}"))
-        .1
-        .clone()
+    pair.unwrap_or_else(|| panic!("no {key} in {pairs:?}")).1.clone()
 }
--- a/crates/standins/src/engine/api.rs
+++ b/crates/standins/src/engine/api.rs
@@ -112,38 +112,18 @@
         let mut record = lock(&engine.record);
         let number = record.len() as u64 + 1;
         let path = request.path();
-        record.push(RecordedRequest::new(
-            number,
-            "POST",
-            path,
-            request.headers(),
-            &body,
-        ));
+        record.push(RecordedRequest::new(number, "POST", path, request.headers(), &body));
         record[record.len() - 1].clone()
     };
     if faults.garbage {
-        return HttpResponse::Ok()
-            .content_type("application/json")
-            .body("<html>no JSON</html>");
+        return HttpResponse::Ok().content_type("application/json").body("<html>no JSON</html>");
     }
     let feed = CallFeed::new();
-    let id = recorded
-        .header("request-id")
-        .unwrap_or("anonymous")
-        .to_owned();
+    let id = recorded.header("request-id").unwrap_or("anonymous").to_owned();
     lock(&engine.streams).insert(id, Arc::clone(&feed));
     let stream = chat.stream;
-    ntex::rt::spawn(generate(
-        Arc::clone(&engine),
-        chat,
-        recorded,
-        Arc::clone(&feed),
-    ));
-    if stream {
-        stream_from(&engine, &feed, 0)
-    } else {
-        whole_answer(&feed).await
-    }
+    ntex::rt::spawn(generate(Arc::clone(&engine), chat, recorded, Arc::clone(&feed)));
+    if stream { stream_from(&engine, &feed, 0) } else { whole_answer(&feed).await }
 }
 
 async fn whole_answer(feed: &Arc<CallFeed>) -> HttpResponse {
@@ -152,9 +132,7 @@
         match reader.next().await {
             CallEvent::Delta(_) => {}
             CallEvent::Finished(answer) => {
-                return HttpResponse::Ok()
-                    .content_type("application/json")
-                    .body(answer.body.0);
+                return HttpResponse::Ok().content_type("application/json").body(answer.body.0);
             }
             CallEvent::Refused(refusal) => {
                 return HttpResponse::BadGateway().json(&json!({"error": refusal.message}));
@@ -176,22 +154,16 @@
                 sleep(Millis(10)).await;
             }
             let (text, done) = match reader.next().await {
-                CallEvent::Delta(chunk) => (
-                    format!("id: {offset}\ndata: {}\n\n", chunk.to_text()),
-                    false,
-                ),
+                CallEvent::Delta(chunk) => {
+                    (format!("id: {offset}\ndata: {}\n\n", chunk.to_text()), false)
+                }
                 CallEvent::Finished(_) => ("data: [DONE]\n\n".to_owned(), true),
                 CallEvent::Refused(_) => return None,
             };
-            Some((
-                Ok::<_, std::io::Error>(Bytes::from(text)),
-                (reader, offset + 1, done),
-            ))
+            Some((Ok::<_, std::io::Error>(Bytes::from(text)), (reader, offset + 1, done)))
         }
     });
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .streaming(Box::pin(events))
+    HttpResponse::Ok().content_type("text/event-stream").streaming(Box::pin(events))
 }
 
 async fn generate(
@@ -202,14 +174,8 @@
 ) {
     let prompt = prompt_text(&chat);
     let prompt_tokens = text::tokens(&prompt);
-    let priority = recorded
-        .header("priority")
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(0);
-    let program = recorded
-        .header("program-id")
-        .unwrap_or("anonymous")
-        .to_owned();
+    let priority = recorded.header("priority").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let program = recorded.header("program-id").unwrap_or("anonymous").to_owned();
     let slot = engine.batch.enter(priority).await;
     let cached = lock(&engine.cache).lookup(&prompt_tokens);
     let uncached = (prompt_tokens.len() as u64).saturating_sub(cached);
@@ -228,20 +194,12 @@
         }
         let token = text::completion_token(hash, index);
         answer.push_str(&token);
-        let chunk = chunk(
-            &id,
-            &chat.model,
-            &json!({"role": "assistant", "content": token}),
-            None,
-            None,
-        );
+        let chunk =
+            chunk(&id, &chat.model, &json!({"role": "assistant", "content": token}), None, None);
         feed.push(Payload::from(chunk.to_string().as_str()));
         sleep(Millis(engine.settings.token_interval_ms)).await;
-        unread_ms = if feed.reader_count() > 0 {
-            0
-        } else {
-            unread_ms + engine.settings.token_interval_ms
-        };
+        unread_ms =
+            if feed.reader_count() > 0 { 0 } else { unread_ms + engine.settings.token_interval_ms };
         if unread_ms > engine.settings.resume_grace_ms {
             feed.close(Err(Refusal::outcome_unknown()));
             return;
@@ -266,11 +224,7 @@
         "usage": usage,
     });
     let body = Payload::from(whole.to_string().as_str());
-    feed.close(Ok(Answer {
-        status: 200,
-        content_type: "application/json".to_owned(),
-        body,
-    }));
+    feed.close(Ok(Answer { status: 200, content_type: "application/json".to_owned(), body }));
 }
 
 fn chunk(
@@ -288,13 +242,10 @@
 }
 
 fn prompt_text(chat: &ChatRequest) -> String {
-    let contents = chat
-        .messages
-        .iter()
-        .map(|message| match &message["content"] {
-            Value::String(text) => text.clone(),
-            other => other.to_string(),
-        });
+    let contents = chat.messages.iter().map(|message| match &message["content"] {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    });
     contents.collect::<Vec<_>>().join("\n")
 }
 
@@ -315,12 +266,7 @@
 async fn get_load(engine: Shared) -> HttpResponse {
     let (active, waiting) = engine.batch.load();
     let cached_tokens = lock(&engine.cache).held_tokens().values().sum();
-    let report = LoadReport {
-        active,
-        waiting,
-        slots: engine.settings.slots,
-        cached_tokens,
-    };
+    let report = LoadReport { active, waiting, slots: engine.settings.slots, cached_tokens };
     let mut history = lock(&engine.load);
     let now = unix_ms();
     history.0.push_back((now, report));
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -45,11 +45,7 @@
 impl Batch {
     /// Creates a batch of `slots`.
     pub fn new(slots: usize) -> Self {
-        Self {
-            slots,
-            queue: Mutex::default(),
-            changed: Notify::new(),
-        }
+        Self { slots, queue: Mutex::default(), changed: Notify::new() }
     }
 
     /// Waits for a slot; lower `priority` goes first.
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -41,23 +41,16 @@
     #[must_use]
     pub fn new(capacity_tokens: u64) -> Self {
         let capacity_blocks = usize::try_from(capacity_tokens).unwrap_or(usize::MAX) / BLOCK_TOKENS;
-        Self {
-            capacity_blocks,
-            blocks: HashMap::new(),
-            clock: 0,
-            events: Vec::new(),
-        }
+        Self { capacity_blocks, blocks: HashMap::new(), clock: 0, events: Vec::new() }
     }
 
     /// Returns how many leading tokens of `prompt` are cached.
     pub fn lookup(&mut self, prompt: &[&str]) -> u64 {
         self.clock += 1;
         let clock = self.clock;
-        let hits = block_hashes(prompt).into_iter().map_while(|hash| {
-            self.blocks
-                .get_mut(&hash)
-                .map(|block| block.last_used = clock)
-        });
+        let hits = block_hashes(prompt)
+            .into_iter()
+            .map_while(|hash| self.blocks.get_mut(&hash).map(|block| block.last_used = clock));
         (hits.count() * BLOCK_TOKENS) as u64
     }
 
@@ -66,10 +59,10 @@
         self.clock += 1;
         for hash in block_hashes(prompt) {
             let clock = self.clock;
-            let block = self.blocks.entry(hash).or_insert_with(|| Block {
-                programs: BTreeSet::new(),
-                last_used: clock,
-            });
+            let block = self
+                .blocks
+                .entry(hash)
+                .or_insert_with(|| Block { programs: BTreeSet::new(), last_used: clock });
             block.last_used = clock;
             block.programs.insert(program.to_owned());
         }
@@ -107,22 +100,12 @@
     /// Returns the published events after `number`.
     #[must_use]
     pub fn events_after(&self, number: u64) -> Vec<CacheEvent> {
-        let published = self
-            .events
-            .iter()
-            .filter(|event| event.number % EVENT_GAP != 0);
-        published
-            .filter(|event| event.number > number)
-            .cloned()
-            .collect()
+        let published = self.events.iter().filter(|event| event.number % EVENT_GAP != 0);
+        published.filter(|event| event.number > number).cloned().collect()
     }
 
     fn publish(&mut self, program: &str) {
-        let held = self
-            .blocks
-            .values()
-            .filter(|block| block.programs.contains(program))
-            .count();
+        let held = self.blocks.values().filter(|block| block.programs.contains(program)).count();
         self.events.push(CacheEvent {
             number: self.events.len() as u64 + 1,
             program: program.to_owned(),
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -39,10 +39,7 @@
             number,
             method: method.to_owned(),
             path: path.to_owned(),
-            headers: headers
-                .iter()
-                .map(|(name, value)| (name.to_string(), text(value)))
-                .collect(),
+            headers: headers.iter().map(|(name, value)| (name.to_string(), text(value))).collect(),
             body: String::from_utf8_lossy(body).into_owned(),
             started_unix_ms: unix_ms(),
         }
@@ -79,26 +76,19 @@
 {
     let listener = TcpListener::bind(listen)?;
     let address = listener.local_addr()?;
-    thread::Builder::new()
-        .name("standin".to_owned())
-        .spawn(move || {
-            let system = System::build()
-                .name("standin")
-                .build(ntex::rt::DefaultRuntime);
-            system.block_on(async move {
-                let server = HttpServer::new(async move || {
-                    let limit = web::types::PayloadConfig::new(BODY_MAX_BYTES);
-                    App::new()
-                        .state(Arc::clone(&state))
-                        .state(limit)
-                        .configure(configure.clone())
-                })
-                .workers(1)
-                .disable_signals()
-                .listen(listener)?;
-                server.run().await
+    thread::Builder::new().name("standin".to_owned()).spawn(move || {
+        let system = System::build().name("standin").build(ntex::rt::DefaultRuntime);
+        system.block_on(async move {
+            let server = HttpServer::new(async move || {
+                let limit = web::types::PayloadConfig::new(BODY_MAX_BYTES);
+                App::new().state(Arc::clone(&state)).state(limit).configure(configure.clone())
             })
-        })?;
+            .workers(1)
+            .disable_signals()
+            .listen(listener)?;
+            server.run().await
+        })
+    })?;
     Ok(address)
 }
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -60,9 +60,7 @@
         if faults.delay_ms > 0 {
             sleep(Millis(faults.delay_ms)).await;
         }
-        faults
-            .outage
-            .then(|| HttpResponse::ServiceUnavailable().finish())
+        faults.outage.then(|| HttpResponse::ServiceUnavailable().finish())
     }
 
     fn loses_answer(&self) -> bool {
@@ -85,9 +83,7 @@
                 .route(web::delete().to(delete_object)),
         )
         .service(
-            web::resource("/v1/vms")
-                .route(web::get().to(get_vms))
-                .route(web::put().to(put_vms)),
+            web::resource("/v1/vms").route(web::get().to(get_vms)).route(web::put().to(put_vms)),
         )
         .service(web::resource("/v1/faults").route(web::put().to(put_faults)))
         .service(web::resource("/v1/stats").route(web::get().to(get_stats)));
@@ -108,9 +104,7 @@
         return fault;
     }
     platform.stats.reads.fetch_add(1, Ordering::Relaxed);
-    let rows = platform
-        .memory
-        .read_range(query.table, &query.prefix, &query.after, query.limit);
+    let rows = platform.memory.read_range(query.table, &query.prefix, &query.after, query.limit);
     HttpResponse::Ok().json(&rows)
 }
 
@@ -146,9 +140,7 @@
         return fault;
     }
     platform.stats.objects.fetch_add(1, Ordering::Relaxed);
-    platform
-        .memory
-        .put_object(&object_key(&request), body.to_vec());
+    platform.memory.put_object(&object_key(&request), body.to_vec());
     HttpResponse::NoContent().finish()
 }
 
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -16,10 +16,7 @@
 /// Faults of a link.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "independent switches, set together over HTTP"
-)]
+#[expect(clippy::struct_excessive_bools, reason = "independent switches, set together over HTTP")]
 pub struct ProxyFaults {
     /// Refuses new connections.
     pub refuse: bool,
@@ -54,23 +51,16 @@
         control: SocketAddr,
         target: SocketAddr,
     ) -> io::Result<(SocketAddr, SocketAddr)> {
-        let proxy = Arc::new(Self {
-            target,
-            faults: Mutex::default(),
-            epoch: watch::Sender::new(0),
-        });
+        let proxy =
+            Arc::new(Self { target, faults: Mutex::default(), epoch: watch::Sender::new(0) });
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let accepting = Arc::clone(&proxy);
-        std::thread::Builder::new()
-            .name("proxy".to_owned())
-            .spawn(move || {
-                let runtime = tokio::runtime::Builder::new_current_thread()
-                    .enable_all()
-                    .build()?;
-                runtime.block_on(accept(accepting, TcpListener::from_std(listener)?))
-            })?;
+        std::thread::Builder::new().name("proxy".to_owned()).spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            runtime.block_on(accept(accepting, TcpListener::from_std(listener)?))
+        })?;
         let control = serve(control, proxy, |config| {
             config.service(web::resource("/v1/faults").route(web::put().to(put_faults)));
         })?;
@@ -145,10 +135,7 @@
         if faults.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        let limit = faults
-            .cut_after_bytes
-            .filter(|_| counts)
-            .unwrap_or(usize::MAX);
+        let limit = faults.cut_after_bytes.filter(|_| counts).unwrap_or(usize::MAX);
         let allowed = read_bytes.min(limit.saturating_sub(passed_bytes));
         if to.write_all(&chunk[..allowed]).await.is_err() {
             return;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -34,14 +34,7 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn spawn(listen: SocketAddr, settings: ServiceSettings) -> io::Result<SocketAddr> {
-        serve(
-            listen,
-            Arc::new(Self {
-                settings,
-                record: Mutex::default(),
-            }),
-            routes,
-        )
+        serve(listen, Arc::new(Self { settings, record: Mutex::default() }), routes)
     }
 }
 
@@ -56,21 +49,12 @@
 }
 
 async fn execute(service: State<Arc<Service>>, request: HttpRequest, body: Bytes) -> HttpResponse {
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("", |path| path.as_str());
+    let path = request.uri().path_and_query().map_or("", |path| path.as_str());
     let number = {
         let mut record = lock(&service.record);
         let number = record.len() as u64 + 1;
         let method = request.method().as_str();
-        record.push(RecordedRequest::new(
-            number,
-            method,
-            path,
-            request.headers(),
-            &body,
-        ));
+        record.push(RecordedRequest::new(number, method, path, request.headers(), &body));
         number
     };
     if service.settings.delay_ms > 0 {
--- a/crates/standins/src/table.rs
+++ b/crates/standins/src/table.rs
@@ -30,20 +30,14 @@
     /// Reads one row.
     #[must_use]
     pub fn read(&self, table: Table, key: &str) -> Option<Row> {
-        lock(&self.tables)
-            .rows
-            .get(&(table, key.to_owned()))
-            .cloned()
+        lock(&self.tables).rows.get(&(table, key.to_owned())).cloned()
     }
 
     /// Reads up to `limit` rows with `prefix` after the key `after`.
     #[must_use]
     pub fn read_range(&self, table: Table, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
         let tables = lock(&self.tables);
-        let from = (
-            table,
-            if after > prefix { after } else { prefix }.to_owned(),
-        );
+        let from = (table, if after > prefix { after } else { prefix }.to_owned());
         tables
             .rows
             .range(from..)
@@ -70,11 +64,7 @@
             let key = (write.table, write.key.clone());
             match &write.value {
                 Some(value) => {
-                    let row = Row {
-                        key: write.key.clone(),
-                        version,
-                        value: value.clone(),
-                    };
+                    let row = Row { key: write.key.clone(), version, value: value.clone() };
                     tables.rows.insert(key, row);
                 }
                 None => drop(tables.rows.remove(&key)),
@@ -114,10 +104,7 @@
     #[must_use]
     pub fn platform(self: &Arc<Self>) -> Platform {
         let service = Rc::new(MemoryPlatform(Arc::clone(self)));
-        Platform {
-            table: Rc::clone(&service) as _,
-            objects: service,
-        }
+        Platform { table: Rc::clone(&service) as _, objects: service }
     }
 }
 
