--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner.rs
@@ -12,7 +12,7 @@
 
 use crate::call::{Answer, CallFeed, CallRequest, Usage};
 use crate::clock::Clock;
-use crate::ids::{IncarnationId, ProgramId, ShardId, shard_of_program};
+use crate::ids::{BackendId, IncarnationId, ProgramId, ShardId, shard_of_program};
 use crate::journal::{Commit, CommitApplier, CommitTicket, Journal, JournalError, unix_ms};
 use crate::payload::Body;
 use crate::program::{CallPhase, Decision, Program, program_closed};
@@ -74,7 +74,14 @@
 #[derive(Debug)]
 pub enum AttemptEnd {
     /// The backend server gave a complete answer.
-    Answered(Answer, Usage),
+    Answered {
+        /// Complete answer.
+        answer: Answer,
+        /// Tokens spent.
+        usage: Usage,
+        /// Backend server that answered.
+        backend: BackendId,
+    },
     /// Nothing was sent to a backend server.
     NotSent(Refusal),
     /// Something was sent, and no complete answer came back.
@@ -94,11 +101,20 @@
     live: Option<Live>,
     changed: Rc<Notify>,
     hold_until: Option<Duration>,
+    scattered: bool,
+    used_at: Duration,
 }
 
 impl Slot {
-    fn new(program: Program) -> Self {
-        Self { program, live: None, changed: Rc::new(Notify::new()), hold_until: None }
+    fn new(program: Program, now: Duration) -> Self {
+        Self {
+            program,
+            live: None,
+            changed: Rc::new(Notify::new()),
+            hold_until: None,
+            scattered: false,
+            used_at: now,
+        }
     }
 
     fn spent_tokens(&self) -> u64 {
@@ -148,6 +164,17 @@
     pub budget_tokens: Option<u64>,
 }
 
+/// An ended program for which engines may still hold memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreleased {
+    /// Program.
+    pub program: ProgramId,
+    /// Backend servers that answered its calls.
+    pub backends: Vec<BackendId>,
+    /// Whether backend servers without a recorded answer may hold memory too.
+    pub scattered: bool,
+}
+
 /// Programs whose shards this node owns.
 pub struct Owner {
     journal: Rc<Journal>,
@@ -217,9 +244,49 @@
             entries.extend(entry(member, Record::Closed { reason, closed_unix_ms }));
         }
         self.commit(self.journal.append(entries)).await?;
+        self.cancel_running(&family);
         Ok(family)
     }
 
+    /// Returns ended programs for which engines may still hold memory.
+    #[must_use]
+    pub fn unreleased(&self) -> Vec<Unreleased> {
+        let slots = self.slots.borrow();
+        let ended = slots.values().filter(|slot| {
+            slot.program.closed.is_some() && !slot.program.released && slot.live.is_none()
+        });
+        ended
+            .map(|slot| Unreleased {
+                program: slot.program.id.clone(),
+                backends: slot.program.backends.iter().cloned().collect(),
+                scattered: slot.scattered,
+            })
+            .collect()
+    }
+
+    /// Notes that backend servers without a recorded answer may hold memory for a program.
+    pub fn mark_scattered(&self, program: &str) {
+        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
+            slot.scattered = true;
+        }
+    }
+
+    /// Records that no engine holds memory for these programs any more.
+    pub fn mark_released(&self, programs: &[ProgramId]) {
+        let entries = programs.iter().filter_map(|program| entry(program, Record::Released));
+        drop(self.journal.append(entries.collect()));
+    }
+
+    /// Returns open programs without a call since `before_unix_ms`.
+    #[must_use]
+    pub fn idle_since(&self, before: Duration) -> Vec<ProgramId> {
+        let slots = self.slots.borrow();
+        let idle = slots.values().filter(|slot| {
+            slot.program.closed.is_none() && slot.live.is_none() && slot.used_at < before
+        });
+        idle.map(|slot| slot.program.id.clone()).collect()
+    }
+
     /// Admits a call: waits for its turn, reserves budget, and records its start where needed.
     ///
     /// # Errors
@@ -247,6 +314,9 @@
         recorded: impl FnOnce(),
     ) {
         let (record, outcome) = Self::end_records(ticket, request, end);
+        if outcome.is_err() {
+            self.mark_scattered(&ticket.program);
+        }
         let committed = match record {
             Some(record) => {
                 let mut records = vec![record];
@@ -285,7 +355,8 @@
             let id = program.id.clone();
             let unsettled = unsettled_record(&program);
             self.index_child(&program);
-            let mut slot = Slot::new(program);
+            let mut slot = Slot::new(program, self.clock.monotonic());
+            slot.scattered = true;
             if let Some(record) = unsettled {
                 slot.hold_until = Some(hold_until);
                 entries.extend(entry(&id, record));
@@ -308,6 +379,7 @@
     pub fn expire(&self, closed_before_unix_ms: u64) {
         self.slots.borrow_mut().retain(|_, slot| {
             slot.live.is_some()
+                || !slot.program.released
                 || slot.program.closed.is_none_or(|(_, closed)| closed >= closed_before_unix_ms)
         });
     }
@@ -422,14 +494,15 @@
         let call = ticket.key.clone();
         let recorded = ticket.dispatch_before.is_some();
         match end {
-            AttemptEnd::Answered(answer, usage) => {
+            AttemptEnd::Answered { answer, usage, backend } => {
                 let stored = StoredAnswer {
                     status: answer.status,
                     content_type: answer.content_type.clone(),
                     body: Body::Inline(answer.body.clone()),
                 };
                 let request = Body::Inline(request.body.clone());
-                (Some(Record::Finished { call, request, answer: stored, usage }), Ok(answer))
+                let record = Record::Finished { call, request, answer: stored, usage, backend };
+                (Some(record), Ok(answer))
             }
             AttemptEnd::NotSent(refusal) => {
                 (recorded.then_some(Record::Cancelled { call }), Err(refusal))
@@ -479,7 +552,9 @@
     fn insert(&self, id: &str, record: &Record) {
         if let Some(program) = Program::from_opened(id, record) {
             self.index_child(&program);
-            self.slots.borrow_mut().insert(id.to_owned(), Slot::new(program));
+            self.slots
+                .borrow_mut()
+                .insert(id.to_owned(), Slot::new(program, self.clock.monotonic()));
         }
     }
 
@@ -529,6 +604,18 @@
         self.family(id).iter().filter_map(|id| slots.get(id)).map(Slot::spent_tokens).sum()
     }
 
+    /// Ends running repeatable calls; a call that may not be repeated is left to finish.
+    fn cancel_running(&self, programs: &[ProgramId]) {
+        let slots = self.slots.borrow();
+        let live = programs.iter().filter_map(|id| slots.get(id)?.live.as_ref());
+        for live in live.filter(|live| live.key.repeatable) {
+            live.feed.close(Err(Refusal::unknown(
+                RefusalKind::Cancelled,
+                "the program was ended while the call ran; open a new program",
+            )));
+        }
+    }
+
     fn append(&self, program: &str, records: Vec<Record>) -> CommitTicket {
         self.journal
             .append(records.into_iter().filter_map(|record| entry(program, record)).collect())
@@ -557,6 +644,7 @@
 
     fn set_live(&self, program: &str, key: &CallKey, feed: &Arc<CallFeed>, unrecorded_tokens: u64) {
         if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
+            slot.used_at = self.clock.monotonic();
             slot.live = Some(Live { key: key.clone(), feed: Arc::clone(feed), unrecorded_tokens });
         }
     }
@@ -564,6 +652,7 @@
     fn clear_live(&self, program: &str) {
         if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
             slot.live = None;
+            slot.used_at = self.clock.monotonic();
             slot.changed.notify_waiters();
         }
     }
--- a/crates/coordination/src/program.rs
+++ b/crates/coordination/src/program.rs
@@ -1,11 +1,11 @@
 //! State of one program, rebuilt from its journal records.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::call::{CallRequest, Usage};
-use crate::ids::{CallSequence, ProgramId, TeamId};
+use crate::ids::{BackendId, CallSequence, ProgramId, TeamId};
 use crate::payload::Body;
 use crate::record::{CallKey, CloseReason, Record, StoredAnswer};
 use crate::refusal::{Refusal, RefusalKind};
@@ -76,6 +76,10 @@
     pub single: bool,
     /// Why and when (Unix time in milliseconds) the program ended.
     pub closed: Option<(CloseReason, u64)>,
+    /// Backend servers that answered calls of the program.
+    pub backends: BTreeSet<BackendId>,
+    /// Whether no engine holds memory for the program any more.
+    pub released: bool,
     /// Time of opening, since the Unix epoch.
     pub opened_unix_ms: u64,
     /// Calls by sequence.
@@ -99,6 +103,8 @@
             spent_tokens: 0,
             single: *single,
             closed: None,
+            backends: BTreeSet::new(),
+            released: false,
             opened_unix_ms: *opened_unix_ms,
             calls: BTreeMap::new(),
         })
@@ -113,7 +119,8 @@
                 self.spent_tokens = self.spent_tokens.saturating_add(*reserved_tokens);
                 self.set_call(call, phase);
             }
-            Record::Finished { call, request, answer, usage } => {
+            Record::Finished { call, request, answer, usage, backend } => {
+                self.backends.insert(backend.clone());
                 self.refund_reservation(call);
                 self.spent_tokens = self.spent_tokens.saturating_add(usage.total_tokens());
                 let phase = CallPhase::Finished {
@@ -133,6 +140,7 @@
                 self.spent_tokens = self.spent_tokens.saturating_add(*charged_tokens);
                 self.set_call(call, CallPhase::Open);
             }
+            Record::Released => self.released = true,
             Record::Closed { reason, closed_unix_ms } => {
                 self.closed.get_or_insert((*reason, *closed_unix_ms));
             }
--- a/crates/coordination/src/record.rs
+++ b/crates/coordination/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::Usage;
-use crate::ids::{CallSequence, ProgramId, RouteId, ShardId, TeamId};
+use crate::ids::{BackendId, CallSequence, ProgramId, RouteId, ShardId, TeamId};
 use crate::payload::Body;
 
 /// A record with the program that it belongs to.
@@ -93,6 +93,8 @@
         answer: StoredAnswer,
         /// Tokens spent.
         usage: Usage,
+        /// Backend server that answered.
+        backend: BackendId,
     },
     /// An attempt was given up before anything was sent to a backend server.
     Cancelled {
@@ -118,4 +120,6 @@
         /// Time of closing, since the Unix epoch.
         closed_unix_ms: u64,
     },
+    /// No engine holds memory for the ended program any more.
+    Released,
 }
--- a/crates/daemon/src/backend/mod.rs
+++ b/crates/daemon/src/backend/mod.rs
@@ -2,12 +2,14 @@
 
 mod chat;
 mod engine;
+mod release;
 mod service;
 
 use dandelionfront_coordination::{Answer, Refusal, Usage};
 
 pub use chat::{ChatBody, ChatMessageError, single_chunk};
 pub use engine::{EngineCall, GenerationSink, HttpEngine, ModelEngine};
+pub use release::Releaser;
 pub use service::{HttpService, PlainService, ServiceCall};
 
 /// Complete answer of a backend server.
--- /dev/null
+++ b/crates/daemon/src/backend/release.rs
@@ -0,0 +1,56 @@
+//! Frees engine memory of ended programs.
+
+use std::time::Duration;
+
+use dandelionfront_coordination::ConfigSnapshot;
+use dandelionfront_coordination::ids::ProgramId;
+use dandelionfront_coordination::owner::Unreleased;
+use futures_util::future::join_all;
+use ntex::client::Client;
+
+use super::engine::{HttpEngine, ModelEngine as _};
+
+/// Programs released at the same time.
+const BATCH: usize = 64;
+
+/// Asks engines to free the memory of ended programs.
+#[derive(Debug, Clone)]
+pub struct Releaser {
+    client: Client,
+    timeout: Duration,
+}
+
+impl Releaser {
+    /// Creates a releaser; `timeout` bounds each request.
+    #[must_use]
+    pub fn new(client: Client, timeout: Duration) -> Self {
+        Self { client, timeout }
+    }
+
+    /// Releases programs; returns those that every engine concerned has confirmed.
+    pub async fn release(
+        &self,
+        config: &ConfigSnapshot,
+        mut unreleased: Vec<Unreleased>,
+    ) -> Vec<ProgramId> {
+        unreleased.truncate(BATCH);
+        let releases = unreleased.iter().map(|ended| self.release_one(config, ended));
+        let confirmed = join_all(releases).await;
+        let pairs = unreleased.into_iter().zip(confirmed);
+        pairs.filter(|(_, confirmed)| *confirmed).map(|(ended, _)| ended.program).collect()
+    }
+
+    async fn release_one(&self, config: &ConfigSnapshot, ended: &Unreleased) -> bool {
+        let objects = config.objects();
+        let is_engine = |served: &String| objects.model.contains_key(served);
+        let engines = objects.backend.iter().filter(|(name, backend)| {
+            backend.serves.iter().any(is_engine)
+                && (ended.scattered || ended.backends.contains(name))
+        });
+        let requests = engines.map(|(_, backend)| async {
+            let engine = HttpEngine::new(self.client.clone(), &backend.address, self.timeout);
+            engine.release(&ended.program).await
+        });
+        join_all(requests).await.into_iter().all(|confirmed| confirmed)
+    }
+}
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -146,6 +146,14 @@
     #[arg(long, env = "DANDELIONFRONT_ABANDON_MS", default_value_t = 10_000)]
     pub abandon_ms: u64,
 
+    /// Time between two reads of the platform's VM list, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_VM_POLL_MS", default_value_t = 1_000)]
+    pub vm_poll_ms: u64,
+
+    /// Time without a call after which a program is ended as abandoned, in seconds.
+    #[arg(long, env = "DANDELIONFRONT_PROGRAM_IDLE_S", default_value_t = 900)]
+    pub program_idle_s: u64,
+
     /// Largest request body, in bytes.
     #[arg(long, env = "DANDELIONFRONT_BODY_MAX_BYTES", default_value_t = 4_194_304)]
     pub body_max_bytes: usize,
--- a/crates/daemon/src/connection/peers.rs
+++ b/crates/daemon/src/connection/peers.rs
@@ -26,7 +26,7 @@
 use crate::process::{ControlHandle, Metrics};
 
 /// Longest wait for an answer of a peer.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Error code of a node that is stopping.
 const STOPPING_CODE: i32 = -32_000;
 /// Largest message between peers.
--- a/crates/daemon/src/process/control.rs
+++ b/crates/daemon/src/process/control.rs
@@ -13,19 +13,21 @@
 use dandelionfront_coordination::owner::ProgramSpec;
 use dandelionfront_coordination::payload::Body;
 use dandelionfront_coordination::peers::TakeReply;
-use dandelionfront_coordination::platform::PlatformResult;
+use dandelionfront_coordination::platform::{PlatformResult, VmList as _, VmState};
 use dandelionfront_coordination::record::CloseReason;
 use dandelionfront_coordination::{
     Admission, AttemptEnd, CallRequest, CallTicket, Clock as _, ConfigSnapshot, Dispatcher, Node,
     Payload, Placement, Platform, Refusal, RefusalKind,
 };
-use log::{info, warn};
+use log::{debug, info, warn};
+use ntex::client::Client;
 use tokio::sync::{mpsc, watch};
 
 use super::clock::SystemClock;
 use super::handle::ControlTask;
 use super::metrics::Metrics;
 use super::platform::HttpPlatform;
+use crate::backend::Releaser;
 use crate::connection::peers::RpcPeers;
 use crate::crash::Step;
 use crate::request::execute;
@@ -34,6 +36,8 @@
 
 /// Pause between two tries to register.
 const REGISTER_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two rounds of releasing engine memory.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two updates of the gauges.
 const GAUGE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -41,6 +45,8 @@
 pub struct Control {
     settings: Settings,
     platform: Platform,
+    vms: Rc<HttpPlatform>,
+    engines: Client,
     clock: SystemClock,
     metrics: Metrics,
     peers: Rc<RpcPeers>,
@@ -56,12 +62,13 @@
     pub fn new(
         settings: Settings,
         http: Rc<HttpPlatform>,
+        engines: Client,
         clock: SystemClock,
         metrics: Metrics,
         config: watch::Sender<Arc<ConfigSnapshot>>,
     ) -> Rc<Self> {
         let peers = Rc::new(RpcPeers::new(metrics.clone()));
-        let platform = Platform { table: Rc::clone(&http) as _, objects: http };
+        let platform = Platform { table: Rc::clone(&http) as _, objects: Rc::clone(&http) as _ };
         let node = Node::new(
             platform.clone(),
             Rc::new(clock),
@@ -78,6 +85,8 @@
             ),
             settings,
             platform,
+            vms: http,
+            engines,
             clock,
             metrics,
             peers,
@@ -125,6 +134,8 @@
     pub async fn serve(self: Rc<Self>, mut tasks: mpsc::UnboundedReceiver<ControlTask>) {
         ntex::rt::spawn(Rc::clone(&self).run_incarnations());
         ntex::rt::spawn(Rc::clone(&self).update_gauges());
+        ntex::rt::spawn(Rc::clone(&self).watch_vms());
+        ntex::rt::spawn(Rc::clone(&self).release_memory());
         while let Some(task) = tasks.recv().await {
             ntex::rt::spawn(task(Rc::clone(&self)));
         }
@@ -187,7 +198,15 @@
     /// # Errors
     ///
     /// Refuses when no backend server can take the call.
-    pub fn place(&self, route: &str, tried: &[BackendId]) -> Result<Placement, Refusal> {
+    pub fn place(
+        &self,
+        program: &str,
+        route: &str,
+        tried: &[BackendId],
+    ) -> Result<Placement, Refusal> {
+        if !tried.is_empty() {
+            self.node().owner().mark_scattered(program);
+        }
         let config = self.follower.current();
         let mut refusal = None;
         let mut next = Some(route);
@@ -302,6 +321,39 @@
         }
     }
 
+    /// Follows the platform's list of leaving VMs.
+    async fn watch_vms(self: Rc<Self>) {
+        loop {
+            match self.vms.vms().await {
+                Ok(vms) => {
+                    let leaving = vms.into_iter().filter(|vm| vm.state != VmState::Live);
+                    self.dispatcher.set_leaving(leaving.map(|vm| vm.address).collect());
+                }
+                Err(error) => debug!("event=vm_list_unreadable cause={error:?}"),
+            }
+            ntex::time::sleep(self.settings.vm_poll).await;
+        }
+    }
+
+    /// Ends abandoned programs and frees the engine memory of ended ones.
+    async fn release_memory(self: Rc<Self>) {
+        let releaser = Releaser::new(self.engines.clone(), self.settings.engine_silence);
+        loop {
+            let node = self.node();
+            let idle_before = self.clock.monotonic().checked_sub(self.settings.program_idle);
+            for program in idle_before.map_or_else(Vec::new, |time| node.owner().idle_since(time)) {
+                info!("event=program_abandoned program={program}");
+                let _ = node.owner().close(&program, None, CloseReason::Abandoned).await;
+            }
+            let config = self.follower.current();
+            let freed = releaser.release(&config, node.owner().unreleased()).await;
+            if !freed.is_empty() {
+                node.owner().mark_released(&freed);
+            }
+            ntex::time::sleep(RELEASE_INTERVAL).await;
+        }
+    }
+
     async fn update_gauges(self: Rc<Self>) {
         loop {
             let node = self.node();
--- a/crates/daemon/src/process/handle.rs
+++ b/crates/daemon/src/process/handle.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::rc::Rc;
 
-use dandelionfront_coordination::ids::{BackendId, ProgramId, ShardId, TeamId};
+use dandelionfront_coordination::ids::{BackendId, ProgramId, RouteId, ShardId, TeamId};
 use dandelionfront_coordination::owner::ProgramSpec;
 use dandelionfront_coordination::record::CloseReason;
 use dandelionfront_coordination::{
@@ -107,8 +107,14 @@
     /// # Errors
     ///
     /// Refuses when no backend server can take the call.
-    pub async fn place(&self, route: String, tried: Vec<BackendId>) -> Result<Placement, Refusal> {
-        self.run(move |control| async move { control.place(&route, &tried) }).await?
+    pub async fn place(
+        &self,
+        program: &ProgramId,
+        route: &RouteId,
+        tried: &[BackendId],
+    ) -> Result<Placement, Refusal> {
+        let (program, route, tried) = (program.clone(), route.clone(), tried.to_vec());
+        self.run(move |control| async move { control.place(&program, &route, &tried) }).await?
     }
 
     /// Returns the placement of an attempt that has ended.
--- a/crates/daemon/src/process/lifecycle.rs
+++ b/crates/daemon/src/process/lifecycle.rs
@@ -188,6 +188,10 @@
                 Ok(client) => client,
                 Err(cause) => return error!("event=control_failed cause={cause:?}"),
             };
+            let engines = match clients::build(PLATFORM_KEEP_ALIVE).await {
+                Ok(client) => client,
+                Err(cause) => return error!("event=control_failed cause={cause:?}"),
+            };
             let http = HttpPlatform::new(
                 &settings.platform,
                 client,
@@ -198,7 +202,9 @@
                 Ok(handle) => handle,
                 Err(cause) => return error!("event=control_failed cause={cause:?}"),
             };
-            Control::new(settings, Rc::new(http), clock, metrics, config_sender).serve(tasks).await;
+            Control::new(settings, Rc::new(http), engines, clock, metrics, config_sender)
+                .serve(tasks)
+                .await;
             drop(peers);
         });
     })?;
--- a/crates/daemon/src/request/chat.rs
+++ b/crates/daemon/src/request/chat.rs
@@ -2,17 +2,18 @@
 
 use std::rc::Rc;
 
+use dandelionfront_coordination::Payload as CallBody;
 use dandelionfront_coordination::ids::RouteId;
 use dandelionfront_coordination::{
-    CallEvent, CallRequest, CallTarget, Clock as _, ConfigSnapshot, Payload, Refusal, RefusalKind,
+    CallEvent, CallRequest, CallTarget, Clock as _, ConfigSnapshot, Refusal, RefusalKind,
 };
 use futures_util::stream::unfold;
 use ntex::util::Bytes;
-use ntex::web::{HttpRequest, HttpResponse, types::State};
+use ntex::web::{HttpRequest, HttpResponse, types::Payload, types::State};
 
 use super::answer::{complete, event, event_stream, refusal_json, refuse};
 use super::auth::{KeyGuard, identify};
-use super::routes::{CallIdentity, InFlight, admit_team, read_identity, route_for};
+use super::routes::{CallIdentity, InFlight, admit_team, read_body, read_identity, route_for};
 use super::submit::CallStream;
 use crate::backend::{ChatBody, single_chunk};
 use crate::process::Worker;
@@ -21,14 +22,10 @@
 pub async fn chat_completions(
     worker: State<Rc<Worker>>,
     request: HttpRequest,
-    body: Bytes,
+    payload: Payload,
 ) -> HttpResponse {
     let in_flight = InFlight::new(&worker.shared.metrics);
-    let prepared = match prepare(&worker, &request, &body) {
-        Ok((call, guard)) => admit_team(&worker, &call).await.map(|()| (call, guard)),
-        Err(refusal) => Err(refusal),
-    };
-    match prepared {
+    match receive(&worker, &request, payload).await {
         Ok((call, guard)) => {
             let stream = CallStream::new((**worker).clone(), call, guard);
             respond(&worker, stream, in_flight).await
@@ -37,6 +34,18 @@
     }
 }
 
+/// Reads and checks a request and takes its team's token.
+async fn receive(
+    worker: &Worker,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<(CallRequest, KeyGuard), Refusal> {
+    let body = read_body(worker, payload).await?;
+    let (call, guard) = prepare(worker, request, &body)?;
+    admit_team(worker, &call).await?;
+    Ok((call, guard))
+}
+
 fn prepare(
     worker: &Worker,
     request: &HttpRequest,
@@ -89,7 +98,7 @@
         repeatable: true,
         target,
         stream,
-        body: Payload(chat.for_engine(&model, completion_tokens_max)),
+        body: CallBody(chat.for_engine(&model, completion_tokens_max)),
     })
 }
 
@@ -158,7 +167,7 @@
 }
 
 /// Returns the end of a stream; a recorded answer without parts becomes a single one.
-fn last_events(whole: &Payload, parts_sent: bool) -> Bytes {
+fn last_events(whole: &CallBody, parts_sent: bool) -> Bytes {
     let mut bytes = Vec::new();
     if !parts_sent {
         let chunk = single_chunk(&whole.0);
--- a/crates/daemon/src/request/execute.rs
+++ b/crates/daemon/src/request/execute.rs
@@ -29,7 +29,9 @@
     let repeatable = request.repeatable;
     reach(repeatable, Step::Started);
     let end = match execute(&worker, &ticket, &request).await {
-        Ok(done) => AttemptEnd::Answered(done.answer, done.usage),
+        Ok((done, backend)) => {
+            AttemptEnd::Answered { answer: done.answer, usage: done.usage, backend }
+        }
         Err(BackendError::NotRun(refusal)) => AttemptEnd::NotSent(refusal),
         Err(BackendError::Lost(refusal)) => AttemptEnd::Lost(refusal),
     };
@@ -60,23 +62,30 @@
     worker: &Worker,
     ticket: &CallTicket,
     request: &CallRequest,
-) -> Result<BackendAnswer, BackendError> {
+) -> Result<(BackendAnswer, BackendId), BackendError> {
     let mut tried: Vec<BackendId> = Vec::new();
+    let mut lost = None;
     loop {
-        let placement = worker.shared.control.place(request.route.clone(), tried.clone()).await;
-        let placement = placement.map_err(BackendError::NotRun)?;
+        let place = worker.shared.control.place(&request.program, &request.route, &tried);
+        let placement = match place.await {
+            Ok(placement) => placement,
+            Err(refusal) => return Err(lost.unwrap_or(BackendError::NotRun(refusal))),
+        };
         let result = if is_past_deadline(worker, ticket) {
             Err(BackendError::NotRun(dispatch_too_late()))
         } else {
             try_backend(worker, ticket, request, &placement).await
         };
-        tried.push(placement.backend.clone());
+        let backend = placement.backend.clone();
+        tried.push(backend.clone());
         worker.shared.control.release(placement);
-        let Some(reason) = retry_reason(request, &result) else {
-            return result;
+        let reason = retry_reason(request, &result).filter(|_| tried.len() < TRIES_MAX);
+        let Some(reason) = reason else {
+            // A refusal of this try says nothing about an earlier one that was lost.
+            return result.map(|answer| (answer, backend)).map_err(|error| lost.unwrap_or(error));
         };
-        if tried.len() >= TRIES_MAX {
-            return result;
+        if let Err(error @ BackendError::Lost(_)) = result {
+            lost = Some(error);
         }
         worker.shared.metrics.count_retry(reason);
     }
@@ -178,11 +187,14 @@
     }
 }
 
-/// Completes once no caller has waited for the call for too long.
+/// Completes once the call was cancelled, or no caller has waited for it for too long.
 async fn wait_abandoned(worker: &Worker, ticket: &CallTicket) {
     let mut since = None;
     loop {
         sleep(ABANDON_CHECK).await;
+        if ticket.feed.is_closed() {
+            return;
+        }
         let now = worker.shared.clock.monotonic();
         if ticket.feed.reader_count() > 0 {
             since = None;
--- a/crates/daemon/src/request/programs.rs
+++ b/crates/daemon/src/request/programs.rs
@@ -11,14 +11,14 @@
     Clock as _, ConfigSnapshot, Location, Payload, Program, Refusal, RefusalKind, RunState, Usage,
 };
 use ntex::time::sleep;
-use ntex::util::Bytes;
-use ntex::web::{HttpRequest, HttpResponse, types::Path, types::State};
+use ntex::web::{HttpRequest, HttpResponse, types, types::Path, types::State};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use super::answer::refuse;
 use super::auth::{OPEN_TEAM, identify, key_missing};
 use super::forwarded::serve_program_request;
+use super::routes::read_body;
 use crate::connection::forward::{
     ForwardError, ProgramReply, ProgramRequest, send_program_request,
 };
@@ -42,9 +42,9 @@
 pub async fn open_program(
     worker: State<Rc<Worker>>,
     request: HttpRequest,
-    body: Bytes,
+    payload: types::Payload,
 ) -> HttpResponse {
-    match open(&worker, &request, &body).await {
+    match open(&worker, &request, payload).await {
         Ok(id) => HttpResponse::Created().header("program-id", id.as_str()).json(&json!({
             "id": id,
             "state": "open",
@@ -148,12 +148,17 @@
     routes.filter(|(_, route)| route.model.is_some()).map(|(name, _)| name).filter(usable)
 }
 
-async fn open(worker: &Worker, request: &HttpRequest, body: &Bytes) -> Result<ProgramId, Refusal> {
+async fn open(
+    worker: &Worker,
+    request: &HttpRequest,
+    payload: types::Payload,
+) -> Result<ProgramId, Refusal> {
+    let body = read_body(worker, payload).await?;
     let team = require_team(worker, request)?;
     let wanted: OpenBody = if body.is_empty() {
         OpenBody::default()
     } else {
-        serde_json::from_slice(body).map_err(|error| {
+        serde_json::from_slice(&body).map_err(|error| {
             Refusal::not_run(
                 RefusalKind::InvalidRequest,
                 format!("the body is malformed ({error}); send parent and budget_tokens, or none"),
--- a/crates/daemon/src/request/routes.rs
+++ b/crates/daemon/src/request/routes.rs
@@ -6,7 +6,8 @@
 use dandelionfront_coordination::config::snapshot::Caller;
 use dandelionfront_coordination::ids::{CallSequence, ProgramId, TeamId, single_call_program};
 use dandelionfront_coordination::{CallRequest, ConfigSnapshot, Refusal, RefusalKind};
-use ntex::web::HttpRequest;
+use ntex::util::{Bytes, BytesMut};
+use ntex::web::{HttpRequest, types};
 
 use super::auth::{OPEN_TEAM, key_missing};
 use crate::consts::{IDEMPOTENCY_KEY_HEADER, PROGRAM_ID_HEADER, PROGRAM_SEQUENCE_HEADER};
@@ -72,6 +73,27 @@
     }
 }
 
+/// Reads a request's body.
+///
+/// # Errors
+///
+/// Refuses bodies over the limit and bodies that do not arrive whole.
+pub async fn read_body(worker: &Worker, mut payload: types::Payload) -> Result<Bytes, Refusal> {
+    let limit = worker.shared.settings.body_max_bytes;
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk = chunk.map_err(|_| invalid("the body did not arrive whole".to_owned()))?;
+        if body.len() + chunk.len() > limit {
+            return Err(Refusal::not_run(
+                RefusalKind::BodyTooLarge,
+                format!("the body is over the limit of {limit} bytes; send a shorter one"),
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
 /// Takes the token of a caller's request, once, before it is forwarded anywhere.
 ///
 /// # Errors
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -5,11 +5,11 @@
 use dandelionfront_coordination::ids::ProgramId;
 use dandelionfront_coordination::{Answer, CallRequest, CallTarget, Payload, Refusal, RefusalKind};
 use ntex::util::Bytes;
-use ntex::web::{HttpRequest, HttpResponse, types::State};
+use ntex::web::{HttpRequest, HttpResponse, types, types::State};
 
 use super::answer::{complete, refuse};
 use super::auth::{KeyGuard, identify};
-use super::routes::{InFlight, admit_team, read_identity, route_for};
+use super::routes::{InFlight, admit_team, read_body, read_identity, route_for};
 use super::submit::CallStream;
 use crate::process::Worker;
 
@@ -20,14 +20,10 @@
 pub async fn call_service(
     worker: State<Rc<Worker>>,
     request: HttpRequest,
-    body: Bytes,
+    payload: types::Payload,
 ) -> HttpResponse {
     let in_flight = InFlight::new(&worker.shared.metrics);
-    let outcome = match prepare(&worker, &request, &body) {
-        Ok((call, guard)) => serve(&worker, call, guard).await,
-        Err(refusal) => Err(refusal),
-    };
-    match outcome {
+    match serve(&worker, &request, payload).await {
         Ok((program, answer)) => {
             in_flight.answered();
             complete(&program, answer)
@@ -38,9 +34,11 @@
 
 async fn serve(
     worker: &Worker,
-    call: CallRequest,
-    guard: KeyGuard,
+    request: &HttpRequest,
+    payload: types::Payload,
 ) -> Result<(ProgramId, Answer), Refusal> {
+    let body = read_body(worker, payload).await?;
+    let (call, guard) = prepare(worker, request, &body)?;
     admit_team(worker, &call).await?;
     let mut stream = CallStream::new(worker.clone(), call, guard);
     let answer = stream.outcome().await?;
--- a/crates/daemon/src/request/submit.rs
+++ b/crates/daemon/src/request/submit.rs
@@ -47,6 +47,7 @@
     request: CallRequest,
     guard: KeyGuard,
     source: Source,
+    /// Whether an owner that is lost may have run the call.
     sent: bool,
     give_up_at: Duration,
     delivered: Delivered,
@@ -144,6 +145,7 @@
             };
             match event {
                 Some(CallEvent::Refused(refusal)) if refusal.kind == RefusalKind::NotOwner => {
+                    self.sent |= refusal.run != RunState::NotRun;
                     self.detach(RetryReason::OwnerMoved);
                 }
                 Some(CallEvent::Delta(part)) => match self.deliver(part) {
@@ -152,7 +154,10 @@
                     Err(refusal) => return CallEvent::Refused(refusal),
                 },
                 Some(event) => return self.last_event(event),
-                None => self.detach(RetryReason::OwnerLost),
+                None => {
+                    self.sent = true;
+                    self.detach(RetryReason::OwnerLost);
+                }
             }
         }
     }
@@ -176,6 +181,10 @@
             CallEvent::Finished(_) if self.replayed != self.delivered => {
                 CallEvent::Refused(interrupted())
             }
+            // An earlier owner may have run a repeatable call without a record of it.
+            CallEvent::Refused(refusal) if self.sent && self.request.repeatable => {
+                CallEvent::Refused(Refusal { run: RunState::Unknown, ..refusal })
+            }
             event => event,
         }
     }
@@ -223,7 +232,6 @@
         let client = &self.worker.clients.peers;
         match RemoteCall::send(client, address, &self.request, OWNER_SILENCE).await {
             Ok(call) => {
-                self.sent = true;
                 self.source = Source::Remote(Box::new(call));
                 Ok(())
             }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -55,6 +55,10 @@
     pub service_timeout: Duration,
     /// Longest time that a call goes on without a waiting caller.
     pub abandon_after: Duration,
+    /// Time between two reads of the platform's VM list.
+    pub vm_poll: Duration,
+    /// Time without a call after which a program is abandoned.
+    pub program_idle: Duration,
     /// Largest request body.
     pub body_max_bytes: usize,
     /// Longest planned stop.
@@ -107,6 +111,8 @@
             engine_silence: Duration::from_millis(args.engine_silence_ms),
             service_timeout: Duration::from_millis(args.service_timeout_ms),
             abandon_after: Duration::from_millis(args.abandon_ms),
+            vm_poll: Duration::from_millis(args.vm_poll_ms),
+            program_idle: Duration::from_secs(args.program_idle_s),
             body_max_bytes: args.body_max_bytes,
             drain_max: Duration::from_secs(args.drain_max_s),
         }
@@ -161,6 +167,8 @@
     range("engine-silence-ms", args.engine_silence_ms, 10..=600_000);
     range("service-timeout-ms", args.service_timeout_ms, 10..=600_000);
     range("abandon-ms", args.abandon_ms, 10..=600_000);
+    range("vm-poll-ms", args.vm_poll_ms, 50..=2_000);
+    range("program-idle-s", args.program_idle_s, 1..=86_400);
     range("body-max-bytes", args.body_max_bytes as u64, 1_024..=67_108_864);
     range("drain-max-s", args.drain_max_s, 1..=3_600);
     if args.dispatch_window_ms <= args.start_commit_wait_ms {
--- a/crates/daemon/src/version/follower.rs
+++ b/crates/daemon/src/version/follower.rs
@@ -204,7 +204,9 @@
         let from = (current.version(), current.objects());
         let (version, objects, rows) = self.store.catch_up(from, newest).await?;
         self.adopt(version, objects);
-        rows.into_iter().for_each(|row| self.remember(row));
+        for row in rows {
+            self.remember(row);
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/crates/daemon/tests/history.rs
@@ -0,0 +1,124 @@
+//! Calls run in order, and a program's history is never lost or mixed.
+
+mod support;
+
+use serde_json::json;
+use support::fleet::{ALPHA_KEY, Fleet, FleetOptions, ProgramCall};
+use support::http::eventually;
+
+/// Sends a call until it is answered, as a caller with the same key would.
+async fn call_until_answered(fleet: &Fleet, node: usize, call: &ProgramCall<'_>) -> String {
+    eventually("the call is answered", async || {
+        let reply = fleet.model_call(&fleet.nodes[node], ALPHA_KEY, call).await.ok()?;
+        (reply.status == 200).then(|| reply.json()["choices"][0]["message"]["content"].to_string())
+    })
+    .await
+}
+
+/// Checks that the history through `node` holds exactly `answers`, in order.
+async fn check_history(fleet: &Fleet, node: usize, program: &str, answers: &[String]) {
+    let history = fleet.history(&fleet.nodes[node], ALPHA_KEY, program).await.expect(200).json();
+    let calls = history["calls"].as_array().expect("calls");
+    assert_eq!(calls.len(), answers.len(), "turns in {history}");
+    for (index, (call, answer)) in calls.iter().zip(answers).enumerate() {
+        assert_eq!(call["sequence"], index + 1);
+        assert_eq!(call["state"], "finished");
+        let recorded = call["answer"].as_str().expect("answer is text");
+        let recorded: serde_json::Value = serde_json::from_str(recorded).expect("answer is JSON");
+        assert_eq!(recorded["choices"][0]["message"]["content"].to_string(), *answer);
+    }
+}
+
+#[ntex::test]
+async fn acknowledged_turns_survive_the_kill_of_each_owner() {
+    let mut fleet = Fleet::start(FleetOptions { nodes: 4, ..FleetOptions::default() }).await;
+    let own = fleet.program_owned_by(&fleet.nodes[3], ALPHA_KEY).await;
+    let other = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
+    let (mut own_answers, mut other_answers) = (Vec::new(), Vec::new());
+    for sequence in 1..=6 {
+        let key = format!("k-{sequence}");
+        let content = format!("own {sequence} {}", "word ".repeat(20));
+        let call =
+            |program, content| ProgramCall { program, sequence, idempotency_key: &key, content };
+        own_answers.push(call_until_answered(&fleet, 0, &call(&own, &content)).await);
+        other_answers.push(call_until_answered(&fleet, 1, &call(&other, "other")).await);
+        if sequence % 2 == 0 && fleet.nodes.len() > 2 {
+            let last = fleet.nodes.len() - 1;
+            fleet.nodes[last].process.kill();
+            fleet.nodes.truncate(last);
+        }
+    }
+    check_history(&fleet, 1, &own, &own_answers).await;
+    check_history(&fleet, 0, &other, &other_answers).await;
+}
+
+#[ntex::test]
+async fn frozen_owner_commits_nothing_after_takeover() {
+    let mut fleet = Fleet::start(FleetOptions { nodes: 3, ..FleetOptions::default() }).await;
+    let program = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
+    let mut answers = Vec::new();
+    for round in 0..3_u64 {
+        let keys = [format!("a-{round}"), format!("b-{round}")];
+        let call = |step: u64, key| ProgramCall {
+            program: &program,
+            sequence: round * 2 + step,
+            idempotency_key: key,
+            content: "turn",
+        };
+        answers.push(call_until_answered(&fleet, 2, &call(1, &keys[0])).await);
+        fleet.nodes[2].process.signal("STOP");
+        fleet.wait_taken_over(&[0, 1]).await;
+        answers.push(call_until_answered(&fleet, 0, &call(2, &keys[1])).await);
+        fleet.nodes[2].process.signal("CONT");
+        fleet.wait_settled().await;
+        check_history(&fleet, 2, &program, &answers).await;
+    }
+    assert!(fleet.nodes[2].process.try_exit().is_none(), "the woken node runs on");
+}
+
+#[ntex::test]
+async fn history_survives_outage_and_lost_answers() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    let mut answers = Vec::new();
+    for sequence in 1..=4 {
+        let key = format!("k-{sequence}");
+        let call = ProgramCall { program: &program, sequence, idempotency_key: &key, content: "x" };
+        fleet.platform_faults(json!({ "outage": true })).await;
+        let http = fleet.http.clone();
+        let pending = call.model_request(&http, &fleet.nodes[0].listen, ALPHA_KEY);
+        let pending = ntex::rt::spawn(async move { http.send(pending.0, pending.1).await });
+        fleet.pause(std::time::Duration::from_millis(300)).await;
+        fleet.platform_faults(json!({ "lose_answers": 1 })).await;
+        let _ = pending.await;
+        answers.push(call_until_answered(&fleet, 0, &call).await);
+    }
+    check_history(&fleet, 0, &program, &answers).await;
+    check_history(&fleet, 1, &program, &answers).await;
+}
+
+#[ntex::test]
+async fn crossed_and_doubled_calls_run_once_and_in_order() {
+    let fleet = Fleet::start(FleetOptions { nodes: 3, ..FleetOptions::default() }).await;
+    let program = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
+    let mut pending = Vec::new();
+    for sequence in (1..=6).rev() {
+        for node in &fleet.nodes[..2] {
+            let key = format!("k-{sequence}");
+            let call =
+                ProgramCall { program: &program, sequence, idempotency_key: &key, content: &key };
+            let http = fleet.http.clone();
+            let (request, body) = call.model_request(&http, &node.listen, ALPHA_KEY);
+            pending.push(ntex::rt::spawn(async move { http.send(request, body).await }));
+        }
+    }
+    for call in pending {
+        call.await.expect("task ends").expect("answer").expect(200);
+    }
+    let executed = fleet.engine_record(0).await;
+    let order: Vec<_> = executed
+        .iter()
+        .map(|request| request["headers"]["request-id"].as_str().expect("id").rsplit('-').nth(1))
+        .collect();
+    assert_eq!(order, ["1", "2", "3", "4", "5", "6"].map(Some));
+}
--- a/crates/daemon/tests/support/fleet.rs
+++ b/crates/daemon/tests/support/fleet.rs
@@ -257,13 +257,8 @@
         key: &str,
         call: &ProgramCall<'_>,
     ) -> Result<Reply, String> {
-        let request = self.http.request("POST", &node.listen, "/v1/chat/completions");
-        let body = json!({
-            "model": "geo",
-            "messages": [{ "role": "user", "content": call.content }],
-            "max_tokens": 64,
-        });
-        self.http.send(call.headers(request.bearer_auth(key)), body.to_string()).await
+        let (request, body) = call.model_request(&self.http, &node.listen, key);
+        self.http.send(request, body).await
     }
 
     /// Sends a service call of a program that may not be repeated.
@@ -322,6 +317,22 @@
 }
 
 impl ProgramCall<'_> {
+    /// Creates the request and the body of a model call.
+    pub fn model_request(
+        &self,
+        http: &Http,
+        listen: &str,
+        key: &str,
+    ) -> (ntex::client::ClientRequest, String) {
+        let request = http.request("POST", listen, "/v1/chat/completions");
+        let body = json!({
+            "model": "geo",
+            "messages": [{ "role": "user", "content": self.content }],
+            "max_tokens": 64,
+        });
+        (self.headers(request.bearer_auth(key)), body.to_string())
+    }
+
     /// Creates the request of a service call that may not be repeated.
     pub fn request(&self, http: &Http, listen: &str, key: &str) -> ntex::client::ClientRequest {
         let request = http.request("POST", listen, "/v1/services/desk/checkout");
--- a/crates/standins/src/engine/api.rs
+++ b/crates/standins/src/engine/api.rs
@@ -177,10 +177,16 @@
     let priority = recorded.header("priority").and_then(|value| value.parse().ok()).unwrap_or(0);
     let program = recorded.header("program-id").unwrap_or("anonymous").to_owned();
     let slot = engine.batch.enter(priority).await;
+    if feed.is_closed() {
+        return;
+    }
     let cached = lock(&engine.cache).lookup(&prompt_tokens);
     let uncached = (prompt_tokens.len() as u64).saturating_sub(cached);
     let prefill_ms = uncached * 1_000 / engine.settings.prefill_tokens_per_s.max(1);
     sleep(Millis(u32::try_from(prefill_ms).unwrap_or(u32::MAX))).await;
+    if feed.is_closed() {
+        return;
+    }
     lock(&engine.cache).insert(&program, &prompt_tokens);
 
     let hash = text::prompt_hash(&prompt);
