--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -312,10 +312,9 @@
         }
         let members = self.membership.members();
         let config = config.current();
-        if changed || self.prepared_version.get() != config.version() {
-            if self.escrow.prepare(&config, &members).await? {
-                self.prepared_version.set(config.version());
-            }
+        let prepared = !changed && self.prepared_version.get() == config.version();
+        if !prepared && self.escrow.prepare(&config, &members).await? {
+            self.prepared_version.set(config.version());
         }
         self.escrow.reclaim(&members).await
     }
--- a/crates/daemon/src/connection/clients.rs
+++ b/crates/daemon/src/connection/clients.rs
@@ -12,8 +12,8 @@
 const KEEP_ALIVE: Seconds = Seconds(15);
 /// Age at which a connection is replaced.
 const LIFETIME: Seconds = Seconds(120);
-/// Connections to one address.
-const CONNECTIONS_MAX: usize = 512;
+/// Connections of one client to all addresses together; the client default is 8.
+const CONNECTIONS_MAX: usize = 16_384;
 
 /// HTTP clients, separate for peers and backend servers.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/crates/daemon/tests/config.rs
@@ -0,0 +1,160 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use support::fleet::{Fleet, FleetOptions};
+use support::http::eventually;
+
+/// Longest time from the acceptance of a version to its being in force everywhere.
+const SPREAD_BOUND: Duration = Duration::from_secs(5);
+
+/// Returns the sample objects with a marker that differs between versions.
+fn marked(fleet: &Fleet, marker: u64) -> Value {
+    let mut objects = fleet.sample_objects();
+    objects["budget"]["marker"] = json!({ "program_tokens": marker });
+    objects
+}
+
+async fn wait_in_force(fleet: &Fleet, version: u64, accepted: Instant) {
+    fleet.wait_config(version).await;
+    assert!(accepted.elapsed() < SPREAD_BOUND, "in force after {:?}", accepted.elapsed());
+}
+
+#[ntex::test]
+async fn of_two_racing_operators_one_wins_and_the_other_is_told() {
+    let fleet = Fleet::start(FleetOptions { nodes: 3, ..FleetOptions::default() }).await;
+    for round in 0..3 {
+        let base = json!(1 + round);
+        let publish = |node: usize, marker: u64| {
+            let id = format!("race-{round}-{node}");
+            let (fleet, base) = (&fleet, &base);
+            async move {
+                let objects = marked(fleet, marker);
+                fleet.publish_on(&fleet.nodes[node].operator, base, objects, &id).await
+            }
+        };
+        let (first, second) = futures_util::future::join(publish(0, 10), publish(1, 20)).await;
+        let mut statuses = [first.status, second.status];
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 409], "{} {}", first.body, second.body);
+        let loser = if first.status == 409 { first } else { second };
+        assert!(loser.body.contains("came first"), "{}", loser.body);
+        wait_in_force(&fleet, 2 + round, Instant::now()).await;
+        let mut digests = Vec::new();
+        for node in &fleet.nodes {
+            digests.push(fleet.http.get_json(&node.operator, "/v1/config").await["digest"].clone());
+        }
+        assert!(digests.windows(2).all(|pair| pair[0] == pair[1]), "{digests:?}");
+    }
+}
+
+#[ntex::test]
+async fn a_lost_answer_is_resolved_and_a_repeat_publishes_nothing_twice() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    fleet.platform_faults(json!({ "lose_answers": 1 })).await;
+    let operator = &fleet.nodes[0].operator;
+    let objects = marked(&fleet, 10);
+    let accepted = fleet.publish_on(operator, &json!(1), objects.clone(), "lost").await.expect(200);
+    assert_eq!(accepted.json()["version"], 2);
+    let other = &fleet.nodes[1].operator;
+    let repeat = fleet.publish_on(other, &json!(1), objects, "lost").await.expect(200);
+    assert_eq!(repeat.json()["version"], 2);
+    wait_in_force(&fleet, 2, Instant::now()).await;
+    let history = fleet.http.get_json(operator, "/v1/config/history").await;
+    assert_eq!(history.as_array().expect("list").len(), 2);
+}
+
+#[ntex::test]
+async fn an_outage_right_after_the_acceptance_stops_no_version() {
+    let fleet = Fleet::start(FleetOptions { nodes: 5, ..FleetOptions::default() }).await;
+    let reply = fleet.publish(marked(&fleet, 10), "before-outage").await.expect(200);
+    let accepted = Instant::now();
+    fleet.platform_faults(json!({ "outage": true })).await;
+    assert_eq!(reply.json()["version"], 2);
+    wait_in_force(&fleet, 2, accepted).await;
+}
+
+#[ntex::test]
+async fn versions_seen_by_a_node_only_rise() {
+    let mut fleet = Fleet::start(FleetOptions { nodes: 3, ..FleetOptions::default() }).await;
+    for version in 2..=8 {
+        let reply =
+            fleet.publish(marked(&fleet, version), &format!("v-{version}")).await.expect(200);
+        assert_eq!(reply.json()["version"], version);
+        let accepted = Instant::now();
+        match version {
+            3 => fleet.platform_faults(json!({ "outage": true })).await,
+            4 => fleet.platform_faults(json!({ "lose_answers": 1 })).await,
+            5 => {
+                fleet.nodes[2].process.kill();
+                fleet.nodes.truncate(2);
+                fleet.add_node();
+            }
+            _ => {}
+        }
+        wait_in_force(&fleet, version, accepted).await;
+        fleet.platform_faults(json!({})).await;
+    }
+    for node in &fleet.nodes {
+        let adopted: Vec<u64> = node
+            .process
+            .lines()
+            .iter()
+            .filter_map(|line| line.split_once("event=config_adopted version=")?.1.parse().ok())
+            .collect();
+        assert!(adopted.is_sorted_by(|earlier, later| earlier < later), "{adopted:?}");
+    }
+}
+
+#[ntex::test]
+async fn faulty_objects_are_refused_and_change_nothing() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let mut objects = fleet.sample_objects();
+    objects["route"]["geo"]["model"] = json!("geo-lmm");
+    objects["route"]["a"] = json!({ "model": "geo-llm", "open": true, "fallback": "b" });
+    objects["route"]["b"] = json!({ "model": "geo-llm", "open": true, "fallback": "a" });
+    objects["limit"]["wide"]["burst"] = json!(0);
+    let reply = fleet.publish(objects, "faulty").await.expect(422);
+    insta::assert_json_snapshot!(reply.json());
+    let history = fleet.http.get_json(&fleet.nodes[0].operator, "/v1/config/history").await;
+    assert_eq!(history.as_array().expect("list").len(), 1);
+}
+
+#[ntex::test]
+async fn a_drained_backend_server_gets_no_new_work() {
+    let fleet = Fleet::start(FleetOptions { engines: 2, ..FleetOptions::default() }).await;
+    let drain = fleet.http.request("POST", &fleet.nodes[0].operator, "/v1/backends/engine-0/drain");
+    fleet.http.send(drain, "").await.expect("drain answers").expect(200);
+    eventually("the drain is in force", async || {
+        fleet.wait_config(2).await;
+        Some(())
+    })
+    .await;
+    check_only_second_engine(&fleet).await;
+}
+
+#[ntex::test]
+async fn a_leaving_vm_gets_no_new_work() {
+    let fleet = Fleet::start(FleetOptions { engines: 2, ..FleetOptions::default() }).await;
+    let vms = json!([{ "address": fleet.engines[0].1, "state": "leaving" }]);
+    fleet.http.put_json(&fleet.platform_address, "/v1/vms", &vms).await;
+    // The target is none after three seconds.
+    fleet.pause(Duration::from_secs(3)).await;
+    check_only_second_engine(&fleet).await;
+}
+
+async fn check_only_second_engine(fleet: &Fleet) {
+    let before = fleet.engine_record(0).await.len();
+    for index in 0..10 {
+        let node = &fleet.nodes[index % 2];
+        let request = fleet.http.request("POST", &node.listen, "/v1/chat/completions");
+        let body = json!({ "model": "geo", "messages": [{ "role": "user", "content": "x" }] });
+        let request = request.bearer_auth(support::fleet::ALPHA_KEY);
+        fleet.http.send(request, body.to_string()).await.expect("answer").expect(200);
+    }
+    assert_eq!(fleet.engine_record(0).await.len(), before);
+    assert_eq!(fleet.engine_record(1).await.len(), 10);
+}
--- /dev/null
+++ b/crates/daemon/tests/keys.rs
@@ -0,0 +1,191 @@
+//! Keys: only the key's own team, never shown to a backend server, withdrawn within seconds.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use ntex::client::ClientRequest;
+use serde_json::{Value, json};
+use support::fleet::{ALPHA_KEY, BETA_KEY, Fleet, FleetOptions, ProgramCall};
+use support::http::eventually;
+
+/// Longest time from the acceptance of a withdrawal to the last byte.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
+/// Completion that outlasts the bound.
+const LONG_TOKENS: u32 = 200;
+
+/// Options with engines whose streams outlast the bound.
+fn slow_engines() -> FleetOptions {
+    let engine_args = ["--token-interval-ms", "100"].map(str::to_owned).to_vec();
+    FleetOptions { engine_args, ..FleetOptions::default() }
+}
+
+fn stream_request(fleet: &Fleet, node: usize, key: &str, tokens: u32) -> (ClientRequest, String) {
+    let request = fleet.http.request("POST", &fleet.nodes[node].listen, "/v1/chat/completions");
+    let body = json!({
+        "model": "geo",
+        "messages": [{ "role": "user", "content": format!("tokens={tokens}") }],
+        "max_tokens": tokens,
+        "stream": true,
+    });
+    (request.bearer_auth(key), body.to_string())
+}
+
+/// Reads a stream to its end; returns its text and when the last byte came.
+async fn read_stream((request, body): (ClientRequest, String)) -> (String, Instant) {
+    let response = request.send_body(body).await.expect("stream begins");
+    let mut payload = response.take_payload();
+    let (mut text, mut last_byte) = (String::new(), Instant::now());
+    while let Some(Ok(chunk)) = payload.recv().await {
+        text.push_str(&String::from_utf8_lossy(&chunk));
+        last_byte = Instant::now();
+    }
+    (text, last_byte)
+}
+
+async fn withdraw(fleet: &Fleet, node: usize, key_name: &str) -> Instant {
+    let path = format!("/v1/keys/{key_name}");
+    let request = fleet.http.request("DELETE", &fleet.nodes[node].operator, &path);
+    fleet.http.send(request, "").await.expect("withdrawal answers").expect(200);
+    Instant::now()
+}
+
+#[ntex::test]
+async fn withdrawn_key_ends_open_streams_and_new_requests() {
+    let fleet = Fleet::start(slow_engines()).await;
+    let streams: Vec<_> = (0..2)
+        .map(|node| {
+            ntex::rt::spawn(read_stream(stream_request(&fleet, node, ALPHA_KEY, LONG_TOKENS)))
+        })
+        .collect();
+    let other = ntex::rt::spawn(read_stream(stream_request(&fleet, 1, BETA_KEY, 30)));
+    eventually("the streams run", async || (fleet.engine_record(0).await.len() == 3).then_some(()))
+        .await;
+    let accepted = withdraw(&fleet, 0, "alpha-1").await;
+    for stream in streams {
+        let (text, last_byte) = stream.await.expect("task ends");
+        assert!(last_byte.saturating_duration_since(accepted) < WITHDRAWAL_BOUND);
+        assert!(text.contains("key_withdrawn") && !text.contains("[DONE]"), "{text}");
+    }
+    for node in &fleet.nodes {
+        let call = ProgramCall { program: "", sequence: 1, idempotency_key: "k", content: "x" };
+        let reply = fleet.model_call(node, ALPHA_KEY, &call).await.expect("answer").expect(401);
+        assert_eq!((reply.kind().as_str(), reply.run().as_str()), ("key_withdrawn", "not_run"));
+    }
+    let (text, _) = other.await.expect("task ends");
+    assert!(text.contains("[DONE]"), "the other team's stream goes on");
+}
+
+#[ntex::test]
+async fn withdrawal_reaches_a_node_cut_off_from_the_table() {
+    let mut fleet = Fleet::start(slow_engines()).await;
+    let (proxy, control) = Fleet::proxy(&fleet.platform_address);
+    let node = fleet.start_node(&proxy.1, &[]);
+    fleet.nodes.push(node);
+    fleet.wait_settled().await;
+    let stream = ntex::rt::spawn(read_stream(stream_request(&fleet, 2, ALPHA_KEY, LONG_TOKENS)));
+    eventually("the stream runs", async || (fleet.engine_record(0).await.len() == 1).then_some(()))
+        .await;
+    let faults = json!({ "silence_all": true });
+    fleet.http.put_json(&control, "/v1/faults", &faults).await;
+    let accepted = withdraw(&fleet, 0, "alpha-1").await;
+    let (text, last_byte) = stream.await.expect("task ends");
+    assert!(last_byte.saturating_duration_since(accepted) < WITHDRAWAL_BOUND);
+    assert!(text.contains("key_withdrawn"), "{text}");
+}
+
+#[ntex::test]
+async fn withdrawal_spreads_during_a_table_outage() {
+    let fleet = Fleet::start(slow_engines()).await;
+    let stream = ntex::rt::spawn(read_stream(stream_request(&fleet, 1, ALPHA_KEY, LONG_TOKENS)));
+    eventually("the stream runs", async || (fleet.engine_record(0).await.len() == 1).then_some(()))
+        .await;
+    let accepted = withdraw(&fleet, 0, "alpha-1").await;
+    fleet.platform_faults(json!({ "outage": true })).await;
+    let (text, last_byte) = stream.await.expect("task ends");
+    assert!(last_byte.saturating_duration_since(accepted) < WITHDRAWAL_BOUND);
+    assert!(text.contains("key_withdrawn"), "{text}");
+}
+
+#[ntex::test]
+async fn no_backend_server_and_no_log_shows_a_key() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    for (sequence, node) in [(1, 0), (2, 1)] {
+        let key = format!("m-{sequence}");
+        let call = ProgramCall { program: &program, sequence, idempotency_key: &key, content: "x" };
+        fleet.model_call(&fleet.nodes[node], ALPHA_KEY, &call).await.expect("answer").expect(200);
+    }
+    let call = ProgramCall { program: &program, sequence: 3, idempotency_key: "s", content: "x" };
+    fleet.service_call(&fleet.nodes[0], ALPHA_KEY, &call).await.expect("answer").expect(200);
+    let open = fleet.http.request("GET", &fleet.nodes[0].listen, "/v1/services/status/now");
+    fleet.http.send(open.bearer_auth(ALPHA_KEY), "").await.expect("answer").expect(200);
+    fleet
+        .service_call(&fleet.nodes[0], "unknown-key-text", &call)
+        .await
+        .expect("answer")
+        .expect(401);
+
+    let mut seen = fleet.engine_record(0).await;
+    seen.extend(fleet.service_record().await);
+    assert_eq!(seen.len(), 4);
+    let forbidden = [ALPHA_KEY, "unknown-key-text", "authorization"];
+    let shown = |text: &str| forbidden.iter().any(|word| text.to_lowercase().contains(word));
+    for request in &seen {
+        assert!(!shown(&request.to_string()), "a backend server saw a key: {request}");
+    }
+    for node in &fleet.nodes {
+        for line in node.process.lines() {
+            assert!(!shown(&line), "a log line shows a key: {line}");
+        }
+    }
+}
+
+#[ntex::test]
+async fn requests_run_only_for_their_own_team() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let mut objects = fleet.sample_objects();
+    objects["route"]["desk"]["teams"] = json!(["alpha"]);
+    fleet.publish(objects, "narrow").await.expect(200);
+    fleet.wait_config(2).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    let missing = program.replace(&program[program.len() - 4..], "0000");
+
+    let call = |program| ProgramCall { program, sequence: 1, idempotency_key: "k", content: "x" };
+    let foreign =
+        fleet.model_call(&fleet.nodes[0], BETA_KEY, &call(&program)).await.expect("answer");
+    let absent =
+        fleet.model_call(&fleet.nodes[0], BETA_KEY, &call(&missing)).await.expect("answer");
+    assert_eq!(
+        (foreign.status, &foreign.body),
+        (absent.status, &absent.body),
+        "existence is shown"
+    );
+    let foreign = fleet.history(&fleet.nodes[0], BETA_KEY, &program).await;
+    let absent = fleet.history(&fleet.nodes[0], BETA_KEY, &missing).await;
+    assert_eq!(
+        (foreign.status, &foreign.body),
+        (absent.status, &absent.body),
+        "existence is shown"
+    );
+    fleet
+        .service_call(&fleet.nodes[0], BETA_KEY, &call(&program))
+        .await
+        .expect("answer")
+        .expect(404);
+
+    let status = |key: Option<&str>| {
+        let request = fleet.http.request("GET", &fleet.nodes[0].listen, "/v1/services/status/now");
+        let request = match key {
+            Some(key) => request.bearer_auth(key),
+            None => request,
+        };
+        fleet.http.send(request, "")
+    };
+    status(None).await.expect("answer").expect(200);
+    status(Some("no-such-key")).await.expect("answer").expect(401);
+    let executed: Vec<Value> = fleet.service_record().await;
+    assert_eq!(executed.len(), 1, "only the open route ran: {executed:?}");
+    assert!(fleet.engine_record(0).await.is_empty());
+}
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -59,7 +59,7 @@
         let accepting = Arc::clone(&proxy);
         std::thread::Builder::new().name("proxy".to_owned()).spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            runtime.block_on(accept(accepting, TcpListener::from_std(listener)?))
+            runtime.block_on(accept(accepting, listener))
         })?;
         let control = serve(control, proxy, |config| {
             config.service(web::resource("/v1/faults").route(web::put().to(put_faults)));
@@ -79,7 +79,8 @@
     HttpResponse::NoContent().finish()
 }
 
-async fn accept(proxy: Arc<FaultProxy>, listener: TcpListener) -> io::Result<()> {
+async fn accept(proxy: Arc<FaultProxy>, listener: std::net::TcpListener) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
     loop {
         let (caller, _) = listener.accept().await?;
         if lock(&proxy.faults).refuse {
