--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -242,7 +242,9 @@
                 }
             }
             _ => {
-                warn!("event=fenced incarnation={own_id}");
+                if self.identity.borrow().state == MemberState::Live {
+                    warn!("event=fenced incarnation={own_id}");
+                }
                 self.incarnation.mark_fenced();
             }
         }
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -257,6 +257,8 @@
     pub async fn leave(&self) -> PlatformResult<()> {
         self.membership.announce_leaving().await?;
         self.escrow.hand_over(&self.membership.members()).await?;
+        // Also without a successor, so that the last node of a fleet can stop.
+        self.shards.drain_all();
         self.nudge();
         Ok(())
     }
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,126 @@
+//! Command line.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// Checks and publishes objects, issues keys and shows the state of a dandelionfront fleet.
+#[derive(Debug, Parser)]
+#[command(name = "dandelionctl", version)]
+pub struct Cli {
+    /// Operator address of any node, as IP:PORT.
+    #[arg(long, global = true, env = "DANDELIONCTL_NODE", default_value = "127.0.0.1:8083")]
+    pub node: String,
+
+    /// Prints JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+
+    /// Longest wait for an answer, in milliseconds.
+    #[arg(long, global = true, env = "DANDELIONCTL_TIMEOUT_MS", default_value_t = 30_000)]
+    pub timeout_ms: u32,
+
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Checks object files without a node and reports every fault with file and line.
+    Check(FileArgs),
+    /// Checks object files and publishes them as the next version.
+    Publish(PublishArgs),
+    /// Shows the configuration in force.
+    Show,
+    /// Lists all published versions.
+    History,
+    /// Issues and withdraws callers' keys.
+    #[command(subcommand)]
+    Key(KeyCommand),
+    /// Takes backend servers out of service.
+    #[command(subcommand)]
+    Backend(BackendCommand),
+    /// Shows and cancels programs.
+    #[command(subcommand)]
+    Program(ProgramCommand),
+    /// Shows the state of the node and the members it knows.
+    Status,
+}
+
+/// Object files.
+#[derive(Debug, Args)]
+pub struct FileArgs {
+    /// TOML files, or folders whose `.toml` files are read.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
+/// Arguments of a publication.
+#[derive(Debug, Args)]
+pub struct PublishArgs {
+    /// Object files.
+    #[command(flatten)]
+    pub files: FileArgs,
+
+    /// Version that the files were derived from; the one in force if left out.
+    #[arg(long)]
+    pub base_version: Option<u64>,
+
+    /// Id of the publication, to send it again after a lost answer.
+    #[arg(long)]
+    pub publish_id: Option<String>,
+
+    /// Who publishes, shown to others.
+    #[arg(long, env = "DANDELIONCTL_AUTHOR", default_value = "operator")]
+    pub author: String,
+
+    /// Keeps the keys in force that the files do not name.
+    #[arg(long)]
+    pub keep_keys: bool,
+}
+
+/// Key commands.
+#[derive(Debug, Subcommand)]
+pub enum KeyCommand {
+    /// Issues a key and prints it once.
+    Issue {
+        /// Name of the new key object.
+        #[arg(long)]
+        name: String,
+        /// Team whose requests the key admits.
+        #[arg(long)]
+        team: String,
+    },
+    /// Withdraws a key; it stops working within seconds, also for connected callers.
+    Withdraw {
+        /// Name of the key object.
+        name: String,
+    },
+}
+
+/// Backend server commands.
+#[derive(Debug, Subcommand)]
+pub enum BackendCommand {
+    /// Sends no new work to a backend server.
+    Drain {
+        /// Name of the backend object.
+        name: String,
+    },
+}
+
+/// Program commands.
+#[derive(Debug, Subcommand)]
+pub enum ProgramCommand {
+    /// Shows state and whole history of a program.
+    Show {
+        /// Program id.
+        id: String,
+    },
+    /// Ends a program and its sub-agents.
+    Cancel {
+        /// Program id.
+        id: String,
+    },
+}
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,95 @@
+//! Requests to a node's operator listener.
+
+use dandelionfront_coordination::config::Problem;
+use ntex::SharedCfg;
+use ntex::client::{Client, Connector};
+use ntex::rt::System;
+use ntex::time::{Millis, timeout};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use snafu::ResultExt as _;
+
+use crate::error::{CtlError, FaultySnafu, MalformedSnafu, RefusedSnafu, UnreachableSnafu};
+
+/// Client of one node.
+#[derive(Debug, Clone)]
+pub struct NodeClient {
+    node: String,
+    timeout: Millis,
+}
+
+/// An error as the node sends it: a text, or an object with a message.
+#[derive(Debug, Deserialize)]
+struct ErrorBody {
+    error: Value,
+    #[serde(default)]
+    problems: Vec<Problem>,
+}
+
+impl NodeClient {
+    /// Creates a client of the node at `node`.
+    #[must_use]
+    pub fn new(node: &str, timeout_ms: u32) -> Self {
+        Self { node: node.to_owned(), timeout: Millis(timeout_ms) }
+    }
+
+    /// Sends a request and reads its JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node does not answer, refuses, or answers in another format.
+    pub fn send<T: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&impl Serialize>,
+    ) -> Result<T, CtlError> {
+        let body = body.map(serde_json::to_vec).transpose().context(MalformedSnafu)?;
+        let system = System::build().name("ctl").build(ntex::rt::DefaultRuntime);
+        let exchange = self.clone().exchange(method.to_owned(), path.to_owned(), body);
+        let (status, bytes) = system.block_on(exchange)?;
+        if status < 300 {
+            return serde_json::from_slice(&bytes).context(MalformedSnafu);
+        }
+        let error: ErrorBody = serde_json::from_slice(&bytes).context(MalformedSnafu)?;
+        if !error.problems.is_empty() {
+            return FaultySnafu { problems: error.problems }.fail();
+        }
+        let message = error.error["message"].as_str().or(error.error.as_str());
+        RefusedSnafu { message: message.unwrap_or("the node gave no reason") }.fail()
+    }
+
+    async fn exchange(
+        self,
+        method: String,
+        path: String,
+        body: Option<Vec<u8>>,
+    ) -> Result<(u16, Vec<u8>), CtlError> {
+        let unreachable =
+            |detail: String| UnreachableSnafu { node: self.node.clone(), detail }.build();
+        let client = Client::builder()
+            .connector::<()>(Connector::new())
+            .disable_timeout()
+            .response_payload_limit(usize::MAX)
+            .response_payload_timeout(Millis::ZERO)
+            .build(SharedCfg::new("CTL"))
+            .await
+            .map_err(|error| unreachable(error.to_string()))?;
+        let method = method.parse().map_err(|_| unreachable("no HTTP method".to_owned()))?;
+        let request = client
+            .request(method, format!("http://{}{path}", self.node))
+            .content_type("application/json");
+        let exchange = async {
+            let sent = request.send_body(body.unwrap_or_default()).await;
+            let response = sent.map_err(|error| unreachable(error.to_string()))?;
+            let status = response.status().as_u16();
+            let bytes = response.body().await.map_err(|error| unreachable(error.to_string()))?;
+            Ok((status, bytes.to_vec()))
+        };
+        match timeout(self.timeout, exchange).await {
+            Ok(result) => result,
+            Err(()) => Err(unreachable("no answer in time".to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,120 @@
+//! What each command does.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use dandelionfront_coordination::config::publish::{Publication, Published};
+use dandelionfront_coordination::config::{ObjectFiles, ObjectSet};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use snafu::ResultExt as _;
+
+use crate::cli::{BackendCommand, Cli, Command, FileArgs, KeyCommand, ProgramCommand, PublishArgs};
+use crate::client::NodeClient;
+use crate::error::{CtlError, FaultySnafu, ReadFileSnafu};
+use crate::print;
+
+/// No body.
+const NONE: Option<&()> = None;
+
+/// Configuration in force as a node shows it.
+#[derive(Debug, Deserialize)]
+struct ConfigInForce {
+    version: u64,
+    objects: ObjectSet,
+}
+
+/// Runs a command and returns what to print.
+///
+/// # Errors
+///
+/// Fails when files have faults, or the node does not answer or refuses.
+pub fn run(cli: &Cli) -> Result<String, CtlError> {
+    let client = NodeClient::new(&cli.node, cli.timeout_ms);
+    let value = match &cli.command {
+        Command::Check(files) => {
+            let objects = read_objects(files)?;
+            json!({ "objects": objects.len(), "digest": objects.digest() })
+        }
+        Command::Publish(args) => publish(&client, args)?,
+        Command::Show => client.send("GET", "/v1/config", NONE)?,
+        Command::History => client.send("GET", "/v1/config/history", NONE)?,
+        Command::Key(KeyCommand::Issue { name, team }) => {
+            client.send("POST", "/v1/keys", Some(&json!({ "name": name, "team": team })))?
+        }
+        Command::Key(KeyCommand::Withdraw { name }) => {
+            client.send("DELETE", &format!("/v1/keys/{name}"), NONE)?
+        }
+        Command::Backend(BackendCommand::Drain { name }) => {
+            client.send("POST", &format!("/v1/backends/{name}/drain"), NONE)?
+        }
+        Command::Program(ProgramCommand::Show { id }) => {
+            client.send("GET", &format!("/v1/programs/{id}"), NONE)?
+        }
+        Command::Program(ProgramCommand::Cancel { id }) => {
+            client.send("DELETE", &format!("/v1/programs/{id}"), NONE)?
+        }
+        Command::Status => client.send("GET", "/v1/status", NONE)?,
+    };
+    Ok(if cli.json { print::json(&value) } else { print::text(&cli.command, &value) })
+}
+
+fn publish(client: &NodeClient, args: &PublishArgs) -> Result<Value, CtlError> {
+    let mut objects = read_objects(&args.files)?;
+    let in_force: ConfigInForce = client.send("GET", "/v1/config", NONE)?;
+    if args.keep_keys {
+        for (name, key) in in_force.objects.key {
+            objects.key.entry(name).or_insert(key);
+        }
+    }
+    let random_id = || format!("publish-{:016x}", rand::random::<u64>());
+    let publication = Publication {
+        base_version: args.base_version.unwrap_or(in_force.version),
+        publish_id: args.publish_id.clone().unwrap_or_else(random_id),
+        author: args.author.clone(),
+        objects,
+    };
+    let published: Published = client.send("POST", "/v1/config", Some(&publication))?;
+    Ok(json!({
+        "version": published.version,
+        "changes": published.change_count,
+        "digest": published.digest,
+    }))
+}
+
+/// Reads and checks object files.
+///
+/// # Errors
+///
+/// Fails when a file cannot be read, and with all faults of the objects.
+pub fn read_objects(args: &FileArgs) -> Result<ObjectSet, CtlError> {
+    let mut files = ObjectFiles::default();
+    for path in expand(&args.files)? {
+        let text = fs::read_to_string(&path).context(ReadFileSnafu { path: &path })?;
+        files.add(&path.display().to_string(), &text);
+    }
+    files.finish().map_err(|problems| FaultySnafu { problems }.build())
+}
+
+/// Replaces folders by their object files, in the order of their names.
+fn expand(paths: &[PathBuf]) -> Result<Vec<PathBuf>, CtlError> {
+    let mut files = Vec::new();
+    for path in paths {
+        if path.is_dir() {
+            files.extend(object_files(path)?);
+        } else {
+            files.push(path.clone());
+        }
+    }
+    Ok(files)
+}
+
+fn object_files(folder: &Path) -> Result<Vec<PathBuf>, CtlError> {
+    let entries = fs::read_dir(folder).context(ReadFileSnafu { path: folder })?;
+    let mut files: Vec<PathBuf> = entries
+        .filter_map(|entry| entry.ok().map(|entry| entry.path()))
+        .filter(|path| path.extension().is_some_and(|extension| extension == "toml"))
+        .collect();
+    files.sort();
+    Ok(files)
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,11 @@
+//! Operators' command line: checks object files and talks to any node of the fleet.
+
+pub mod cli;
+pub mod client;
+pub mod commands;
+pub mod error;
+pub mod print;
+
+pub use cli::Cli;
+pub use commands::run;
+pub use error::CtlError;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,20 @@
+//! The `dandelionctl` command line.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use dandelionctl::{Cli, run};
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match run(&cli) {
+        Ok(output) => {
+            print!("{output}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/daemon/src/process/lifecycle.rs
+++ b/crates/daemon/src/process/lifecycle.rs
@@ -36,7 +36,9 @@
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 /// Time for which the listeners stay open after the last call, for the balancer's lag.
 const DRAIN_LINGER: Duration = Duration::from_secs(1);
-/// Connections kept idle by callers and peers.
+/// Longest wait for connections to close once no call is under way; idle ones are cut.
+const CLOSE_WAIT: Seconds = Seconds(2);
+/// Time for which idle connections of callers and peers are kept.
 const KEEP_ALIVE: Seconds = Seconds(75);
 /// Longest wait for the platform's connections.
 const PLATFORM_KEEP_ALIVE: Seconds = Seconds(30);
@@ -155,7 +157,12 @@
     }
 }
 
-async fn wait_for_stop_signal() -> io::Result<()> {
+/// Completes at the first request to stop.
+///
+/// # Errors
+///
+/// Fails when signals cannot be received.
+pub async fn wait_for_stop_signal() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -225,9 +232,6 @@
     configure: fn(&mut web::ServiceConfig),
 ) -> io::Result<Server> {
     let shared = Arc::clone(shared);
-    let drain = Seconds::checked_new(
-        usize::try_from(shared.settings.drain_max.as_secs()).unwrap_or(usize::MAX),
-    );
     let server = HttpServer::new(async move || {
         let clients = Clients::new().await.expect("client settings are constants");
         let limit = shared.settings.body_max_bytes;
@@ -240,7 +244,7 @@
     })
     .workers(workers)
     .disable_signals()
-    .shutdown_timeout(drain)
+    .shutdown_timeout(CLOSE_WAIT)
     .config(SharedCfg::new("HTTP").add(HttpServiceConfig::new().set_keepalive(KEEP_ALIVE)))
     .listen(listener)?
     .run();
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -10,6 +10,6 @@
 
 pub use control::Control;
 pub use handle::ControlHandle;
-pub use lifecycle::{RunningNode, run, start};
+pub use lifecycle::{RunningNode, run, start, wait_for_stop_signal};
 pub use metrics::Metrics;
 pub use shared::{Shared, Worker};
