--- a/crates/coordination/src/heartbeat.rs
+++ b/crates/coordination/src/heartbeat.rs
@@ -26,11 +26,34 @@
     pub peer_address: String,
 }
 
+/// Who observes whom, for one state of the membership.
+struct Observation {
+    members: Rc<Vec<Member>>,
+    own_observers: Vec<Member>,
+    observed: Vec<IncarnationId>,
+}
+
+impl Observation {
+    fn new(own: &Member, members: &Rc<Vec<Member>>) -> Self {
+        let observes = |target: &&Member| {
+            target.id != own.id
+                && target.state != MemberState::Fenced
+                && observers(members, target).iter().any(|observer| observer.id == own.id)
+        };
+        Self {
+            members: Rc::clone(members),
+            own_observers: observers(members, own).into_iter().cloned().collect(),
+            observed: members.iter().filter(observes).map(|member| member.id.clone()).collect(),
+        }
+    }
+}
+
 /// Exchange of heartbeats by one node.
 pub struct Heartbeats {
     peers: Rc<dyn Peers>,
     clock: Rc<dyn Clock>,
     detector: RefCell<Detector>,
+    observation: RefCell<Option<Rc<Observation>>>,
     promised_at: RefCell<HashMap<IncarnationId, Duration>>,
     covered_until: Cell<Duration>,
     sent: Cell<u64>,
@@ -45,6 +68,7 @@
             peers,
             clock,
             detector: RefCell::new(detector),
+            observation: RefCell::default(),
             promised_at: RefCell::default(),
             covered_until: Cell::default(),
             sent: Cell::default(),
@@ -104,12 +128,13 @@
     pub async fn beat(
         &self,
         own: &Member,
-        members: &[Member],
+        members: &Rc<Vec<Member>>,
         config_version: ConfigVersion,
     ) -> Option<NewerConfig> {
         let beat = Heartbeat { from: own.id.clone(), config_version };
+        let observation = self.observation(own, members);
         let sends =
-            observers(members, own).into_iter().map(|observer| self.send(own, observer, &beat));
+            observation.own_observers.iter().map(|observer| self.send(own, observer, &beat));
         let replies = join_all(sends).await;
         let newer = replies.into_iter().flatten().filter(|newer| newer.version > config_version);
         newer.max_by_key(|newer| newer.version)
@@ -135,14 +160,20 @@
     }
 
     /// Updates whom this node observes.
-    pub fn observe(&self, own: &Member, members: &[Member]) {
-        let observed: Vec<IncarnationId> = members
-            .iter()
-            .filter(|member| member.id != own.id && member.state != MemberState::Fenced)
-            .filter(|member| observers(members, member).iter().any(|seen| seen.id == own.id))
-            .map(|member| member.id.clone())
-            .collect();
-        self.detector.borrow_mut().observe(&observed, self.clock.monotonic());
+    pub fn observe(&self, own: &Member, members: &Rc<Vec<Member>>) {
+        let observation = self.observation(own, members);
+        self.detector.borrow_mut().observe(&observation.observed, self.clock.monotonic());
+    }
+
+    /// Returns who observes whom, computed once for each state of the membership.
+    fn observation(&self, own: &Member, members: &Rc<Vec<Member>>) -> Rc<Observation> {
+        let mut known = self.observation.borrow_mut();
+        match &*known {
+            Some(observation) if Rc::ptr_eq(&observation.members, members) => {
+                Rc::clone(observation)
+            }
+            _ => Rc::clone(known.insert(Rc::new(Observation::new(own, members)))),
+        }
     }
 
     /// Returns the suspects that enough observers agree on.
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -9,7 +9,7 @@
 ///
 /// Every flag can be set by the environment variable named beside it.
 #[derive(Debug, Parser)]
-#[command(name = "dandelionfront", version)]
+#[command(name = "dandelionfront", version, args_override_self = true)]
 pub struct Cli {
     /// Most detailed level that is logged: error, warn, info, debug or trace.
     #[arg(long, global = true, env = "DANDELIONFRONT_LOG_LEVEL", default_value = "info")]
--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,152 @@
+//! A caller receives the whole answer to its own request, or an honest error.
+
+mod support;
+
+use std::collections::HashMap;
+
+use serde_json::{Value, json};
+use support::fleet::{ALPHA_KEY, Fleet, FleetOptions, Node};
+use support::http::eventually;
+
+/// Streams one completion; returns its text, and whether it was marked as complete.
+async fn stream(fleet: &Fleet, node: &Node, content: &str) -> Result<(String, bool), String> {
+    let request = fleet.http.request("POST", &node.listen, "/v1/chat/completions");
+    let body = json!({
+        "model": "geo", "stream": true, "max_tokens": 64,
+        "messages": [{ "role": "user", "content": content }],
+    });
+    let reply = fleet.http.send(request.bearer_auth(ALPHA_KEY), body.to_string()).await?;
+    let mut text = String::new();
+    for data in reply.body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            return Ok((text, true));
+        }
+        let chunk: Value = serde_json::from_str(data).map_err(|error| error.to_string())?;
+        text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    Ok((text, false))
+}
+
+/// Returns the undisturbed answers of the engine to each content.
+async fn expected(fleet: &Fleet, contents: &[String]) -> HashMap<String, String> {
+    let mut answers = HashMap::new();
+    for content in contents {
+        let (text, complete) = stream(fleet, &fleet.nodes[0], content).await.expect("answer");
+        assert!(complete, "undisturbed answers are complete");
+        answers.insert(content.clone(), text);
+    }
+    answers
+}
+
+/// Options with short silences, so that a silent link is replaced soon.
+fn quick_options(nodes: usize) -> FleetOptions {
+    let node_args = ["--engine-silence-ms", "700"].map(str::to_owned).to_vec();
+    FleetOptions { nodes, node_args, ..FleetOptions::default() }
+}
+
+/// Puts a proxy between the nodes and the first engine; returns it with its control address.
+async fn proxy_engine(fleet: &Fleet) -> (support::process::ChildProcess, String) {
+    let (proxy, control) = Fleet::proxy(&fleet.engines[0].1);
+    let mut objects = fleet.sample_objects();
+    objects["backend"]["engine-0"]["address"] = json!(proxy.1);
+    fleet.publish(objects, "proxied").await.expect(200);
+    fleet.wait_config(2).await;
+    (proxy.0, control)
+}
+
+#[ntex::test]
+async fn links_to_an_engine_that_cut_delay_or_go_silent_mix_nothing() {
+    let fleet = Fleet::start(quick_options(2)).await;
+    let contents: Vec<String> = (0..4).map(|index| format!("tokens=40 q{index}")).collect();
+    let answers = expected(&fleet, &contents).await;
+    let (_proxy, control) = proxy_engine(&fleet).await;
+    let faults = [
+        json!({ "cut_after_bytes": 3000 }),
+        json!({ "delay_ms": 15 }),
+        json!({ "close_open": true }),
+        json!({ "silence_open": true }),
+        json!({ "refuse": true }),
+    ];
+    let mut complete = 0;
+    for fault in faults {
+        fleet.http.put_json(&control, "/v1/faults", &json!({})).await;
+        let calls = contents.iter().zip(fleet.nodes.iter().cycle()).map(|(content, node)| async {
+            (content.clone(), stream(&fleet, node, content).await)
+        });
+        let inject = async {
+            fleet.pause(std::time::Duration::from_millis(80)).await;
+            fleet.http.put_json(&control, "/v1/faults", &fault).await;
+        };
+        let (results, ()) =
+            futures_util::future::join(futures_util::future::join_all(calls), inject).await;
+        for (content, result) in results {
+            let (text, whole) = result.expect("an answer or an error event");
+            let answer = &answers[&content];
+            assert!(answer.starts_with(&text), "{fault}: {text:?} is no part of {answer:?}");
+            assert!(!whole || text == *answer, "{fault}: a short answer was marked complete");
+            complete += usize::from(whole);
+        }
+    }
+    assert!(complete >= 8, "only {complete} of 20 answers were complete");
+}
+
+#[ntex::test]
+async fn a_silent_connection_is_found_and_replaced() {
+    let fleet = Fleet::start(quick_options(1)).await;
+    let content = "tokens=60 silent".to_owned();
+    let answers = expected(&fleet, std::slice::from_ref(&content)).await;
+    let (_proxy, control) = proxy_engine(&fleet).await;
+    let call = stream(&fleet, &fleet.nodes[0], &content);
+    let inject = async {
+        fleet.pause(std::time::Duration::from_millis(100)).await;
+        fleet.http.put_json(&control, "/v1/faults", &json!({ "silence_open": true })).await;
+    };
+    let (result, ()) = futures_util::future::join(call, inject).await;
+    assert_eq!(result, Ok((answers[&content].clone(), true)));
+    let metrics = fleet.http.request("GET", &fleet.nodes[0].operator, "/metrics");
+    let metrics = fleet.http.send(metrics, "").await.expect("metrics").body;
+    assert!(
+        metrics.contains("retries_total{reason=\"stream_resumed\"} 1"),
+        "not resumed: {metrics}"
+    );
+}
+
+#[ntex::test]
+async fn a_killed_owner_in_the_middle_of_a_stream_mixes_nothing() {
+    let engine_args = ["--token-interval-ms", "20"].map(str::to_owned).to_vec();
+    let options = FleetOptions { nodes: 3, engine_args, ..FleetOptions::default() };
+    let mut fleet = Fleet::start(options).await;
+    let program = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
+    let request = fleet.http.request("POST", &fleet.nodes[0].listen, "/v1/chat/completions");
+    let request = request
+        .bearer_auth(ALPHA_KEY)
+        .header("program-id", program.as_str())
+        .header("program-sequence", "1")
+        .header("idempotency-key", "k");
+    let body = json!({
+        "model": "geo", "stream": true, "max_tokens": 64,
+        "messages": [{ "role": "user", "content": "tokens=60 owner" }],
+    });
+    let http = fleet.http.clone();
+    let pending = ntex::rt::spawn(async move { http.send(request, body.to_string()).await });
+    eventually("the call runs", async || (fleet.engine_record(0).await.len() == 1).then_some(()))
+        .await;
+    fleet.pause(std::time::Duration::from_millis(300)).await;
+    fleet.nodes[2].process.kill();
+    let reply = pending.await.expect("task ends").expect("answer");
+    let history = eventually("the call is recorded", async || {
+        let history = fleet.history(&fleet.nodes[1], ALPHA_KEY, &program).await;
+        (history.status == 200).then(|| history.json())
+    })
+    .await;
+    let whole = history["calls"][0]["answer"].as_str().unwrap_or_default().to_owned();
+    let whole: Value = serde_json::from_str(&whole).expect("the successor recorded the answer");
+    let whole = whole["choices"][0]["message"]["content"].as_str().expect("text").to_owned();
+    let parts = reply.body.lines().filter_map(|line| line.strip_prefix("data: {"));
+    let text: String = parts
+        .filter_map(|data| serde_json::from_str::<Value>(&format!("{{{data}")).ok())
+        .filter_map(|chunk| Some(chunk["choices"][0]["delta"]["content"].as_str()?.to_owned()))
+        .collect();
+    assert_eq!(text, whole);
+    assert!(reply.body.ends_with("data: [DONE]\n\n"), "{}", reply.body);
+}
