--- a/crates/coordination/src/config/publish.rs
+++ b/crates/coordination/src/config/publish.rs
@@ -54,6 +54,12 @@
     pub change_count: usize,
 }
 
+impl From<&VersionRow> for Published {
+    fn from(row: &VersionRow) -> Self {
+        Self { version: row.version, digest: row.digest.clone(), change_count: row.change_count }
+    }
+}
+
 /// A request to publish.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Publication {
@@ -110,7 +116,7 @@
         Self { platform }
     }
 
-    /// Publishes a set as the version after its base.
+    /// Publishes a set as the version after its base and returns the version's row.
     ///
     /// # Errors
     ///
@@ -120,7 +126,7 @@
         publication: &Publication,
         current: &ObjectSet,
         now: Duration,
-    ) -> Result<Published, PublishError> {
+    ) -> Result<VersionRow, PublishError> {
         let problems = check(&publication.objects);
         if !problems.is_empty() {
             return Err(PublishError::Invalid { problems });
@@ -130,8 +136,8 @@
         loop {
             let (head_version, head) =
                 read_head(&*self.platform.table).await.map_err(source_error)?;
-            if let Some(published) = self.earlier_try(publication).await.map_err(source_error)? {
-                return Ok(published);
+            if let Some(earlier) = self.earlier_try(publication).await.map_err(source_error)? {
+                return Ok(earlier);
             }
             if head.config_version != publication.base_version {
                 return Err(self.raced(&head).await);
@@ -142,7 +148,7 @@
                     "event=config_published version={} changes={}",
                     row.version, row.change_count
                 );
-                return Ok(published(&row));
+                return Ok(row);
             }
         }
     }
@@ -247,13 +253,13 @@
         Ok(Some((full_version, objects)))
     }
 
-    async fn earlier_try(&self, publication: &Publication) -> PlatformResult<Option<Published>> {
+    async fn earlier_try(&self, publication: &Publication) -> PlatformResult<Option<VersionRow>> {
         let key = version_key(publication.base_version + 1);
         let Some(row) = self.platform.table.get(Table::Configs, &key).await? else {
             return Ok(None);
         };
         let row = parse_row(row.value)?;
-        Ok((row.publish_id == publication.publish_id).then(|| published(&row)))
+        Ok((row.publish_id == publication.publish_id).then_some(row))
     }
 
     async fn raced(&self, head: &Head) -> PublishError {
@@ -322,10 +328,6 @@
     }
 }
 
-fn published(row: &VersionRow) -> Published {
-    Published { version: row.version, digest: row.digest.clone(), change_count: row.change_count }
-}
-
 fn version_key(version: ConfigVersion) -> String {
     format!("{version:012}")
 }
--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -91,10 +91,11 @@
     settings: JournalSettings,
     pending: RefCell<Vec<Pending>>,
     arrived: Notify,
-    drained: Notify,
     in_flight: Cell<bool>,
+    wanted: Cell<bool>,
     stalled: Cell<bool>,
     next_number: Cell<CommitNumber>,
+    pace: Cell<Duration>,
     stats: Cell<JournalStats>,
     applier: RefCell<Option<Rc<dyn CommitApplier>>>,
 }
@@ -121,10 +122,11 @@
             settings,
             pending: RefCell::default(),
             arrived: Notify::new(),
-            drained: Notify::new(),
             in_flight: Cell::new(false),
+            wanted: Cell::new(false),
             stalled: Cell::new(false),
             next_number: Cell::new(1),
+            pace: Cell::default(),
             stats: Cell::default(),
             applier: RefCell::new(None),
         }
@@ -171,34 +173,49 @@
         ticket
     }
 
+    /// Queues records that may wait for the next commit of others or for a flush.
+    pub fn append_lazily(&self, entries: Vec<Entry>) {
+        let (done, _) = oneshot::channel();
+        if !self.incarnation.is_fenced() && !entries.is_empty() {
+            self.pending.borrow_mut().push(Pending { entries, done });
+        }
+    }
+
+    /// Sets the shortest time between the starts of two commits; settings may ask for a longer one.
+    pub fn set_pace(&self, pace: Duration) {
+        self.pace.set(pace);
+    }
+
     /// Waits until everything appended so far is committed or the node is fenced.
     pub async fn flush(&self) {
-        loop {
-            let drained = self.drained.notified();
-            let idle = self.pending.borrow().is_empty() && !self.in_flight.get();
-            if idle || self.incarnation.is_fenced() {
-                return;
-            }
-            drained.await;
+        if self.pending.borrow().is_empty() && !self.in_flight.get() {
+            return;
         }
+        // Batches keep the order of arrival, so an empty entry marks the end of what came before.
+        let _ = self.append(Vec::new()).await;
     }
 
     /// Commits queued records until the node is fenced.
     pub async fn run(&self) {
         while !self.incarnation.is_fenced() {
+            if !self.wanted.replace(false) {
+                self.arrived.notified().await;
+                self.wanted.set(true);
+            }
             let batch = self.take_batch();
             if batch.is_empty() {
-                self.drained.notify_waiters();
-                self.arrived.notified().await;
                 continue;
             }
+            // What was left out of a full batch goes into the next commit.
+            self.wanted.set(!self.pending.borrow().is_empty());
             self.in_flight.set(true);
             let started = self.clock.monotonic();
             let result = self.commit(&batch).await;
             self.in_flight.set(false);
             let elapsed = self.clock.monotonic().saturating_sub(started);
             self.settle(batch, &result, elapsed);
-            if let Some(pause) = self.settings.commit_interval.checked_sub(elapsed) {
+            let interval = self.settings.commit_interval.max(self.pace.get());
+            if let Some(pause) = interval.checked_sub(elapsed) {
                 self.clock.sleep(pause).await;
             }
         }
@@ -247,7 +264,6 @@
         for item in self.pending.borrow_mut().drain(..) {
             let _ = item.done.send(Err(JournalError::Fenced));
         }
-        self.drained.notify_waiters();
     }
 
     async fn commit(&self, batch: &[Pending]) -> Result<Commit, JournalError> {
@@ -256,6 +272,9 @@
             batch.iter().flat_map(|item| item.entries.iter().cloned()).collect();
         self.spill(number, &mut entries).await?;
         let commit = Commit { entries };
+        if commit.entries.is_empty() {
+            return Ok(commit);
+        }
         let value = serde_json::to_value(&commit).unwrap_or_default();
         let key = commit_key(self.incarnation.id(), number);
         loop {
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -32,6 +32,8 @@
 pub struct NodeSettings {
     /// Time between two reads of the head row.
     pub head_poll_interval: Duration,
+    /// Journal writes a second that all nodes of a region may make together.
+    pub region_writes_per_s: u32,
     /// Number of shards per region; the same on all nodes.
     pub shard_count: u16,
     /// Time between two checkpoints of the shards served.
@@ -52,6 +54,7 @@
     fn default() -> Self {
         Self {
             head_poll_interval: Duration::from_secs(1),
+            region_writes_per_s: 240,
             shard_count: 256,
             checkpoint_interval: Duration::from_secs(60),
             retention: Duration::from_secs(900),
@@ -305,6 +308,7 @@
         }
         self.heartbeats.cover_until(begun + PROMISE);
         if changed {
+            self.journal.set_pace(self.journal_pace());
             self.settled.set(false);
             self.membership.name_reclaimer().await?;
         }
@@ -321,6 +325,17 @@
         self.escrow.reclaim(&members).await
     }
 
+    /// Returns the time between commits that keeps the region within its platform writes.
+    fn journal_pace(&self) -> Duration {
+        let region = self.membership.own().region;
+        let members = self.membership.members();
+        let able =
+            |member: &&Member| member.region == region && member.state != MemberState::Fenced;
+        let count = members.iter().filter(able).count();
+        let nodes = u32::try_from(count).unwrap_or(u32::MAX);
+        Duration::from_secs(1) * nodes / self.settings.region_writes_per_s.max(1)
+    }
+
     async fn reconcile(&self) -> PlatformResult<bool> {
         let members = self.membership.members();
         let region = self.membership.own().region;
--- a/crates/coordination/src/owner.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -1,7 +1,7 @@
 //! Owner side of programs: admits calls in order, records them, and settles their outcomes.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+mod table;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,10 @@
 use crate::payload::Body;
 use crate::program::{CallPhase, Decision, Program, program_closed};
 use crate::record::{CallKey, CloseReason, Entry, Record, StoredAnswer};
-use crate::refusal::{Refusal, RefusalKind};
+use crate::refusal::{Refusal, RefusalKind, RunState};
+use table::{Live, ProgramTable, Slot};
+
+pub use table::Unreleased;
 
 /// Time bounds of the owner.
 #[derive(Debug, Clone)]
@@ -26,6 +29,8 @@
     pub order_wait: Duration,
     /// Longest wait for a commit that must precede the dispatch.
     pub start_commit_wait: Duration,
+    /// Longest wait of a caller for the commit that follows the backend server's answer.
+    pub end_commit_wait: Duration,
     /// Longest time from the start of that commit to the first byte sent to a backend server.
     pub dispatch_window: Duration,
 }
@@ -35,6 +40,7 @@
         Self {
             order_wait: Duration::from_secs(10),
             start_commit_wait: Duration::from_secs(2),
+            end_commit_wait: Duration::from_secs(10),
             dispatch_window: Duration::from_secs(3),
         }
     }
@@ -88,60 +94,10 @@
     Lost(Refusal),
 }
 
-#[derive(Debug)]
-struct Live {
-    key: CallKey,
-    feed: Arc<CallFeed>,
-    unrecorded_tokens: u64,
-}
-
-#[derive(Debug)]
-struct Slot {
-    program: Program,
-    live: Option<Live>,
-    changed: Rc<Notify>,
-    hold_until: Option<Duration>,
-    scattered: bool,
-    used_at: Duration,
-}
-
-impl Slot {
-    fn new(program: Program, now: Duration) -> Self {
-        Self {
-            program,
-            live: None,
-            changed: Rc::new(Notify::new()),
-            hold_until: None,
-            scattered: false,
-            used_at: now,
-        }
-    }
-
-    fn spent_tokens(&self) -> u64 {
-        let unrecorded = self.live.as_ref().map_or(0, |live| live.unrecorded_tokens);
-        self.program.spent_tokens.saturating_add(unrecorded)
-    }
-
-    /// Adjusts the running call to a record that was just committed.
-    fn settle_live(&mut self, record: &Record) {
-        match record {
-            Record::Started { .. } => {
-                if let Some(live) = &mut self.live {
-                    live.unrecorded_tokens = 0;
-                }
-            }
-            Record::Cancelled { call } => {
-                self.live.take_if(|live| live.key == *call);
-            }
-            _ => {}
-        }
-    }
-}
-
 impl CommitApplier for Owner {
     fn apply_commit(&self, commit: &Commit, _elapsed: Duration) {
         for entry in &commit.entries {
-            self.apply(&entry.program, &entry.record);
+            self.table.apply(&entry.program, &entry.record, self.clock.monotonic());
         }
     }
 }
@@ -164,45 +120,34 @@
     pub budget_tokens: Option<u64>,
 }
 
-/// An ended program for which engines may still hold memory.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Unreleased {
-    /// Program.
-    pub program: ProgramId,
-    /// Backend servers that answered its calls.
-    pub backends: Vec<BackendId>,
-    /// Whether backend servers without a recorded answer may hold memory too.
-    pub scattered: bool,
-}
-
 /// Programs whose shards this node owns.
 pub struct Owner {
     journal: Rc<Journal>,
     clock: Rc<dyn Clock>,
     settings: OwnerSettings,
-    slots: RefCell<HashMap<ProgramId, Slot>>,
-    children: RefCell<HashMap<ProgramId, Vec<ProgramId>>>,
+    table: ProgramTable,
 }
 
 impl Owner {
     /// Creates an owner of no programs.
     #[must_use]
     pub fn new(journal: Rc<Journal>, clock: Rc<dyn Clock>, settings: OwnerSettings) -> Self {
-        Self { journal, clock, settings, slots: RefCell::default(), children: RefCell::default() }
+        Self { journal, clock, settings, table: ProgramTable::default() }
     }
 
     /// Returns the number of programs held.
     #[must_use]
     pub fn program_count(&self) -> usize {
-        self.slots.borrow().len()
+        self.table.len()
     }
 
     /// Returns the recorded state of a program of `team`.
     #[must_use]
     pub fn program(&self, id: &str, team: Option<&str>) -> Option<Program> {
-        let slots = self.slots.borrow();
-        let program = &slots.get(id)?.program;
-        team.is_none_or(|team| team == program.team).then(|| program.clone())
+        self.table.with(id, |slot| {
+            let matches = team.is_none_or(|team| team == slot.program.team);
+            matches.then(|| slot.program.clone())
+        })?
     }
 
     /// Opens a program and waits until it is recorded.
@@ -218,6 +163,9 @@
                 return Err(program_closed());
             }
         }
+        if self.journal.is_stalled() {
+            return Err(platform_unavailable());
+        }
         let record = self.opened_record(&spec, false);
         self.commit(self.append(&id, vec![record])).await
     }
@@ -236,7 +184,10 @@
         reason: CloseReason,
     ) -> Result<Vec<ProgramId>, Refusal> {
         self.program(id, team).ok_or_else(Refusal::program_unknown)?;
-        let family = self.family(id);
+        if self.journal.is_stalled() {
+            return Err(platform_unavailable());
+        }
+        let family = self.table.family(id);
         let closed_unix_ms = unix_ms(&*self.clock);
         let mut entries = Vec::new();
         for member in &family {
@@ -244,47 +195,31 @@
             entries.extend(entry(member, Record::Closed { reason, closed_unix_ms }));
         }
         self.commit(self.journal.append(entries)).await?;
-        self.cancel_running(&family);
+        self.table.cancel_running(&family);
         Ok(family)
     }
 
     /// Returns ended programs for which engines may still hold memory.
     #[must_use]
     pub fn unreleased(&self) -> Vec<Unreleased> {
-        let slots = self.slots.borrow();
-        let ended = slots.values().filter(|slot| {
-            slot.program.closed.is_some() && !slot.program.released && slot.live.is_none()
-        });
-        ended
-            .map(|slot| Unreleased {
-                program: slot.program.id.clone(),
-                backends: slot.program.backends.iter().cloned().collect(),
-                scattered: slot.scattered,
-            })
-            .collect()
+        self.table.unreleased()
     }
 
     /// Notes that backend servers without a recorded answer may hold memory for a program.
     pub fn mark_scattered(&self, program: &str) {
-        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
-            slot.scattered = true;
-        }
+        self.table.update(program, |slot| slot.scattered = true);
     }
 
     /// Records that no engine holds memory for these programs any more.
     pub fn mark_released(&self, programs: &[ProgramId]) {
         let entries = programs.iter().filter_map(|program| entry(program, Record::Released));
-        drop(self.journal.append(entries.collect()));
+        self.journal.append_lazily(entries.collect());
     }
 
-    /// Returns open programs without a call since `before_unix_ms`.
+    /// Returns open programs without a call since `before`, a monotonic time.
     #[must_use]
     pub fn idle_since(&self, before: Duration) -> Vec<ProgramId> {
-        let slots = self.slots.borrow();
-        let idle = slots.values().filter(|slot| {
-            slot.program.closed.is_none() && slot.live.is_none() && slot.used_at < before
-        });
-        idle.map(|slot| slot.program.id.clone()).collect()
+        self.table.idle_since(before)
     }
 
     /// Admits a call: waits for its turn, reserves budget, and records its start where needed.
@@ -317,34 +252,50 @@
         if outcome.is_err() {
             self.mark_scattered(&ticket.program);
         }
-        let committed = match record {
-            Some(record) => {
-                let mut records = vec![record];
-                records.extend(self.single_call_closing(request, &outcome));
-                self.commit(self.append(&ticket.program, records)).await
-            }
-            None => Ok(()),
-        };
-        recorded();
+        if let Some(record) = record {
+            let mut records = vec![record];
+            records.extend(self.single_call_closing(request, &outcome));
+            self.record_end(ticket, records, outcome, recorded).await;
+        } else {
+            ticket.feed.close(outcome);
+        }
         self.clear_live(&ticket.program);
-        ticket.feed.close(committed.and(outcome));
     }
 
-    /// Returns the programs of `shards`, for a checkpoint or a release.
+    /// Commits the end of an attempt and closes its feed, at the latest when the wait is over.
+    async fn record_end(
+        &self,
+        ticket: &CallTicket,
+        records: Vec<Record>,
+        outcome: Result<Answer, Refusal>,
+        recorded: impl FnOnce(),
+    ) {
+        let commit = std::pin::pin!(self.commit(self.append(&ticket.program, records)));
+        let timeout = self.clock.sleep(self.settings.end_commit_wait);
+        match select(commit, timeout).await {
+            Either::Left((committed, _)) => {
+                recorded();
+                ticket.feed.close(committed.and(outcome));
+            }
+            Either::Right(((), commit)) => {
+                // The call stays live until the commit, so that a repeat gets this answer at once
+                // and the recorded one later.
+                ticket.feed.close(Err(unrecorded_end(outcome)));
+                let _ = commit.await;
+            }
+        }
+    }
+
+    /// Returns the programs of a shard, for a checkpoint or a release.
     #[must_use]
     pub fn programs_of(&self, shard: ShardId) -> Vec<Program> {
-        let slots = self.slots.borrow();
-        let of_shard = |slot: &&Slot| shard_of_program(&slot.program.id) == Some(shard);
-        slots.values().filter(of_shard).map(|slot| slot.program.clone()).collect()
+        self.table.programs_of(shard)
     }
 
     /// Returns whether any call of `shard` is running.
     #[must_use]
     pub fn is_busy(&self, shard: ShardId) -> bool {
-        self.slots
-            .borrow()
-            .values()
-            .any(|slot| slot.live.is_some() && shard_of_program(&slot.program.id) == Some(shard))
+        self.table.is_busy(shard)
     }
 
     /// Takes over recovered programs; attempts without a recorded end become in doubt or failed.
@@ -354,14 +305,13 @@
         for program in programs {
             let id = program.id.clone();
             let unsettled = unsettled_record(&program);
-            self.index_child(&program);
             let mut slot = Slot::new(program, self.clock.monotonic());
             slot.scattered = true;
             if let Some(record) = unsettled {
                 slot.hold_until = Some(hold_until);
                 entries.extend(entry(&id, record));
             }
-            self.slots.borrow_mut().insert(id, slot);
+            self.table.insert(slot);
         }
         if !entries.is_empty() {
             drop(self.journal.append(entries));
@@ -370,24 +320,21 @@
 
     /// Forgets the programs of a shard that this node no longer owns.
     pub fn forget(&self, shard: ShardId) {
-        let mut slots = self.slots.borrow_mut();
-        slots.retain(|id, _| shard_of_program(id) != Some(shard));
-        self.children.borrow_mut().retain(|id, _| shard_of_program(id) != Some(shard));
+        self.table.forget(shard);
     }
 
     /// Drops programs that ended before `closed_before_unix_ms`.
     pub fn expire(&self, closed_before_unix_ms: u64) {
-        self.slots.borrow_mut().retain(|_, slot| {
-            slot.live.is_some()
-                || !slot.program.released
-                || slot.program.closed.is_none_or(|(_, closed)| closed >= closed_before_unix_ms)
-        });
+        self.table.expire(closed_before_unix_ms);
     }
 
     fn next_step(&self, request: &CallRequest, digest: &str) -> Result<Step, Refusal> {
         self.ensure_single(request);
-        let slots = self.slots.borrow();
-        let slot = slots.get(&request.program).ok_or_else(Refusal::program_unknown)?;
+        let step = self.table.with(&request.program, |slot| self.step_of(slot, request, digest));
+        step.unwrap_or_else(|| Err(Refusal::program_unknown()))
+    }
+
+    fn step_of(&self, slot: &Slot, request: &CallRequest, digest: &str) -> Result<Step, Refusal> {
         if let Some(live) = &slot.live
             && slot.program.team == request.team
             && live.key.sequence == request.sequence
@@ -528,15 +475,18 @@
         })
     }
 
-    /// Creates the implicit program of a single call; it is recorded with the call's first record.
+    /// Creates the implicit program of a single call, to be recorded with the call's first record.
     fn ensure_single(&self, request: &CallRequest) {
-        if !request.single || self.slots.borrow().contains_key(&request.program) {
+        if !request.single || self.table.contains(&request.program) {
             return;
         }
         let spec = ProgramSpec { team: request.team.clone(), parent: None, budget_tokens: None };
         let record = self.opened_record(&spec, true);
-        self.insert(&request.program, &record);
-        drop(self.append(&request.program, vec![record]));
+        if let Some(program) = Program::from_opened(&request.program, &record) {
+            let mut slot = Slot::new(program, self.clock.monotonic());
+            slot.unrecorded_open = Some(record);
+            self.table.insert(slot);
+        }
     }
 
     fn opened_record(&self, spec: &ProgramSpec, single: bool) -> Record {
@@ -549,36 +499,6 @@
         }
     }
 
-    fn insert(&self, id: &str, record: &Record) {
-        if let Some(program) = Program::from_opened(id, record) {
-            self.index_child(&program);
-            self.slots
-                .borrow_mut()
-                .insert(id.to_owned(), Slot::new(program, self.clock.monotonic()));
-        }
-    }
-
-    fn index_child(&self, program: &Program) {
-        if let Some(parent) = &program.parent {
-            let mut children = self.children.borrow_mut();
-            children.entry(parent.clone()).or_default().push(program.id.clone());
-        }
-    }
-
-    /// Returns `id` and all programs below it.
-    fn family(&self, id: &str) -> Vec<ProgramId> {
-        let children = self.children.borrow();
-        let mut family = vec![id.to_owned()];
-        let mut position = 0;
-        while position < family.len() {
-            if let Some(below) = children.get(&family[position]) {
-                family.extend(below.iter().cloned());
-            }
-            position += 1;
-        }
-        family
-    }
-
     /// Checks every budget from the program up to its root; returns whether there is any.
     fn check_budget(&self, id: &str, tokens: u64) -> Result<bool, Refusal> {
         let mut budgeted = false;
@@ -589,7 +509,7 @@
             };
             if let Some(budget) = program.budget_tokens {
                 budgeted = true;
-                let remaining = budget.saturating_sub(self.family_spent(&ancestor));
+                let remaining = budget.saturating_sub(self.table.family_spent(&ancestor));
                 if tokens > remaining {
                     return Err(budget_exhausted(&ancestor, remaining, tokens));
                 }
@@ -599,26 +519,10 @@
         Ok(budgeted)
     }
 
-    fn family_spent(&self, id: &str) -> u64 {
-        let slots = self.slots.borrow();
-        self.family(id).iter().filter_map(|id| slots.get(id)).map(Slot::spent_tokens).sum()
-    }
-
-    /// Ends running repeatable calls; a call that may not be repeated is left to finish.
-    fn cancel_running(&self, programs: &[ProgramId]) {
-        let slots = self.slots.borrow();
-        let live = programs.iter().filter_map(|id| slots.get(id)?.live.as_ref());
-        for live in live.filter(|live| live.key.repeatable) {
-            live.feed.close(Err(Refusal::unknown(
-                RefusalKind::Cancelled,
-                "the program was ended while the call ran; open a new program",
-            )));
-        }
-    }
-
     fn append(&self, program: &str, records: Vec<Record>) -> CommitTicket {
-        self.journal
-            .append(records.into_iter().filter_map(|record| entry(program, record)).collect())
+        let opened = self.table.update(program, |slot| slot.unrecorded_open.take()).flatten();
+        let records = opened.into_iter().chain(records);
+        self.journal.append(records.filter_map(|record| entry(program, record)).collect())
     }
 
     async fn commit(&self, ticket: CommitTicket) -> Result<(), Refusal> {
@@ -631,30 +535,21 @@
         }
     }
 
-    fn apply(&self, program: &str, record: &Record) {
-        if !self.slots.borrow().contains_key(program) {
-            self.insert(program, record);
-        }
-        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
-            slot.program.apply(record);
-            slot.settle_live(record);
-            slot.changed.notify_waiters();
-        }
-    }
-
     fn set_live(&self, program: &str, key: &CallKey, feed: &Arc<CallFeed>, unrecorded_tokens: u64) {
-        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
-            slot.used_at = self.clock.monotonic();
+        let now = self.clock.monotonic();
+        self.table.update(program, |slot| {
+            slot.used_at = now;
             slot.live = Some(Live { key: key.clone(), feed: Arc::clone(feed), unrecorded_tokens });
-        }
+        });
     }
 
     fn clear_live(&self, program: &str) {
-        if let Some(slot) = self.slots.borrow_mut().get_mut(program) {
+        let now = self.clock.monotonic();
+        self.table.update(program, |slot| {
             slot.live = None;
-            slot.used_at = self.clock.monotonic();
+            slot.used_at = now;
             slot.changed.notify_waiters();
-        }
+        });
     }
 }
 
@@ -705,6 +600,17 @@
     )
 }
 
+/// Creates the refusal of an attempt whose end cannot be recorded now.
+fn unrecorded_end(outcome: Result<Answer, Refusal>) -> Refusal {
+    let run = match outcome {
+        Ok(_) => RunState::Ran,
+        Err(refusal) => refusal.run,
+    };
+    let message = "the call has ended and cannot be recorded now; \
+                   repeat it with the same Idempotency-Key after the pause to get its answer";
+    Refusal { run, ..Refusal::not_run(RefusalKind::PlatformUnavailable, message) }
+}
+
 fn platform_unavailable() -> Refusal {
     Refusal::not_run(
         RefusalKind::PlatformUnavailable,
--- /dev/null
+++ b/crates/coordination/src/owner/table.rs
@@ -0,0 +1,221 @@
+//! Programs held by an owner, with what is running and what is not recorded yet.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::call::CallFeed;
+use crate::ids::{BackendId, ProgramId, ShardId, shard_of_program};
+use crate::program::Program;
+use crate::record::{CallKey, Record};
+use crate::refusal::{Refusal, RefusalKind};
+
+/// A running call.
+#[derive(Debug)]
+pub(super) struct Live {
+    /// Call and attempt.
+    pub key: CallKey,
+    /// Output of the call.
+    pub feed: Arc<CallFeed>,
+    /// Tokens reserved by a start that is not recorded yet.
+    pub unrecorded_tokens: u64,
+}
+
+/// A program and its volatile state.
+#[derive(Debug)]
+pub(super) struct Slot {
+    /// Recorded state.
+    pub program: Program,
+    /// Call that runs now.
+    pub live: Option<Live>,
+    /// Notified at each change.
+    pub changed: Rc<Notify>,
+    /// Time before which no further call may run, after a takeover.
+    pub hold_until: Option<Duration>,
+    /// Whether backend servers without a recorded answer may hold memory.
+    pub scattered: bool,
+    /// Record of an implicit program that goes into the commit of its first other record.
+    pub unrecorded_open: Option<Record>,
+    /// Time of the last call's start or end.
+    pub used_at: Duration,
+}
+
+/// An ended program for which engines may still hold memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreleased {
+    /// Program.
+    pub program: ProgramId,
+    /// Backend servers that answered its calls.
+    pub backends: Vec<BackendId>,
+    /// Whether backend servers without a recorded answer may hold memory too.
+    pub scattered: bool,
+}
+
+impl Slot {
+    pub fn new(program: Program, now: Duration) -> Self {
+        Self {
+            program,
+            live: None,
+            changed: Rc::new(Notify::new()),
+            hold_until: None,
+            scattered: false,
+            unrecorded_open: None,
+            used_at: now,
+        }
+    }
+
+    fn spent_tokens(&self) -> u64 {
+        let unrecorded = self.live.as_ref().map_or(0, |live| live.unrecorded_tokens);
+        self.program.spent_tokens.saturating_add(unrecorded)
+    }
+
+    fn is_of(&self, shard: ShardId) -> bool {
+        shard_of_program(&self.program.id) == Some(shard)
+    }
+
+    /// Adjusts the running call to a record that was just committed.
+    fn settle_live(&mut self, record: &Record) {
+        match record {
+            Record::Started { .. } => {
+                if let Some(live) = &mut self.live {
+                    live.unrecorded_tokens = 0;
+                }
+            }
+            Record::Cancelled { call } => {
+                self.live.take_if(|live| live.key == *call);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Programs by id, and the sub-agents of each.
+#[derive(Debug, Default)]
+pub(super) struct ProgramTable {
+    slots: RefCell<HashMap<ProgramId, Slot>>,
+    children: RefCell<HashMap<ProgramId, Vec<ProgramId>>>,
+}
+
+impl ProgramTable {
+    pub fn len(&self) -> usize {
+        self.slots.borrow().len()
+    }
+
+    pub fn contains(&self, id: &str) -> bool {
+        self.slots.borrow().contains_key(id)
+    }
+
+    /// Reads a slot.
+    pub fn with<R>(&self, id: &str, read: impl FnOnce(&Slot) -> R) -> Option<R> {
+        self.slots.borrow().get(id).map(read)
+    }
+
+    /// Changes a slot.
+    pub fn update<R>(&self, id: &str, change: impl FnOnce(&mut Slot) -> R) -> Option<R> {
+        self.slots.borrow_mut().get_mut(id).map(change)
+    }
+
+    pub fn insert(&self, slot: Slot) {
+        if let Some(parent) = &slot.program.parent {
+            let mut children = self.children.borrow_mut();
+            children.entry(parent.clone()).or_default().push(slot.program.id.clone());
+        }
+        self.slots.borrow_mut().insert(slot.program.id.clone(), slot);
+    }
+
+    /// Applies a committed record; a program that it opens is inserted.
+    pub fn apply(&self, id: &str, record: &Record, now: Duration) {
+        if !self.contains(id)
+            && let Some(program) = Program::from_opened(id, record)
+        {
+            self.insert(Slot::new(program, now));
+        }
+        self.update(id, |slot| {
+            slot.program.apply(record);
+            slot.settle_live(record);
+            slot.changed.notify_waiters();
+        });
+    }
+
+    /// Returns `id` and all programs below it.
+    pub fn family(&self, id: &str) -> Vec<ProgramId> {
+        let children = self.children.borrow();
+        let mut family = vec![id.to_owned()];
+        let mut position = 0;
+        while position < family.len() {
+            if let Some(below) = children.get(&family[position]) {
+                family.extend(below.iter().cloned());
+            }
+            position += 1;
+        }
+        family
+    }
+
+    /// Returns the tokens charged to `id` and all programs below it.
+    pub fn family_spent(&self, id: &str) -> u64 {
+        let slots = self.slots.borrow();
+        self.family(id).iter().filter_map(|id| slots.get(id)).map(Slot::spent_tokens).sum()
+    }
+
+    /// Ends running repeatable calls; a call that may not be repeated is left to finish.
+    pub fn cancel_running(&self, programs: &[ProgramId]) {
+        let slots = self.slots.borrow();
+        let live = programs.iter().filter_map(|id| slots.get(id)?.live.as_ref());
+        for live in live.filter(|live| live.key.repeatable) {
+            live.feed.close(Err(Refusal::unknown(
+                RefusalKind::Cancelled,
+                "the program was ended while the call ran; open a new program",
+            )));
+        }
+    }
+
+    pub fn unreleased(&self) -> Vec<Unreleased> {
+        let slots = self.slots.borrow();
+        let ended = slots.values().filter(|slot| {
+            slot.program.closed.is_some() && !slot.program.released && slot.live.is_none()
+        });
+        ended
+            .map(|slot| Unreleased {
+                program: slot.program.id.clone(),
+                backends: slot.program.backends.iter().cloned().collect(),
+                scattered: slot.scattered,
+            })
+            .collect()
+    }
+
+    pub fn idle_since(&self, before: Duration) -> Vec<ProgramId> {
+        let slots = self.slots.borrow();
+        let idle = slots.values().filter(|slot| {
+            slot.program.closed.is_none() && slot.live.is_none() && slot.used_at < before
+        });
+        idle.map(|slot| slot.program.id.clone()).collect()
+    }
+
+    pub fn programs_of(&self, shard: ShardId) -> Vec<Program> {
+        let slots = self.slots.borrow();
+        let of_shard = slots.values().filter(|slot| slot.is_of(shard));
+        of_shard.map(|slot| slot.program.clone()).collect()
+    }
+
+    pub fn is_busy(&self, shard: ShardId) -> bool {
+        let slots = self.slots.borrow();
+        slots.values().any(|slot| slot.live.is_some() && slot.is_of(shard))
+    }
+
+    pub fn forget(&self, shard: ShardId) {
+        self.slots.borrow_mut().retain(|_, slot| !slot.is_of(shard));
+        self.children.borrow_mut().retain(|id, _| shard_of_program(id) != Some(shard));
+    }
+
+    pub fn expire(&self, closed_before_unix_ms: u64) {
+        self.slots.borrow_mut().retain(|_, slot| {
+            slot.live.is_some()
+                || !slot.program.released
+                || slot.program.closed.is_none_or(|(_, closed)| closed >= closed_before_unix_ms)
+        });
+    }
+}
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -90,6 +90,10 @@
     #[arg(long, env = "DANDELIONFRONT_HEAD_POLL_MS", default_value_t = 1_000)]
     pub head_poll_ms: u64,
 
+    /// Journal writes a second that all nodes of the region may make together.
+    #[arg(long, env = "DANDELIONFRONT_REGION_WRITES_PER_S", default_value_t = 240)]
+    pub region_writes_per_s: u32,
+
     /// Shortest time between two journal commits, in milliseconds.
     #[arg(long, env = "DANDELIONFRONT_COMMIT_INTERVAL_MS", default_value_t = 5)]
     pub commit_interval_ms: u64,
@@ -126,7 +130,12 @@
     #[arg(long, env = "DANDELIONFRONT_START_COMMIT_WAIT_MS", default_value_t = 2_000)]
     pub start_commit_wait_ms: u64,
 
-    /// Longest time from that commit's start to the dispatch, in milliseconds.
+    /// Longest wait of a caller for the record of an answer, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_END_COMMIT_WAIT_MS", default_value_t = 10_000)]
+    pub end_commit_wait_ms: u64,
+
+    /// Longest time from the start of the commit before a dispatch to the dispatch, in
+    /// milliseconds.
     #[arg(long, env = "DANDELIONFRONT_DISPATCH_WINDOW_MS", default_value_t = 3_000)]
     pub dispatch_window_ms: u64,
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -123,6 +123,7 @@
     NodeSettings {
         head_poll_interval: Duration::from_millis(args.head_poll_ms),
         shard_count: u16::try_from(args.shard_count).unwrap_or(u16::MAX),
+        region_writes_per_s: args.region_writes_per_s,
         checkpoint_interval: Duration::from_millis(args.checkpoint_interval_ms),
         retention: Duration::from_secs(args.retention_s),
         journal: JournalSettings {
@@ -132,6 +133,7 @@
         owner: OwnerSettings {
             order_wait: Duration::from_millis(args.order_wait_ms),
             start_commit_wait: Duration::from_millis(args.start_commit_wait_ms),
+            end_commit_wait: Duration::from_millis(args.end_commit_wait_ms),
             dispatch_window: Duration::from_millis(args.dispatch_window_ms),
         },
         detector: DetectorSettings {
@@ -153,6 +155,7 @@
     range("workers", args.workers as u64, 1..=64);
     range("shard-count", u64::from(args.shard_count), 1..=65_535);
     range("head-poll-ms", args.head_poll_ms, 10..=5_000);
+    range("region-writes-per-s", u64::from(args.region_writes_per_s), 1..=100_000);
     range("commit-interval-ms", args.commit_interval_ms, 0..=1_000);
     range("checkpoint-interval-ms", args.checkpoint_interval_ms, 100..=3_600_000);
     range("heartbeat-ms", args.heartbeat_ms, 20..=5_000);
@@ -162,6 +165,7 @@
     range("platform-timeout-ms", args.platform_timeout_ms, 10..=60_000);
     range("order-wait-ms", args.order_wait_ms, 1..=600_000);
     range("start-commit-wait-ms", args.start_commit_wait_ms, 10..=60_000);
+    range("end-commit-wait-ms", args.end_commit_wait_ms, 10..=600_000);
     range("dispatch-window-ms", args.dispatch_window_ms, 20..=60_000);
     range("owner-wait-ms", args.owner_wait_ms, 10..=600_000);
     range("engine-silence-ms", args.engine_silence_ms, 10..=600_000);
--- a/crates/daemon/src/version/follower.rs
+++ b/crates/daemon/src/version/follower.rs
@@ -191,8 +191,11 @@
             .await
             .map_err(|source| PublishError::Platform { source })?;
         let current = self.current();
-        let published = self.store.publish(publication, current.objects(), now).await?;
-        self.adopt(published.version, publication.objects.clone());
+        let row = self.store.publish(publication, current.objects(), now).await?;
+        let published = Published::from(&row);
+        self.adopt(row.version, publication.objects.clone());
+        // Peers get the changes of this version, not the whole set.
+        self.remember(row);
         Ok(published)
     }
 
