--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,33 @@
 //! The crate holds what many equal, diskless nodes need to act as one: ownership of programs
 //! fenced by the platform's table, a group-committed journal, and the order and idempotency of
 //! calls. It opens no sockets: the table, the object store and the clock are traits.
+//!
+//! A scheduler that only needs checked objects and a choice of backend servers embeds two types:
+//!
+//! ```
+//! use dandelionfront_coordination::config::ObjectFiles;
+//! use dandelionfront_coordination::{ConfigSnapshot, Dispatcher};
+//!
+//! let mut files = ObjectFiles::default();
+//! files.add(
+//!     "objects.toml",
+//!     r#"
+//!     [model.geo-llm]
+//!     context_tokens = 32768
+//!     [backend.geo-1]
+//!     address = "10.0.0.7:8000"
+//!     zone = "ne-east-a"
+//!     serves = ["geo-llm"]
+//!     "#,
+//! );
+//! let config = ConfigSnapshot::new(1, files.finish().expect("no faults"));
+//! let dispatcher = Dispatcher::default();
+//! let placement = dispatcher.place(&config, "geo-llm", &[]).expect("a backend server");
+//! assert_eq!(placement.address, "10.0.0.7:8000");
+//! ```
+//!
+//! [`Node`] ties all parts together; it needs a [`TableService`], an [`ObjectStore`], a [`Clock`]
+//! and [`Peers`], and runs on any single-threaded executor.
 
 pub mod call;
 pub mod clock;
