Serve programs of other regions, spread equal choices, keep history readable in moves

Cause: reading the tree showed four faults. A program homed in another region was looked up among the own region's shards; GET of a program answered 404 while its shard was moving; equally loaded engines were always tried in the order of their names by every node; idle shards wrote a checkpoint a minute.

Ruled out: following the shard rows of all regions (reads at 360 nodes); the preferred owner of the other region is asked instead.

Change: the home of a program is region and shard; one check of the serving node for calls, reads and ends; ties are drawn at random; a shard without a commit since its checkpoint is left alone. The history test now takes checkpoints every 100 ms while owners are killed.

Before: a call for a program of another region answered program_unknown (not run as a test before the change).

Conclusion: regions apart for minutes are not tested.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -81,7 +81,8 @@
         let chosen = config
             .active_backends(served)
             .filter(|(name, backend)| !tried.contains(name) && !leaving.contains(&backend.address))
-            .min_by_key(|(name, _)| load(name));
+            // Equally loaded ones are drawn at random, so that nodes do not all pick the same.
+            .min_by_key(|(name, _)| (load(name), rand::random::<u32>()));
         let Some((name, backend)) = chosen else {
             return Err(Refusal::not_run(
                 RefusalKind::NoBackend,
--- a/crates/coordination/src/ids.rs
+++ b/crates/coordination/src/ids.rs
@@ -32,19 +32,34 @@
     format!("{PROGRAM_ID_PREFIX}-{region}-{shard:04x}-{unique:032x}")
 }
 
-/// Returns the shard named by a program id, or `None` when the id is malformed.
+/// Region and shard that a program lives on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProgramHome {
+    /// Region of the program.
+    pub region: RegionId,
+    /// Shard within the region.
+    pub shard: ShardId,
+}
+
+/// Returns the home named by a program id, or `None` when the id is malformed.
 #[must_use]
-pub fn shard_of_program(program: &str) -> Option<ShardId> {
+pub fn home_of_program(program: &str) -> Option<ProgramHome> {
     let rest = program.strip_prefix(PROGRAM_ID_PREFIX)?.strip_prefix('-')?;
     let mut parts = rest.rsplitn(3, '-');
-    let unique = parts.next()?;
-    let shard = parts.next()?;
-    parts.next().filter(|region| !region.is_empty())?;
+    let (unique, shard) = (parts.next()?, parts.next()?);
+    let region = parts.next().filter(|region| !region.is_empty())?;
     if unique.len() != 32 || shard.len() != 4 {
         return None;
     }
     u128::from_str_radix(unique, 16).ok()?;
-    ShardId::from_str_radix(shard, 16).ok()
+    let shard = ShardId::from_str_radix(shard, 16).ok()?;
+    Some(ProgramHome { region: region.to_owned(), shard })
+}
+
+/// Returns the shard named by a program id, or `None` when the id is malformed.
+#[must_use]
+pub fn shard_of_program(program: &str) -> Option<ShardId> {
+    home_of_program(program).map(|home| home.shard)
 }
 
 /// Returns the id of the implicit program that holds a call sent without `Program-Id`.
--- a/crates/coordination/src/members.rs
+++ b/crates/coordination/src/members.rs
@@ -83,6 +83,14 @@
     pub segments: Vec<Segment>,
 }
 
+impl ShardRow {
+    /// Returns whether nothing was committed since the checkpoint, if `next` is the next commit.
+    #[must_use]
+    pub fn starts_at(&self, next: CommitNumber) -> bool {
+        matches!(&self.segments[..], [segment] if segment.first_commit == next)
+    }
+}
+
 /// A member with the version of its row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberRow {
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -13,7 +13,7 @@
 use crate::config::ConfigSnapshot;
 use crate::detector::DetectorSettings;
 use crate::heartbeat::{Heartbeats, NewerConfig, PROMISE};
-use crate::ids::{ConfigVersion, ShardId};
+use crate::ids::{ConfigVersion, IncarnationId, ProgramHome};
 use crate::incarnation::Incarnation;
 use crate::journal::{Journal, JournalSettings, unix_ms};
 use crate::limits::{Escrow, LimitSettings};
@@ -217,19 +217,23 @@
         self.heartbeats.is_suspect(target)
     }
 
-    /// Returns where calls for `shard` are served.
+    /// Returns where calls for a program of this home are served.
+    ///
+    /// The shards of other regions are not followed here: their preferred owner is named, which
+    /// knows where a shard is that is just moving.
     #[must_use]
-    pub fn locate(&self, shard: ShardId) -> Location {
-        if self.shards.is_serving(shard) {
+    pub fn locate(&self, home: &ProgramHome) -> Location {
+        let is_own_region = home.region == self.membership.own().region;
+        if is_own_region && self.shards.is_serving(home.shard) {
             return Location::Local;
         }
         let members = self.membership.members();
-        let recorded = self.shards.owner_of(shard).and_then(|owner| {
-            members.iter().find(|member| member.id == owner && member.state != MemberState::Fenced)
-        });
-        let region = self.membership.own().region;
-        let target = recorded.or_else(|| preferred_owner(members.iter(), &region, shard));
-        match target {
+        let able = |id: IncarnationId| {
+            members.iter().find(|member| member.id == id && member.state != MemberState::Fenced)
+        };
+        let recorded = self.shards.owner_of(home.shard).filter(|_| is_own_region).and_then(able);
+        let preferred = || preferred_owner(members.iter(), &home.region, home.shard);
+        match recorded.or_else(preferred) {
             Some(member) if member.id != self.incarnation.id() => {
                 Location::Remote(member.forward_address.clone())
             }
--- a/crates/coordination/src/shards.rs
+++ b/crates/coordination/src/shards.rs
@@ -360,6 +360,9 @@
         let Some(owned) = self.owned.borrow().get(&shard).cloned() else {
             return Ok(());
         };
+        if owned.row.starts_at(first_commit) {
+            return Ok(());
+        }
         let programs = self.owner.programs_of(shard);
         let mut row = owned.row.clone();
         row.checkpoint = self.put_checkpoint(shard, programs).await?;
--- a/crates/daemon/src/process/control.rs
+++ b/crates/daemon/src/process/control.rs
@@ -7,7 +7,7 @@
 
 use dandelionfront_coordination::config::publish::{Publication, PublishError, Published};
 use dandelionfront_coordination::ids::{
-    BackendId, ProgramId, TeamId, program_id, shard_of_program,
+    BackendId, ProgramId, ShardId, TeamId, home_of_program, program_id,
 };
 use dandelionfront_coordination::journal::load_body;
 use dandelionfront_coordination::owner::ProgramSpec;
@@ -17,7 +17,7 @@
 use dandelionfront_coordination::record::CloseReason;
 use dandelionfront_coordination::{
     Admission, AttemptEnd, CallRequest, CallTicket, Clock as _, ConfigSnapshot, Dispatcher, Node,
-    Payload, Placement, Platform, Refusal, RefusalKind,
+    Payload, Placement, Platform, Program, Refusal, RefusalKind,
 };
 use log::{debug, info, warn};
 use ntex::client::Client;
@@ -147,11 +147,7 @@
     ///
     /// Refuses as [`dandelionfront_coordination::Owner::admit`] does.
     pub async fn admit(&self, request: &CallRequest) -> Result<Admission, Refusal> {
-        let node = self.node();
-        let shard = shard_of_program(&request.program).ok_or_else(Refusal::program_unknown)?;
-        if !node.shards().is_serving(shard) {
-            return Err(Refusal::not_owner());
-        }
+        let (node, shard) = self.serving_node(&request.program)?;
         let mut admission = node.owner().admit(request).await?;
         if let Admission::Run(ticket) = &mut admission {
             ticket.fencing_number = node.shards().epoch(shard).unwrap_or(0);
@@ -229,14 +225,10 @@
     ///
     /// Refuses when the parent is unknown or this node serves no shard.
     pub async fn open_program(&self, spec: ProgramSpec) -> Result<ProgramId, Refusal> {
-        let node = self.node();
-        let shard = match &spec.parent {
-            Some(parent) => shard_of_program(parent).ok_or_else(Refusal::program_unknown)?,
-            None => self.pick_shard().ok_or_else(not_ready)?,
+        let (node, shard) = match &spec.parent {
+            Some(parent) => self.serving_node(parent)?,
+            None => (self.node(), self.pick_shard().ok_or_else(not_ready)?),
         };
-        if !node.shards().is_serving(shard) {
-            return Err(Refusal::not_owner());
-        }
         let id = program_id(&self.settings.identity.region, shard, rand::random());
         node.owner().open(id.clone(), spec).await?;
         Ok(id)
@@ -253,12 +245,30 @@
         team: Option<String>,
         reason: CloseReason,
     ) -> Result<Vec<ProgramId>, Refusal> {
+        let (node, _) = self.serving_node(id)?;
+        node.owner().close(id, team.as_deref(), reason).await
+    }
+
+    /// Returns a program served here.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the program is not served here or not one of the team's.
+    pub fn program(&self, id: &str, team: Option<&str>) -> Result<Program, Refusal> {
+        let (node, _) = self.serving_node(id)?;
+        node.owner().program(id, team).ok_or_else(Refusal::program_unknown)
+    }
+
+    /// Returns the node and the shard of a program, if this node serves it.
+    fn serving_node(&self, program: &str) -> Result<(Rc<Node>, ShardId), Refusal> {
+        let home = home_of_program(program).ok_or_else(Refusal::program_unknown)?;
         let node = self.node();
-        let shard = shard_of_program(id).ok_or_else(Refusal::program_unknown)?;
-        if !node.shards().is_serving(shard) {
-            return Err(Refusal::not_owner());
+        let is_own_region = home.region == self.settings.identity.region;
+        if is_own_region && node.shards().is_serving(home.shard) {
+            Ok((node, home.shard))
+        } else {
+            Err(Refusal::not_owner())
         }
-        node.owner().close(id, team.as_deref(), reason).await
     }
 
     /// Publishes a configuration and adopts it here at once.
--- a/crates/daemon/src/process/handle.rs
+++ b/crates/daemon/src/process/handle.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::rc::Rc;
 
-use dandelionfront_coordination::ids::{BackendId, ProgramId, RouteId, ShardId, TeamId};
+use dandelionfront_coordination::ids::{BackendId, ProgramHome, ProgramId, RouteId, TeamId};
 use dandelionfront_coordination::owner::ProgramSpec;
 use dandelionfront_coordination::record::CloseReason;
 use dandelionfront_coordination::{
@@ -61,13 +61,14 @@
         result.await.map_err(|_| stopped())
     }
 
-    /// Returns where calls for `shard` are served.
+    /// Returns where calls for a program of this home are served.
     ///
     /// # Errors
     ///
     /// Refuses when the control thread has stopped.
-    pub async fn locate(&self, shard: ShardId) -> Result<Location, Refusal> {
-        self.run(move |control| async move { control.node().locate(shard) }).await
+    pub async fn locate(&self, home: &ProgramHome) -> Result<Location, Refusal> {
+        let home = home.clone();
+        self.run(move |control| async move { control.node().locate(&home) }).await
     }
 
     /// Takes one token of `team` before a request is served.
@@ -156,9 +157,6 @@
     ///
     /// Refuses when the program is unknown or of another team.
     pub async fn program(&self, id: ProgramId, team: Option<String>) -> Result<Program, Refusal> {
-        let find = move |control: Rc<Control>| async move {
-            control.node().owner().program(&id, team.as_deref())
-        };
-        self.run(find).await?.ok_or_else(Refusal::program_unknown)
+        self.run(move |control| async move { control.program(&id, team.as_deref()) }).await?
     }
 }
--- a/crates/daemon/src/request/programs.rs
+++ b/crates/daemon/src/request/programs.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionfront_coordination::ids::{CallSequence, ProgramId, RouteId, shard_of_program};
+use dandelionfront_coordination::ids::{
+    CallSequence, ProgramHome, ProgramId, RouteId, home_of_program,
+};
 use dandelionfront_coordination::owner::ProgramSpec;
 use dandelionfront_coordination::program::{Call, CallPhase};
 use dandelionfront_coordination::record::CloseReason;
@@ -98,9 +100,9 @@
     team: Option<String>,
     reason: CloseReason,
 ) -> Result<Vec<ProgramId>, Refusal> {
-    let shard = shard_of_program(id).ok_or_else(Refusal::program_unknown)?;
+    let home = home_of_program(id).ok_or_else(Refusal::program_unknown)?;
     let close = ProgramRequest::Close { id: id.to_owned(), team, reason };
-    match ask_owner(worker, shard, close).await? {
+    match ask_owner(worker, &home, close).await? {
         ProgramReply::Closed(ended) => Ok(ended),
         _ => Err(owner_confused()),
     }
@@ -116,8 +118,8 @@
     id: &str,
     request: ProgramRequest,
 ) -> Result<ProgramView, Refusal> {
-    let shard = shard_of_program(id).ok_or_else(Refusal::program_unknown)?;
-    let ProgramReply::State(program) = ask_owner(worker, shard, request).await? else {
+    let home = home_of_program(id).ok_or_else(Refusal::program_unknown)?;
+    let ProgramReply::State(program) = ask_owner(worker, &home, request).await? else {
         return Err(owner_confused());
     };
     let load = move |control: Rc<Control>| async move { view(&control, *program).await };
@@ -169,23 +171,24 @@
     let budget_tokens = team_budget(&config, &team)
         .map_or(wanted.budget_tokens, |own| Some(wanted.budget_tokens.unwrap_or(own).min(own)));
     let spec = ProgramSpec { team, parent: wanted.parent, budget_tokens };
-    let shard = match &spec.parent {
-        Some(parent) => shard_of_program(parent).ok_or_else(Refusal::program_unknown)?,
-        None => home_shard(worker).await?,
+    let home = match &spec.parent {
+        Some(parent) => home_of_program(parent).ok_or_else(Refusal::program_unknown)?,
+        None => new_home(worker).await?,
     };
-    match ask_owner(worker, shard, ProgramRequest::Open(spec)).await? {
+    match ask_owner(worker, &home, ProgramRequest::Open(spec)).await? {
         ProgramReply::Opened(id) => Ok(id),
         _ => Err(owner_confused()),
     }
 }
 
-/// Returns a shard served here, or any shard while this node serves none.
-async fn home_shard(worker: &Worker) -> Result<u16, Refusal> {
+/// Returns a home served here, or any home of the region while this node serves none.
+async fn new_home(worker: &Worker) -> Result<ProgramHome, Refusal> {
     let serving = |control: Rc<Control>| async move { control.node().shards().serving() };
     let shards = worker.shared.control.run(serving).await?;
     let position = rand::random_range(0..shards.len().max(1));
     let any = || rand::random_range(0..worker.shared.settings.node.shard_count);
-    Ok(shards.get(position).copied().unwrap_or_else(any))
+    let shard = shards.get(position).copied().unwrap_or_else(any);
+    Ok(ProgramHome { region: worker.shared.settings.identity.region.clone(), shard })
 }
 
 fn team_budget(config: &ConfigSnapshot, team: &str) -> Option<u64> {
@@ -199,17 +202,17 @@
     Ok(caller.team)
 }
 
-/// Sends a program request to the owner of `shard`, wherever that is.
+/// Sends a program request to the owner of `home`, wherever that is.
 async fn ask_owner(
     worker: &Worker,
-    shard: u16,
+    home: &ProgramHome,
     request: ProgramRequest,
 ) -> Result<ProgramReply, Refusal> {
     let process = &worker.shared;
     let give_up_at = process.clock.monotonic() + process.settings.owner_wait;
     let mut run = RunState::NotRun;
     loop {
-        let failure = match ask_once(worker, shard, &request).await? {
+        let failure = match ask_once(worker, home, &request).await? {
             Ok(ProgramReply::Refused(refusal)) if refusal.kind == RefusalKind::NotOwner => {
                 RetryReason::OwnerMoved
             }
@@ -235,10 +238,10 @@
 
 async fn ask_once(
     worker: &Worker,
-    shard: u16,
+    home: &ProgramHome,
     request: &ProgramRequest,
 ) -> Result<Result<ProgramReply, ForwardError>, Refusal> {
-    Ok(match worker.shared.control.locate(shard).await? {
+    Ok(match worker.shared.control.locate(home).await? {
         Location::Local => Ok(serve_program_request(worker, request.clone()).await),
         Location::Remote(address) => {
             send_program_request(&worker.clients.peers, &address, request, REPLY_WAIT).await
--- a/crates/daemon/tests/history.rs
+++ b/crates/daemon/tests/history.rs
@@ -31,7 +31,9 @@
 
 #[ntex::test]
 async fn acknowledged_turns_survive_the_kill_of_each_owner() {
-    let mut fleet = Fleet::start(FleetOptions { nodes: 4, ..FleetOptions::default() }).await;
+    let node_args = ["--checkpoint-interval-ms", "100"].map(str::to_owned).to_vec();
+    let options = FleetOptions { nodes: 4, node_args, ..FleetOptions::default() };
+    let mut fleet = Fleet::start(options).await;
     let own = fleet.program_owned_by(&fleet.nodes[3], ALPHA_KEY).await;
     let other = fleet.program_owned_by(&fleet.nodes[2], ALPHA_KEY).await;
     let (mut own_answers, mut other_answers) = (Vec::new(), Vec::new());
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -58,3 +58,21 @@
     }
     fleet.history(edge, BETA_KEY, &program).await.expect(404);
 }
+
+#[ntex::test]
+async fn a_program_of_another_region_is_served_there() {
+    let mut fleet = Fleet::start(FleetOptions { nodes: 1, ..FleetOptions::default() }).await;
+    let far = [("DANDELIONFRONT_REGION", "far"), ("DANDELIONFRONT_ZONE", "far-a")];
+    let node = fleet.start_node(&fleet.platform_address, &far);
+    fleet.nodes.push(node);
+    fleet.wait_config(1).await;
+    for index in [0, 1] {
+        fleet.wait_taken_over(&[index]).await;
+    }
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    assert!(program.starts_with("prg-far-"), "{program}");
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "a", content: "x" };
+    fleet.model_call(&fleet.nodes[0], ALPHA_KEY, &call).await.expect("call").expect(200);
+    let history = fleet.history(&fleet.nodes[0], ALPHA_KEY, &program).await.expect(200).json();
+    assert_eq!(history["calls"][0]["state"], "finished");
+}
