--- a/crates/coordination/src/journal.rs
+++ b/crates/coordination/src/journal.rs
@@ -98,12 +98,16 @@
     pace: Cell<Duration>,
     stats: Cell<JournalStats>,
     applier: RefCell<Option<Rc<dyn CommitApplier>>>,
+    observer: RefCell<Option<CommitObserver>>,
 }
 
+/// Learns the duration of each commit that took effect.
+pub type CommitObserver = Box<dyn Fn(Duration)>;
+
 /// Receives committed records, in order and exactly once, before anyone learns of the commit.
 pub trait CommitApplier {
     /// Applies the records of one commit.
-    fn apply_commit(&self, commit: &Commit, elapsed: Duration);
+    fn apply_commit(&self, commit: &Commit);
 }
 
 impl Journal {
@@ -129,6 +133,7 @@
             pace: Cell::default(),
             stats: Cell::default(),
             applier: RefCell::new(None),
+            observer: RefCell::new(None),
         }
     }
 
@@ -137,6 +142,11 @@
         *self.applier.borrow_mut() = Some(applier);
     }
 
+    /// Sets who learns the duration of commits.
+    pub fn set_observer(&self, observer: CommitObserver) {
+        *self.observer.borrow_mut() = Some(observer);
+    }
+
     /// Returns the incarnation that writes this journal.
     #[must_use]
     pub fn incarnation(&self) -> &str {
@@ -250,7 +260,10 @@
             self.stats.set(stats);
             let applier = self.applier.borrow().clone();
             if let Some(applier) = applier {
-                applier.apply_commit(commit, elapsed);
+                applier.apply_commit(commit);
+            }
+            if let Some(observer) = self.observer.borrow().as_ref() {
+                observer(elapsed);
             }
         }
         let result = result.as_ref().map(|_| ()).map_err(Clone::clone);
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -95,7 +95,7 @@
 }
 
 impl CommitApplier for Owner {
-    fn apply_commit(&self, commit: &Commit, _elapsed: Duration) {
+    fn apply_commit(&self, commit: &Commit) {
         for entry in &commit.entries {
             self.table.apply(&entry.program, &entry.record, self.clock.monotonic());
         }
--- a/crates/daemon/src/process/control.rs
+++ b/crates/daemon/src/process/control.rs
@@ -246,7 +246,13 @@
         reason: CloseReason,
     ) -> Result<Vec<ProgramId>, Refusal> {
         let (node, _) = self.serving_node(id)?;
-        node.owner().close(id, team.as_deref(), reason).await
+        let opened_unix_ms = node.owner().program(id, None).map(|program| program.opened_unix_ms);
+        let ended = node.owner().close(id, team.as_deref(), reason).await?;
+        if let Some(opened_unix_ms) = opened_unix_ms {
+            let lasted = self.clock.unix().saturating_sub(Duration::from_millis(opened_unix_ms));
+            self.metrics.program_seconds.observe(lasted.as_secs_f64());
+        }
+        Ok(ended)
     }
 
     /// Returns a program served here.
@@ -304,6 +310,10 @@
     async fn run_incarnations(self: Rc<Self>) {
         loop {
             let node = self.node();
+            let commit_seconds = self.metrics.commit_seconds.clone();
+            node.journal().set_observer(Box::new(move |elapsed| {
+                commit_seconds.observe(elapsed.as_secs_f64());
+            }));
             while let Err(error) = node.membership().register().await {
                 warn!("event=register_failed cause={error:?}");
                 ntex::time::sleep(REGISTER_PAUSE).await;
--- a/crates/standins/src/engine/api.rs
+++ b/crates/standins/src/engine/api.rs
@@ -284,7 +284,8 @@
 }
 
 async fn get_events(engine: Shared, query: Query<AfterQuery>) -> HttpResponse {
-    HttpResponse::Ok().json(&lock(&engine.cache).events_after(query.after))
+    HttpResponse::Ok()
+        .json(&lock(&engine.cache).events_after(query.after, engine.settings.load_lag_ms))
 }
 
 async fn export_cache(engine: Shared, program: Path<String>) -> HttpResponse {
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::http::unix_ms;
+
 /// Tokens in one block.
 const BLOCK_TOKENS: usize = 16;
 /// Every event whose number is a multiple of this is never published.
@@ -19,6 +21,9 @@
     pub program: String,
     /// Tokens of the program's prefix that the cache holds now.
     pub held_tokens: u64,
+    /// Time of the change, since the Unix epoch.
+    #[serde(default)]
+    pub changed_unix_ms: u64,
 }
 
 #[derive(Debug)]
@@ -97,11 +102,13 @@
         held
     }
 
-    /// Returns the published events after `number`.
+    /// Returns the published events after `number` that are older than `lag_ms`.
     #[must_use]
-    pub fn events_after(&self, number: u64) -> Vec<CacheEvent> {
+    pub fn events_after(&self, number: u64, lag_ms: u64) -> Vec<CacheEvent> {
+        let visible_until = unix_ms().saturating_sub(lag_ms);
         let published = self.events.iter().filter(|event| event.number % EVENT_GAP != 0);
-        published.filter(|event| event.number > number).cloned().collect()
+        let due = published.filter(|event| event.changed_unix_ms <= visible_until);
+        due.filter(|event| event.number > number).cloned().collect()
     }
 
     fn publish(&mut self, program: &str) {
@@ -110,6 +117,7 @@
             number: self.events.len() as u64 + 1,
             program: program.to_owned(),
             held_tokens: (held * BLOCK_TOKENS) as u64,
+            changed_unix_ms: unix_ms(),
         });
     }
 }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -38,7 +38,7 @@
     /// Tokens that the prefix cache holds.
     #[arg(long, default_value_t = 100_000)]
     pub cache_tokens: u64,
-    /// Age of load reports, in milliseconds.
+    /// Age of load reports and cache events, in milliseconds.
     #[arg(long, default_value_t = 500)]
     pub load_lag_ms: u64,
     /// Ignores fencing numbers of orders.
