Split owner and limits, keep a reclaim open until every row is done

Ruled out: nothing else used the result of a transfer as proof.

Conclusion: a race of two reclaims has no test of its own.

--- a/crates/coordination/src/limits/escrow.rs
+++ b/crates/coordination/src/limits/escrow.rs
@@ -1,7 +1,7 @@
 //! A node's shares of team limits: creation, spending, hand-over and reclaim.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,11 +9,12 @@
 use rand::seq::SliceRandom as _;
 
 use super::bucket::Bucket;
+use super::reclaim::GoneMembers;
 use super::shares::{LimitRow, holder_count, preferred_holders, share_limits};
 use crate::clock::{Clock, millis};
 use crate::config::ConfigSnapshot;
 use crate::config::objects::Limit;
-use crate::heartbeat::{Heartbeats, PROMISE};
+use crate::heartbeat::Heartbeats;
 use crate::ids::{IncarnationId, TeamId};
 use crate::incarnation::Incarnation;
 use crate::members::{Member, MemberState};
@@ -24,8 +25,6 @@
 };
 use crate::refusal::{Refusal, RefusalKind};
 
-/// Allowance for clocks that run at different speeds.
-const DRIFT_MARGIN: Duration = Duration::from_millis(300);
 /// Rows created in one transaction.
 const CREATE_BATCH: usize = 64;
 /// Times that a request asks the holders.
@@ -60,8 +59,7 @@
     settings: LimitSettings,
     rows: RefCell<HashMap<TeamId, KnownRow>>,
     buckets: RefCell<HashMap<TeamId, Bucket>>,
-    gone_since: RefCell<HashMap<IncarnationId, Duration>>,
-    reclaimed: RefCell<HashSet<IncarnationId>>,
+    gone: GoneMembers,
     handed_over: Cell<bool>,
 }
 
@@ -85,8 +83,7 @@
             settings,
             rows: RefCell::default(),
             buckets: RefCell::default(),
-            gone_since: RefCell::default(),
-            reclaimed: RefCell::default(),
+            gone: GoneMembers::default(),
             handed_over: Cell::new(false),
         }
     }
@@ -246,36 +243,33 @@
     ///
     /// Fails when the platform cannot be read or written; the next call continues.
     pub async fn reclaim(&self, members: &[Member]) -> PlatformResult<()> {
-        self.note_gone(members);
-        let due: Vec<IncarnationId> = members
-            .iter()
-            .filter(|member| member.state == MemberState::Fenced)
-            .filter(|member| !self.reclaimed.borrow().contains(&member.id))
-            .filter(|member| self.is_reclaimable(member, members))
-            .map(|member| member.id.clone())
-            .collect();
+        let now = self.clock.monotonic();
+        self.gone.note(members, now);
+        let own_id = self.incarnation.id();
+        let due = self.gone.due(own_id, members, &self.heartbeats, now);
         if due.is_empty() {
             return Ok(());
         }
+        let mut complete = true;
         for row in scan_all(&*self.table, Table::Limits, "", "").await? {
             let (team, known) = parse_row(row)?;
-            if let Some(holder) = due.iter().find(|holder| known.row.share(holder).is_some()) {
-                info!("event=limit_reclaimed team={team} from={holder}");
-                self.transfer(&team, known, holder, self.incarnation.id()).await?;
-            }
+            let mut lost = due.iter().filter(|holder| known.row.share(holder).is_some());
+            let Some(holder) = lost.next() else { continue };
+            // One transfer a row; what is left is found by the next call.
+            complete &= lost.next().is_none();
+            info!("event=limit_reclaimed team={team} from={holder}");
+            complete &= self.transfer(&team, known.clone(), holder, own_id).await?;
+        }
+        if complete {
+            self.gone.settle(due);
         }
-        self.reclaimed.borrow_mut().extend(due);
         Ok(())
     }
 
-    /// Returns fenced members whose shares were taken over and that are gone for longer than `age`.
+    /// Returns fenced members that are gone for longer than `age`.
     #[must_use]
     pub fn gone_for(&self, age: Duration, members: &[Member]) -> Vec<IncarnationId> {
-        let now = self.clock.monotonic();
-        let gone_since = self.gone_since.borrow();
-        let old = |id: &str| gone_since.get(id).is_some_and(|since| now >= *since + age);
-        let fenced = members.iter().filter(|member| member.state == MemberState::Fenced);
-        fenced.filter(|member| old(&member.id)).map(|member| member.id.clone()).collect()
+        self.gone.gone_for(age, members, self.clock.monotonic())
     }
 
     /// Hands all shares over before a planned stop; nothing is spent from here on.
@@ -364,7 +358,7 @@
     async fn load(&self, team: &TeamId, limit: &Limit, members: &[Member]) -> PlatformResult<()> {
         let Some(row) = self.table.get(Table::Limits, team).await? else {
             return match self.first_split(team, limit, members) {
-                Some(row) => self.write(team, 0, row).await,
+                Some(row) => self.write(team, 0, row).await.map(drop),
                 None => Ok(()),
             };
         };
@@ -379,7 +373,7 @@
         let heir = preferred_holders(members, team).into_iter().next();
         match (left, heir) {
             (Some(left), Some(heir)) if heir == self.incarnation.id() => {
-                self.transfer(team, known, &left, &heir).await
+                self.transfer(team, known, &left, &heir).await.map(drop)
             }
             _ => Ok(()),
         }
@@ -443,13 +437,14 @@
         known: KnownRow,
         from: &str,
         to: &str,
-    ) -> PlatformResult<()> {
+    ) -> PlatformResult<bool> {
         let mut row = known.row;
         row.transfer(from, to);
         self.write(team, known.version, row).await
     }
 
-    async fn write(&self, team: &TeamId, expected: u64, row: LimitRow) -> PlatformResult<()> {
+    /// Writes a row at its expected version; returns whether it took effect.
+    async fn write(&self, team: &TeamId, expected: u64, row: LimitRow) -> PlatformResult<bool> {
         let transaction = Transaction::default()
             .require(Table::Nodes, self.incarnation.id(), self.incarnation.row_version())
             .require(Table::Limits, team, expected)
@@ -457,53 +452,14 @@
         if let TransactionOutcome::Committed(version) = self.table.transact(&transaction).await? {
             info!("event=limit_split team={team} holders={}", row.shares.len());
             self.adopt(team.clone(), KnownRow { version, row });
-        } else if let Some(row) = self.table.get(Table::Limits, team).await? {
+            return Ok(true);
+        }
+        if let Some(row) = self.table.get(Table::Limits, team).await? {
             // Another holder wrote first; the next call starts from its row.
             let (team, known) = parse_row(row)?;
             self.adopt(team, known);
         }
-        Ok(())
-    }
-
-    /// Remembers since when members are fenced, and reclaimers fenced or removed.
-    fn note_gone(&self, members: &[Member]) {
-        let now = self.clock.monotonic();
-        let mut gone_since = self.gone_since.borrow_mut();
-        let state = |id: &str| members.iter().find(|member| member.id == id);
-        let named = members.iter().filter_map(|member| member.reclaimer.as_ref());
-        for id in members.iter().map(|member| &member.id).chain(named) {
-            if state(id).is_none_or(|member| member.state == MemberState::Fenced) {
-                gone_since.entry(id.clone()).or_insert(now);
-            }
-        }
-    }
-
-    /// Returns whether this node is to take the shares of a fenced member now.
-    ///
-    /// A holder spends only while covered by its own read of the table that shows no fence, or by
-    /// its reclaimer's promise. While the reclaimer lives, it alone takes the shares, once its last
-    /// promise has run out. After that, any member may, once both have been gone for longer than a
-    /// promise lasts.
-    fn is_reclaimable(&self, member: &Member, members: &[Member]) -> bool {
-        let now = self.clock.monotonic();
-        let over = |since: Duration| now >= since + PROMISE + DRIFT_MARGIN;
-        let gone = |id: &str| self.gone_since.borrow().get(id).copied();
-        if !gone(&member.id).is_some_and(over) {
-            return false;
-        }
-        match member.reclaimer.as_deref() {
-            Some(reclaimer) if reclaimer == self.incarnation.id() => {
-                self.heartbeats.promised_at(&member.id).is_none_or(over)
-            }
-            Some(reclaimer) => gone(reclaimer).is_some_and(over) && self.is_first_live(members),
-            None => self.is_first_live(members),
-        }
-    }
-
-    /// Returns whether this node is the live member with the lowest id.
-    fn is_first_live(&self, members: &[Member]) -> bool {
-        let live = members.iter().filter(|member| member.state == MemberState::Live);
-        live.map(|member| member.id.as_str()).min() == Some(self.incarnation.id())
+        Ok(false)
     }
 }
 
--- a/crates/coordination/src/limits/mod.rs
+++ b/crates/coordination/src/limits/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bucket;
 pub mod escrow;
+mod reclaim;
 pub mod shares;
 
 pub use bucket::Bucket;
--- /dev/null
+++ b/crates/coordination/src/limits/reclaim.rs
@@ -0,0 +1,94 @@
+//! When the limit shares of a lost member may be taken.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use crate::heartbeat::{Heartbeats, PROMISE};
+use crate::ids::IncarnationId;
+use crate::members::{Member, MemberState};
+
+/// Allowance for clocks that run at different speeds.
+const DRIFT_MARGIN: Duration = Duration::from_millis(300);
+
+/// Members that are fenced or removed, and since when this node knows.
+#[derive(Debug, Default)]
+pub(super) struct GoneMembers {
+    since: RefCell<HashMap<IncarnationId, Duration>>,
+    reclaimed: RefCell<HashSet<IncarnationId>>,
+}
+
+impl GoneMembers {
+    /// Remembers since when members are fenced, and reclaimers fenced or removed.
+    pub fn note(&self, members: &[Member], now: Duration) {
+        let mut since = self.since.borrow_mut();
+        let named = members.iter().filter_map(|member| member.reclaimer.as_ref());
+        for id in members.iter().map(|member| &member.id).chain(named) {
+            let known = members.iter().find(|member| member.id == *id);
+            if known.is_none_or(|member| member.state == MemberState::Fenced) {
+                since.entry(id.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Returns the fenced members whose shares `own_id` is to take now.
+    pub fn due(
+        &self,
+        own_id: &str,
+        members: &[Member],
+        heartbeats: &Heartbeats,
+        now: Duration,
+    ) -> Vec<IncarnationId> {
+        let fenced = members.iter().filter(|member| member.state == MemberState::Fenced);
+        let open = fenced.filter(|member| !self.reclaimed.borrow().contains(&member.id));
+        let due = open.filter(|member| {
+            self.is_reclaimable(own_id, member, members, heartbeats.promised_at(&member.id), now)
+        });
+        due.map(|member| member.id.clone()).collect()
+    }
+
+    /// Notes that no row names these members any more.
+    pub fn settle(&self, members: Vec<IncarnationId>) {
+        self.reclaimed.borrow_mut().extend(members);
+    }
+
+    /// Returns fenced members that are gone for longer than `age`.
+    pub fn gone_for(&self, age: Duration, members: &[Member], now: Duration) -> Vec<IncarnationId> {
+        let since = self.since.borrow();
+        let old = |id: &str| since.get(id).is_some_and(|since| now >= *since + age);
+        let fenced = members.iter().filter(|member| member.state == MemberState::Fenced);
+        fenced.filter(|member| old(&member.id)).map(|member| member.id.clone()).collect()
+    }
+
+    /// Returns whether `own_id` is to take the shares of a fenced member now.
+    ///
+    /// A holder spends only while covered by its own read of the table that shows no fence, or by
+    /// its reclaimer's promise. While the reclaimer lives, it alone takes the shares, once its last
+    /// promise has run out. After that, one other member does, once both have been gone for longer
+    /// than a promise lasts.
+    fn is_reclaimable(
+        &self,
+        own_id: &str,
+        member: &Member,
+        members: &[Member],
+        promised_at: Option<Duration>,
+        now: Duration,
+    ) -> bool {
+        let over = |since: Duration| now >= since + PROMISE + DRIFT_MARGIN;
+        let gone = |id: &str| self.since.borrow().get(id).copied();
+        if !gone(&member.id).is_some_and(over) {
+            return false;
+        }
+        match member.reclaimer.as_deref() {
+            Some(reclaimer) if reclaimer == own_id => promised_at.is_none_or(over),
+            Some(reclaimer) => gone(reclaimer).is_some_and(over) && is_first_live(own_id, members),
+            None => is_first_live(own_id, members),
+        }
+    }
+}
+
+/// Returns whether `own_id` is the live member with the lowest id.
+fn is_first_live(own_id: &str, members: &[Member]) -> bool {
+    let live = members.iter().filter(|member| member.state == MemberState::Live);
+    live.map(|member| member.id.as_str()).min() == Some(own_id)
+}
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -1,98 +1,29 @@
 //! Owner side of programs: admits calls in order, records them, and settles their outcomes.
 
+mod refusals;
 mod table;
+mod types;
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use crate::call::{Answer, CallFeed, CallRequest, Usage};
+use crate::call::{Answer, CallFeed, CallRequest};
 use crate::clock::Clock;
-use crate::ids::{BackendId, IncarnationId, ProgramId, ShardId, shard_of_program};
+use crate::ids::{ProgramId, ShardId, shard_of_program};
 use crate::journal::{Commit, CommitApplier, CommitTicket, Journal, JournalError, unix_ms};
 use crate::payload::Body;
 use crate::program::{CallPhase, Decision, Program, program_closed};
 use crate::record::{CallKey, CloseReason, Entry, Record, StoredAnswer};
-use crate::refusal::{Refusal, RefusalKind, RunState};
+use crate::refusal::{Refusal, RefusalKind};
+use refusals::{budget_exhausted, platform_unavailable, unrecorded_end};
 use table::{Live, ProgramTable, Slot};
 
 pub use table::Unreleased;
-
-/// Time bounds of the owner.
-#[derive(Debug, Clone)]
-pub struct OwnerSettings {
-    /// Longest wait of a call for its predecessor.
-    pub order_wait: Duration,
-    /// Longest wait for a commit that must precede the dispatch.
-    pub start_commit_wait: Duration,
-    /// Longest wait of a caller for the commit that follows the backend server's answer.
-    pub end_commit_wait: Duration,
-    /// Longest time from the start of that commit to the first byte sent to a backend server.
-    pub dispatch_window: Duration,
-}
-
-impl Default for OwnerSettings {
-    fn default() -> Self {
-        Self {
-            order_wait: Duration::from_secs(10),
-            start_commit_wait: Duration::from_secs(2),
-            end_commit_wait: Duration::from_secs(10),
-            dispatch_window: Duration::from_secs(3),
-        }
-    }
-}
-
-/// Permission to execute one attempt of a call.
-#[derive(Debug, Clone)]
-pub struct CallTicket {
-    /// Program of the call.
-    pub program: ProgramId,
-    /// Call and attempt.
-    pub key: CallKey,
-    /// Feed to fill while the call runs.
-    pub feed: Arc<CallFeed>,
-    /// Monotonic time after which nothing may be sent to a backend server any more.
-    pub dispatch_before: Option<Duration>,
-    /// Tokens reserved for the attempt.
-    pub reserved_tokens: u64,
-    /// Incarnation that admitted the call; no other may record its end.
-    pub incarnation: IncarnationId,
-    /// Number of the shard's claim, sent to backend servers that check it.
-    pub fencing_number: u64,
-}
-
-/// Result of admitting a call.
-#[derive(Debug)]
-pub enum Admission {
-    /// The call finished earlier; the recorded answer is repeated.
-    Recorded(StoredAnswer),
-    /// The call is running; its feed can be followed.
-    Join(Arc<CallFeed>),
-    /// The caller of [`Owner::admit`] executes the call and reports its end.
-    Run(CallTicket),
-}
-
-/// End of an attempt.
-#[derive(Debug)]
-pub enum AttemptEnd {
-    /// The backend server gave a complete answer.
-    Answered {
-        /// Complete answer.
-        answer: Answer,
-        /// Tokens spent.
-        usage: Usage,
-        /// Backend server that answered.
-        backend: BackendId,
-    },
-    /// Nothing was sent to a backend server.
-    NotSent(Refusal),
-    /// Something was sent, and no complete answer came back.
-    Lost(Refusal),
-}
+pub use types::{Admission, AttemptEnd, CallTicket, OwnerSettings, ProgramSpec};
 
 impl CommitApplier for Owner {
     fn apply_commit(&self, commit: &Commit) {
@@ -109,17 +40,6 @@
     Wait(Rc<Notify>, Option<Duration>),
 }
 
-/// Parameters of a new program.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct ProgramSpec {
-    /// Team that owns the program.
-    pub team: String,
-    /// Parent of a sub-agent.
-    pub parent: Option<ProgramId>,
-    /// Most tokens to spend.
-    pub budget_tokens: Option<u64>,
-}
-
 /// Programs whose shards this node owns.
 pub struct Owner {
     journal: Rc<Journal>,
@@ -589,31 +509,3 @@
     let shard = shard_of_program(program)?;
     Some(Entry { shard, program: program.to_owned(), record })
 }
-
-fn budget_exhausted(program: &str, remaining: u64, needed: u64) -> Refusal {
-    Refusal::not_run(
-        RefusalKind::BudgetExhausted,
-        format!(
-            "the call may need {needed} tokens and the budget of {program} has {remaining} left; \
-             lower max_tokens, shorten the prompt, or open a program with a larger budget"
-        ),
-    )
-}
-
-/// Creates the refusal of an attempt whose end cannot be recorded now.
-fn unrecorded_end(outcome: Result<Answer, Refusal>) -> Refusal {
-    let run = match outcome {
-        Ok(_) => RunState::Ran,
-        Err(refusal) => refusal.run,
-    };
-    let message = "the call has ended and cannot be recorded now; \
-                   repeat it with the same Idempotency-Key after the pause to get its answer";
-    Refusal { run, ..Refusal::not_run(RefusalKind::PlatformUnavailable, message) }
-}
-
-fn platform_unavailable() -> Refusal {
-    Refusal::not_run(
-        RefusalKind::PlatformUnavailable,
-        "the call cannot be recorded now and was not started; repeat it after the pause",
-    )
-}
--- /dev/null
+++ b/crates/coordination/src/owner/refusals.rs
@@ -0,0 +1,34 @@
+//! Refusals that an owner gives.
+
+use crate::call::Answer;
+use crate::refusal::{Refusal, RefusalKind, RunState};
+
+/// Creates the refusal of a call that a budget does not cover.
+pub(super) fn budget_exhausted(program: &str, remaining: u64, needed: u64) -> Refusal {
+    Refusal::not_run(
+        RefusalKind::BudgetExhausted,
+        format!(
+            "the call may need {needed} tokens and the budget of {program} has {remaining} left; \
+             lower max_tokens, shorten the prompt, or open a program with a larger budget"
+        ),
+    )
+}
+
+/// Creates the refusal of an attempt whose end cannot be recorded now.
+pub(super) fn unrecorded_end(outcome: Result<Answer, Refusal>) -> Refusal {
+    let run = match outcome {
+        Ok(_) => RunState::Ran,
+        Err(refusal) => refusal.run,
+    };
+    let message = "the call has ended and cannot be recorded now; \
+                   repeat it with the same Idempotency-Key after the pause to get its answer";
+    Refusal { run, ..Refusal::not_run(RefusalKind::PlatformUnavailable, message) }
+}
+
+/// Creates the refusal of a call that cannot be recorded before it starts.
+pub(super) fn platform_unavailable() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::PlatformUnavailable,
+        "the call cannot be recorded now and was not started; repeat it after the pause",
+    )
+}
--- a/crates/daemon/tests/history.rs
+++ b/crates/daemon/tests/history.rs
@@ -127,3 +127,22 @@
         .collect();
     assert_eq!(order, ["1", "2", "3", "4", "5", "6"].map(Some));
 }
+
+#[ntex::test]
+async fn an_answer_that_cannot_be_recorded_is_refused_in_time_and_kept() {
+    let node_args = ["--end-commit-wait-ms", "300"].map(str::to_owned).to_vec();
+    let fleet = Fleet::start(FleetOptions { node_args, ..FleetOptions::default() }).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content: "x" };
+    fleet.platform_faults(json!({ "outage": true })).await;
+    for node in [0, 1] {
+        let reply = fleet.model_call(&fleet.nodes[node], ALPHA_KEY, &call).await.expect("answer");
+        assert_eq!((reply.kind().as_str(), reply.run().as_str()), ("platform_unavailable", "ran"));
+    }
+    let open = fleet.open_program(&fleet.nodes[1], ALPHA_KEY, &json!({})).await;
+    assert_eq!((open.status, open.run().as_str()), (503, "not_run"), "{}", open.body);
+    fleet.platform_faults(json!({})).await;
+    let answer = call_until_answered(&fleet, 0, &call).await;
+    check_history(&fleet, 1, &program, &[answer]).await;
+    assert_eq!(fleet.engine_record(0).await.len(), 1, "the call ran again");
+}
