--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -76,3 +76,16 @@
     let history = fleet.history(&fleet.nodes[0], ALPHA_KEY, &program).await.expect(200).json();
     assert_eq!(history["calls"][0]["state"], "finished");
 }
+
+#[ntex::test]
+async fn the_daemon_opens_no_io_uring() {
+    let fleet = Fleet::start(FleetOptions { nodes: 1, ..FleetOptions::default() }).await;
+    let folder = format!("/proc/{}/fd", fleet.nodes[0].process.id());
+    let links: Vec<String> = std::fs::read_dir(folder)
+        .expect("the daemon runs")
+        .filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok())
+        .map(|target| target.display().to_string())
+        .collect();
+    assert!(links.iter().any(|link| link.contains("eventpoll")), "{links:?}");
+    assert!(!links.iter().any(|link| link.contains("io_uring")), "{links:?}");
+}
