Check routes of other teams for single calls, name two things plainly

Cause: with every route open to all teams the test of foreign requests still passed: its service call named a foreign program, which is refused first.

Ruled out: a fault of the route check itself; the strengthened test passes.

Change: a single call of another team must be refused as route_unknown; the edge's flag says what it means (may_have_run); limit rows are refreshed, heirs notified.

--- a/crates/coordination/src/limits/escrow.rs
+++ b/crates/coordination/src/limits/escrow.rs
@@ -195,13 +195,13 @@
             // Nothing is spent from here on, before the heir may spend the share.
             self.buckets.borrow_mut().remove(&team);
             self.transfer(&team, known, self.incarnation.id(), &heir).await?;
-            self.tell(&heir, &team, members).await;
+            self.notify_heir(&heir, &team, members).await;
         }
         Ok(())
     }
 
     /// Tells `heir` that it was given a share; a loss is made up for by the next request to it.
-    async fn tell(&self, heir: &str, team: &TeamId, members: &[Member]) {
+    async fn notify_heir(&self, heir: &str, team: &TeamId, members: &[Member]) {
         let version = self.rows.borrow().get(team).map_or(0, |known| known.version);
         if let Some(member) = members.iter().find(|member| member.id == heir)
             && let Err(error) = self.peers.limit_moved(&member.peer_address, team, version).await
@@ -215,7 +215,7 @@
     /// # Errors
     ///
     /// Fails when the platform cannot be read.
-    pub async fn learn(&self, team: &TeamId, row_version: u64) -> PlatformResult<()> {
+    pub async fn refresh(&self, team: &TeamId, row_version: u64) -> PlatformResult<()> {
         let known = self.rows.borrow().get(team).map_or(0, |known| known.version);
         if known < row_version
             && let Some(row) = self.table.get(Table::Limits, team).await?
@@ -286,7 +286,7 @@
             let heir = preferred_holders(members, &team).into_iter().find(|id| *id != own_id);
             if let (Some(_), Some(heir)) = (known.row.share(&own_id), heir) {
                 self.transfer(&team, known, &own_id, &heir).await?;
-                self.tell(&heir, &team, members).await;
+                self.notify_heir(&heir, &team, members).await;
             }
         }
         Ok(())
--- a/crates/daemon/src/request/submit.rs
+++ b/crates/daemon/src/request/submit.rs
@@ -48,7 +48,7 @@
     guard: KeyGuard,
     source: Source,
     /// Whether an owner that is lost may have run the call.
-    sent: bool,
+    may_have_run: bool,
     give_up_at: Duration,
     delivered: Delivered,
     replayed: Delivered,
@@ -81,7 +81,7 @@
             request,
             guard,
             source: Source::Detached,
-            sent: false,
+            may_have_run: false,
             give_up_at,
             delivered: Delivered::default(),
             replayed: Delivered::default(),
@@ -145,7 +145,7 @@
             };
             match event {
                 Some(CallEvent::Refused(refusal)) if refusal.kind == RefusalKind::NotOwner => {
-                    self.sent |= refusal.run != RunState::NotRun;
+                    self.may_have_run |= refusal.run != RunState::NotRun;
                     self.detach(RetryReason::OwnerMoved);
                 }
                 Some(CallEvent::Delta(part)) => match self.deliver(part) {
@@ -155,7 +155,7 @@
                 },
                 Some(event) => return self.last_event(event),
                 None => {
-                    self.sent = true;
+                    self.may_have_run = true;
                     self.detach(RetryReason::OwnerLost);
                 }
             }
@@ -182,7 +182,7 @@
                 CallEvent::Refused(interrupted())
             }
             // An earlier owner may have run a repeatable call without a record of it.
-            CallEvent::Refused(refusal) if self.sent && self.request.repeatable => {
+            CallEvent::Refused(refusal) if self.may_have_run && self.request.repeatable => {
                 CallEvent::Refused(Refusal { run: RunState::Unknown, ..refusal })
             }
             event => event,
@@ -237,7 +237,7 @@
             }
             Err(ForwardError::NeverSent) => Err(RetryReason::OwnerUnreachable),
             Err(ForwardError::Lost) => {
-                self.sent = true;
+                self.may_have_run = true;
                 Err(RetryReason::OwnerLost)
             }
         }
@@ -246,7 +246,7 @@
     fn owner_unreachable(&self) -> Refusal {
         let message = "the program's owner cannot be reached; \
                        repeat the call with the same Idempotency-Key";
-        let run = if self.sent { RunState::Unknown } else { RunState::NotRun };
+        let run = if self.may_have_run { RunState::Unknown } else { RunState::NotRun };
         Refusal { run, ..Refusal::not_run(RefusalKind::OwnerUnreachable, message) }
     }
 }
--- a/crates/daemon/tests/keys.rs
+++ b/crates/daemon/tests/keys.rs
@@ -175,6 +175,10 @@
         .expect("answer")
         .expect(404);
 
+    let single = fleet.http.request("POST", &fleet.nodes[0].listen, "/v1/services/desk/checkout");
+    let single = fleet.http.send(single.bearer_auth(BETA_KEY), "x").await.expect("answer");
+    assert_eq!((single.status, single.kind().as_str()), (404, "route_unknown"));
+
     let status = |key: Option<&str>| {
         let request = fleet.http.request("GET", &fleet.nodes[0].listen, "/v1/services/status/now");
         let request = match key {
