Use one step clock in the library's tests, drop an alias

Cause: two test files carried the same clock with small differences, and Membership::refresh_own_row only called read_members.

Ruled out: merging the pairs that are trait signatures or the trial's own sample objects; they are alike by their interface, not by their logic.

Change: StepClock lives beside the other fakes of the stand-ins package; the alias is gone. Behaviour and assertions are the same.

Before: two copies.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -185,7 +185,7 @@
         let leaving = Member { state: MemberState::Leaving, ..self.own() };
         *self.identity.borrow_mut() = leaving.clone();
         while !self.write_member(&leaving, self.incarnation.row_version(), None).await? {
-            self.refresh_own_row().await?;
+            self.read_members().await?;
             if self.incarnation.is_fenced() {
                 break;
             }
@@ -250,10 +250,6 @@
         }
     }
 
-    async fn refresh_own_row(&self) -> PlatformResult<()> {
-        self.read_members().await
-    }
-
     /// Writes a member row and raises the membership version; returns whether it took effect.
     ///
     /// A write to another member's row requires that this node is not fenced; `fence_live` is the
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -4,7 +4,6 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_trait::async_trait;
 use dandelionfront_coordination::incarnation::Incarnation;
@@ -13,10 +12,8 @@
     PlatformError, PlatformResult, Row, Table, TableService, Transaction, TransactionOutcome,
 };
 use dandelionfront_coordination::record::{CloseReason, Entry, Record};
-use dandelionfront_coordination::{Clock, Member, MemberState, Platform};
-use dandelionfront_standins::MemoryTable;
-use futures_util::FutureExt as _;
-use futures_util::future::LocalBoxFuture;
+use dandelionfront_coordination::{Member, MemberState, Platform};
+use dandelionfront_standins::{MemoryTable, StepClock};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -93,28 +90,6 @@
     memory.apply(&Transaction::default().put(Table::Nodes, NODE, value));
 }
 
-#[derive(Debug, Default)]
-struct StepClock(Rc<Cell<Duration>>);
-
-impl Clock for StepClock {
-    fn monotonic(&self) -> Duration {
-        self.0.get()
-    }
-
-    fn unix(&self) -> Duration {
-        self.0.get()
-    }
-
-    fn sleep(&self, duration: Duration) -> LocalBoxFuture<'static, ()> {
-        let now = Rc::clone(&self.0);
-        async move {
-            now.set(now.get() + duration);
-            tokio::task::yield_now().await;
-        }
-        .boxed_local()
-    }
-}
-
 fn entry(number: u64) -> Entry {
     let reason = CloseReason::Ended;
     let record = Record::Closed { reason, closed_unix_ms: number };
--- a/crates/coordination/tests/shards.rs
+++ b/crates/coordination/tests/shards.rs
@@ -1,9 +1,7 @@
 //! Shards handed from node to node keep every record.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use dandelionfront_coordination::ids::program_id;
 use dandelionfront_coordination::incarnation::Incarnation;
@@ -14,37 +12,12 @@
 use dandelionfront_coordination::{
     Admission, Answer, AttemptEnd, CallRequest, CallTarget, Clock, Journal, Owner, Payload, Usage,
 };
-use dandelionfront_standins::MemoryTable;
-use futures_util::FutureExt as _;
-use futures_util::future::{LocalBoxFuture, select};
+use dandelionfront_standins::{MemoryTable, StepClock};
+use futures_util::future::select;
 
 const REGION: &str = "local";
 const TEAM: &str = "crew";
 
-#[derive(Debug, Default)]
-struct StepClock(Rc<Cell<Duration>>);
-
-impl Clock for StepClock {
-    fn monotonic(&self) -> Duration {
-        self.0.get()
-    }
-
-    fn unix(&self) -> Duration {
-        self.0.get()
-    }
-
-    fn sleep(&self, duration: Duration) -> LocalBoxFuture<'static, ()> {
-        let now = Rc::clone(&self.0);
-        async move {
-            for _ in 0..100 {
-                tokio::task::yield_now().await;
-            }
-            now.set(now.get() + duration);
-        }
-        .boxed_local()
-    }
-}
-
 /// The parts of one node that own a shard.
 struct Part {
     id: String,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! executed, so that tests can count executions and look for callers' keys. Their programs are the
 //! examples of this package.
 
+pub mod clock;
 pub mod engine;
 pub mod http;
 pub mod platform;
@@ -11,6 +12,7 @@
 pub mod service;
 pub mod table;
 
+pub use clock::StepClock;
 pub use engine::{Engine, EngineSettings};
 pub use platform::{Platform, PlatformFaults};
 pub use proxy::{FaultProxy, ProxyFaults};
