--- /dev/null
+++ b/crates/coordination/src/events.rs
@@ -0,0 +1,88 @@
+//! Event streams, cut into whole events.
+
+use std::collections::VecDeque;
+
+/// One whole event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Bytes of the event as received, with the empty line that ends it.
+    pub raw: Vec<u8>,
+    /// Identifier, if the event has one that is a number.
+    pub id: Option<u64>,
+    /// Data lines, joined by line feeds.
+    pub data: Vec<u8>,
+}
+
+/// Largest event that is buffered, in bytes; events of the engines are under a kilobyte.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
+/// Cuts bytes of a stream into whole events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    partial: Vec<u8>,
+    events: VecDeque<StreamEvent>,
+}
+
+impl EventSplitter {
+    /// Takes further bytes; returns `false` when an event is too large to be one.
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        self.partial.extend_from_slice(bytes);
+        let mut start = 0;
+        while let Some(length) = event_length(&self.partial[start..]) {
+            let raw = self.partial[start..start + length].to_vec();
+            self.events.push_back(parse(raw));
+            start += length;
+        }
+        self.partial.drain(..start);
+        self.partial.len() <= EVENT_MAX_BYTES
+    }
+
+    /// Returns the next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        self.events.pop_front()
+    }
+
+    /// Returns whether bytes of an unfinished event are left.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+}
+
+/// Returns the length of the first event, with its empty line.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (position, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..position];
+        if line.is_empty() || line == b"\r" {
+            return Some(position + 1);
+        }
+        line_start = position + 1;
+    }
+    None
+}
+
+fn parse(raw: Vec<u8>) -> StreamEvent {
+    let (mut id, mut data, mut has_data) = (None, Vec::new(), false);
+    for line in raw.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if let Some(value) = field(line, b"data") {
+            if has_data {
+                data.push(b'\n');
+            }
+            data.extend_from_slice(value);
+            has_data = true;
+        } else if let Some(value) = field(line, b"id") {
+            id = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
+        }
+    }
+    StreamEvent { raw, id, data }
+}
+
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?.strip_prefix(b":")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
--- /dev/null
+++ b/crates/coordination/src/placement.rs
@@ -0,0 +1,172 @@
+//! Choice of a backend server for a request.
+//!
+//! Equal keys map to equal backend servers on every node without messages between them: each
+//! node ranks the servers of a service by rendezvous hashing. A lower rank costs what reading the
+//! prompt again costs; load and failures seen by this node add to it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::BackendId;
+use crate::servers::ServerEntry;
+
+/// Which property of a backend server decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementPolicy {
+    /// Equal keys go to equal servers unless those are loaded.
+    Affinity,
+    /// The least loaded server; the baseline.
+    LeastLoaded,
+}
+
+/// Cost of another server than the first in rank, in fractions of a server's slots.
+const REREAD_COST: f64 = 0.4;
+/// Further cost of each rank, which makes moved lines meet on one server.
+const RANK_COST: f64 = 0.02;
+/// Ranks beyond this one are equal.
+const RANKED_MAX: usize = 8;
+/// Cost of a server that failed lately; above any load.
+const FAILED_COST: f64 = 100.0;
+/// Time for which a server is avoided after its first failure; doubles with each further one.
+const AVOID_BASE: Duration = Duration::from_millis(500);
+/// Longest time for which a server is avoided; failures are rediscovered by one request each.
+const AVOID_MAX: Duration = Duration::from_secs(4);
+
+#[derive(Debug, Default)]
+struct ServerView {
+    /// Requests that this node has under way there.
+    own_in_flight: u32,
+    /// Requests that other nodes last said to have under way there.
+    peer_in_flight: u32,
+    failures_in_row: u32,
+    avoid_until: Duration,
+}
+
+/// What this node knows of each backend server's load and failures.
+#[derive(Debug, Default)]
+pub struct Placement {
+    views: HashMap<BackendId, ServerView>,
+}
+
+impl Placement {
+    /// Chooses among `servers`, leaving out `excluded`.
+    pub fn choose<'a>(
+        &self,
+        policy: PlacementPolicy,
+        key: &str,
+        servers: impl Iterator<Item = &'a ServerEntry>,
+        excluded: &[BackendId],
+        now: Duration,
+    ) -> Option<&'a ServerEntry> {
+        let mut ranked: Vec<(u64, &ServerEntry)> = servers
+            .map(|server| (xxh3_64_with_seed(key.as_bytes(), hash(&server.id)), server))
+            .collect();
+        ranked.sort_unstable_by(|left, right| right.cmp_weight(left));
+        ranked
+            .into_iter()
+            .enumerate()
+            .filter(|(_, (_, server))| !excluded.contains(&server.id))
+            .map(|(rank, (_, server))| (self.cost(policy, rank, server, now), server))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, server)| server)
+    }
+
+    fn cost(
+        &self,
+        policy: PlacementPolicy,
+        rank: usize,
+        server: &ServerEntry,
+        now: Duration,
+    ) -> f64 {
+        let view = self.views.get(&server.id);
+        let in_flight = view.map_or(0, |view| view.own_in_flight + view.peer_in_flight);
+        let load = f64::from(in_flight) / f64::from(server.slots.max(1));
+        let is_avoided = view.is_some_and(|view| now < view.avoid_until);
+        let failed = if is_avoided { FAILED_COST } else { 0.0 };
+        let moved = match policy {
+            PlacementPolicy::LeastLoaded => 0.0,
+            PlacementPolicy::Affinity if rank == 0 => 0.0,
+            PlacementPolicy::Affinity => {
+                let rank = u32::try_from(rank.min(RANKED_MAX)).unwrap_or(u32::MAX);
+                REREAD_COST + RANK_COST * f64::from(rank)
+            }
+        };
+        load + failed + moved
+    }
+
+    /// Records that a request is sent to `server`.
+    pub fn begin(&mut self, server: &str) {
+        self.view(server).own_in_flight += 1;
+    }
+
+    /// Records that a request to `server` ended.
+    pub fn end(&mut self, server: &str) {
+        let view = self.view(server);
+        view.own_in_flight = view.own_in_flight.saturating_sub(1);
+    }
+
+    /// Records a whole, sound answer of `server`.
+    pub fn note_success(&mut self, server: &str) {
+        let view = self.view(server);
+        view.failures_in_row = 0;
+        view.avoid_until = Duration::ZERO;
+    }
+
+    /// Records that `server` broke off, garbled or did not answer; returns the time for which it
+    /// is avoided.
+    pub fn note_failure(&mut self, server: &str, now: Duration) -> Duration {
+        let view = self.view(server);
+        let pause = AVOID_BASE * 2_u32.saturating_pow(view.failures_in_row.min(8));
+        let pause = pause.min(AVOID_MAX);
+        view.failures_in_row += 1;
+        view.avoid_until = now + pause;
+        pause
+    }
+
+    /// Returns the requests that this node has under way, by backend server.
+    pub fn own_load(&self) -> impl Iterator<Item = (&BackendId, u32)> {
+        self.views
+            .iter()
+            .map(|(id, view)| (id, view.own_in_flight))
+            .filter(|(_, in_flight)| *in_flight > 0)
+    }
+
+    /// Replaces what other nodes have under way.
+    pub fn set_peer_load(&mut self, load: &HashMap<BackendId, u32>) {
+        for (id, view) in &mut self.views {
+            view.peer_in_flight = load.get(id).copied().unwrap_or_default();
+        }
+        for (id, in_flight) in load {
+            self.view(id).peer_in_flight = *in_flight;
+        }
+    }
+
+    /// Forgets a backend server that is gone.
+    pub fn forget(&mut self, server: &str) {
+        self.views.remove(server);
+    }
+
+    fn view(&mut self, server: &str) -> &mut ServerView {
+        if !self.views.contains_key(server) {
+            self.views.insert(server.to_owned(), ServerView::default());
+        }
+        self.views.get_mut(server).expect("inserted above")
+    }
+}
+
+/// Order of ranked servers: by weight, then by identifier.
+trait CompareWeight {
+    fn cmp_weight(&self, other: &Self) -> std::cmp::Ordering;
+}
+
+impl CompareWeight for (u64, &ServerEntry) {
+    fn cmp_weight(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.cmp(&other.0).then_with(|| self.1.id.cmp(&other.1.id))
+    }
+}
+
+fn hash(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -23,6 +23,8 @@
     InvalidRequest,
     /// The body is over the limit.
     BodyTooLarge,
+    /// The head is over the limit.
+    HeadTooLarge,
     /// No key was sent, or the key is unknown.
     KeyUnknown,
     /// The key was withdrawn.
@@ -31,6 +33,8 @@
     RouteUnknown,
     /// The program does not exist for this team.
     ProgramUnknown,
+    /// The turn to continue from does not exist for this team.
+    TurnUnknown,
     /// The program has ended.
     ProgramClosed,
     /// Another call already holds the sequence.
@@ -63,6 +67,8 @@
     Cancelled,
     /// The node has no configuration yet.
     NotReady,
+    /// The node cannot prove that its configuration is the newest.
+    ConfigStale,
 }
 
 /// Row of the refusal table: label, HTTP status and default pause before a retry.
@@ -71,10 +77,12 @@
 const REFUSALS: &[RefusalRow] = &[
     RefusalRow(RefusalKind::InvalidRequest, "invalid_request", 400, None),
     RefusalRow(RefusalKind::BodyTooLarge, "body_too_large", 413, None),
+    RefusalRow(RefusalKind::HeadTooLarge, "head_too_large", 431, None),
     RefusalRow(RefusalKind::KeyUnknown, "key_unknown", 401, None),
     RefusalRow(RefusalKind::KeyWithdrawn, "key_withdrawn", 401, None),
     RefusalRow(RefusalKind::RouteUnknown, "route_unknown", 404, None),
     RefusalRow(RefusalKind::ProgramUnknown, "program_unknown", 404, None),
+    RefusalRow(RefusalKind::TurnUnknown, "turn_unknown", 404, None),
     RefusalRow(RefusalKind::ProgramClosed, "program_closed", 409, None),
     RefusalRow(RefusalKind::SequenceTaken, "sequence_taken", 409, None),
     RefusalRow(RefusalKind::SequenceAhead, "sequence_ahead", 409, Some(500)),
@@ -91,6 +99,7 @@
     RefusalRow(RefusalKind::DeadlineExceeded, "deadline_exceeded", 504, Some(1_000)),
     RefusalRow(RefusalKind::Cancelled, "cancelled", 409, None),
     RefusalRow(RefusalKind::NotReady, "not_ready", 503, Some(1_000)),
+    RefusalRow(RefusalKind::ConfigStale, "config_stale", 503, Some(500)),
 ];
 
 impl RefusalKind {
--- /dev/null
+++ b/crates/coordination/src/routing.rs
@@ -0,0 +1,238 @@
+//! The routing table of one configuration version.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::{ConfigVersion, RouteId, TeamId};
+
+/// Name of a service: a group of equal backend servers.
+pub type ServiceId = String;
+
+/// What may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatPolicy {
+    /// May run any number of times.
+    Idempotent,
+    /// May run at most once for each attempt of a caller.
+    AtMostOnce,
+    /// An event stream that may run at most once.
+    Stream,
+    /// An event stream that a further run may continue.
+    ResumableStream,
+}
+
+impl RepeatPolicy {
+    /// Returns whether a request may run again.
+    #[must_use]
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Returns whether the answer is an event stream.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// Share of a route's traffic that goes to a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target {
+    /// Service.
+    pub service: ServiceId,
+    /// Weight relative to the other targets.
+    pub weight: f64,
+}
+
+/// Requests of one host and path prefix.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: RouteId,
+    /// Host in lowercase.
+    pub host: String,
+    /// Prefix of the path; begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub repeat: RepeatPolicy,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Objective up to the answer, or to a stream's first event.
+    pub objective: Duration,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Services by weight.
+    pub targets: Vec<Target>,
+    /// Most backend servers that may run one attempt.
+    pub attempts_max: u32,
+    /// Whether turns are kept, so that a turn carries only its new input.
+    pub keeps_turns: bool,
+    /// Time for which a turn is kept.
+    pub turn_retention: Duration,
+    /// Whether no key is needed.
+    pub is_public: bool,
+    /// Whether a backend server works faster on an object that it handled lately.
+    pub is_sticky: bool,
+}
+
+impl Route {
+    /// Returns the service that serves the request `id`: equal ids get equal services.
+    #[must_use]
+    pub fn service_for(&self, id: &str) -> Option<&ServiceId> {
+        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a uniform fraction needs no more bits")]
+        let mut point = total * (xxh3_64(id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
+        for target in &self.targets {
+            point -= target.weight;
+            if point < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        self.targets.last().map(|target| &target.service)
+    }
+}
+
+/// What the backend servers of a service run, if they are model engines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Requests that one backend server runs at once.
+    pub slots: u32,
+    /// Tokens that fit into a backend server's cache.
+    pub cache_tokens: u64,
+    /// Tokens generated for each event of a stream.
+    pub tokens_per_event: u64,
+}
+
+/// A group of equal backend servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: ServiceId,
+    /// Connections that one backend server accepts from all nodes together.
+    pub connections_max: u32,
+    /// Set for model engines.
+    pub engine: Option<EngineSpec>,
+}
+
+/// A team, its keys and its limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    /// Name.
+    pub name: TeamId,
+    /// Keys in force.
+    pub keys: Vec<String>,
+    /// Rank that goes before the route's, if set.
+    pub priority: Option<u8>,
+    /// Requests a second over all nodes; 0 stands for no limit.
+    pub rate_per_s: f64,
+    /// Requests beyond the rate that may come at once.
+    pub burst: f64,
+}
+
+/// What a caller's connection may send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request.
+    pub header_max_bytes: usize,
+    /// Largest body of a request.
+    pub body_max_bytes: usize,
+    /// Longest time from the first byte of a head to its last.
+    pub header_timeout: Duration,
+    /// Longest time between two requests.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Limits in force until a configuration is known.
+    fn default() -> Self {
+        Self {
+            header_max_bytes: 16 * 1024,
+            body_max_bytes: 4 * 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A whole configuration version, indexed for requests.
+#[derive(Debug, Clone, Default)]
+pub struct RoutingTable {
+    version: ConfigVersion,
+    routes: Vec<Route>,
+    /// Positions in `routes` by host, longest prefix first.
+    by_host: HashMap<String, Vec<usize>>,
+    services: HashMap<ServiceId, ServiceSpec>,
+    teams: Option<Vec<Team>>,
+    /// Positions in `teams` by key.
+    by_key: HashMap<String, usize>,
+    limits: CallerLimits,
+}
+
+impl RoutingTable {
+    /// Indexes a configuration; `teams` is absent when requests carry no keys.
+    #[must_use]
+    pub fn new(
+        version: ConfigVersion,
+        routes: Vec<Route>,
+        services: Vec<ServiceSpec>,
+        teams: Option<Vec<Team>>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (position, route) in routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(position);
+        }
+        for positions in by_host.values_mut() {
+            positions.sort_by_key(|&position| std::cmp::Reverse(routes[position].path_prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (position, team) in teams.iter().flatten().enumerate() {
+            by_key.extend(team.keys.iter().map(|key| (key.clone(), position)));
+        }
+        let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
+        Self { version, routes, by_host, services, teams, by_key, limits }
+    }
+
+    /// Returns the configuration's version.
+    #[must_use]
+    pub fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Returns the route with the longest prefix of `path` on `host`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+        let positions = self.by_host.get(&host)?;
+        positions
+            .iter()
+            .map(|&position| &self.routes[position])
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Returns the service `name`.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Returns whether requests carry keys.
+    #[must_use]
+    pub fn uses_keys(&self) -> bool {
+        self.teams.is_some()
+    }
+
+    /// Returns the team that holds `key`.
+    #[must_use]
+    pub fn team_of_key(&self, key: &str) -> Option<&Team> {
+        self.teams.as_ref()?.get(*self.by_key.get(key)?)
+    }
+
+    /// Returns what callers' connections may send.
+    #[must_use]
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/servers.rs
@@ -0,0 +1,159 @@
+//! What a node believes of the backend servers, from the platform's list.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::{BackendId, ZoneId};
+use crate::routing::ServiceId;
+
+/// Time for which entries that lapsed while the store was away may come back after its return.
+pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// Whether a backend server takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerState {
+    /// Takes new work.
+    Ready,
+    /// Leaves soon and gets no new work.
+    Draining,
+}
+
+/// Entry of a backend server in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerEntry {
+    /// Identifier of this start of the backend server.
+    pub id: BackendId,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+    /// Time of its start; another start under the same identifier differs here.
+    pub started_unix_ms: u64,
+}
+
+/// A change of belief, for logs and for dropping connections.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerChange {
+    /// A backend server is new or came back.
+    Seen(BackendId),
+    /// A backend server must get no new work.
+    Draining(BackendId),
+    /// A backend server left the list.
+    Gone(BackendId),
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: ServerEntry,
+    /// Set while the entry is missing although the store may have dropped it wrongly.
+    lapsed_at: Option<Duration>,
+}
+
+/// The backend servers by identifier.
+#[derive(Debug, Default)]
+pub struct ServerList {
+    known: HashMap<BackendId, Known>,
+    /// Time of the last failed read of the list.
+    store_failed_at: Option<Duration>,
+}
+
+impl ServerList {
+    /// Records that the list could not be read at `now`.
+    pub fn note_store_failure(&mut self, now: Duration) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// Records an entry.
+    pub fn insert(&mut self, entry: ServerEntry) -> Option<ServerChange> {
+        let id = entry.id.clone();
+        let previous = self.known.insert(id.clone(), Known { entry, lapsed_at: None });
+        let state = self.known[&id].entry.state;
+        let is_known = previous.is_some_and(|previous| {
+            previous.lapsed_at.is_none() && previous.entry == self.known[&id].entry
+        });
+        match state {
+            _ if is_known => None,
+            ServerState::Ready => Some(ServerChange::Seen(id)),
+            ServerState::Draining => Some(ServerChange::Draining(id)),
+        }
+    }
+
+    /// Records that an entry is missing or no longer names a backend server.
+    ///
+    /// After a failure of the store the entry is kept for [`LAPSE_GRACE`], since the store drops
+    /// entries that could not be renewed.
+    pub fn remove(&mut self, id: &str, now: Duration) -> Option<ServerChange> {
+        let may_have_lapsed =
+            self.store_failed_at.is_some_and(|failed_at| now < failed_at + LAPSE_GRACE);
+        let known = self.known.get_mut(id)?;
+        if may_have_lapsed && known.entry.state == ServerState::Ready {
+            known.lapsed_at.get_or_insert(now);
+            return None;
+        }
+        self.known.remove(id);
+        Some(ServerChange::Gone(id.to_owned()))
+    }
+
+    /// Replaces the whole list by `entries`.
+    pub fn replace(&mut self, entries: Vec<ServerEntry>, now: Duration) -> Vec<ServerChange> {
+        let missing: Vec<BackendId> = self
+            .known
+            .keys()
+            .filter(|id| !entries.iter().any(|entry| entry.id == **id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<_> =
+            missing.iter().filter_map(|id| self.remove(id, now)).collect();
+        changes.extend(entries.into_iter().filter_map(|entry| self.insert(entry)));
+        changes
+    }
+
+    /// Drops lapsed entries that did not come back in time.
+    pub fn expire_lapsed(&mut self, now: Duration) -> Vec<ServerChange> {
+        let failed_at = self.store_failed_at.unwrap_or_default();
+        let expired: Vec<BackendId> = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.lapsed_at.is_some() && now >= failed_at + LAPSE_GRACE)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &expired {
+            self.known.remove(id);
+        }
+        expired.into_iter().map(ServerChange::Gone).collect()
+    }
+
+    /// Returns the backend servers of `service` that take new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerEntry> {
+        self.known
+            .values()
+            .map(|known| &known.entry)
+            .filter(move |entry| entry.service == service && entry.state == ServerState::Ready)
+    }
+
+    /// Returns the entry of a backend server that takes new work.
+    #[must_use]
+    pub fn ready_by_id(&self, id: &str) -> Option<&ServerEntry> {
+        let entry = &self.known.get(id)?.entry;
+        (entry.state == ServerState::Ready).then_some(entry)
+    }
+
+    /// Returns the number of backend servers in the list.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns whether the list is empty.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/turns.rs
@@ -0,0 +1,216 @@
+//! Turns kept for programs whose calls carry only their new input.
+//!
+//! Each turn is one row, found by its request id alone. The row names the whole chain before it,
+//! so that a node that knows none of it reads all rows side by side.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD_NO_PAD as BASE64;
+use futures_util::future::try_join_all;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use snafu::Snafu;
+
+use crate::ids::TeamId;
+use crate::request::RequestId;
+use crate::rows::{RowRead, RowStoreError, RowWrite, SharedRowStore, part_of};
+
+/// Table of the kept turns.
+pub const TURNS_TABLE: &str = "turns";
+/// Parts of the table; one part carries 200 writes a second, and the store 800 in all.
+const TURN_PARTS: u64 = 64;
+
+/// Bytes stored as text.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TextBytes(pub Vec<u8>);
+
+impl Serialize for TextBytes {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match std::str::from_utf8(&self.0) {
+            // The mark tells text from encoded bytes.
+            Ok(text) => serializer.collect_str(&format_args!("t{text}")),
+            Err(_) => serializer.collect_str(&format_args!("b{}", BASE64.encode(&self.0))),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for TextBytes {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        if let Some(encoded) = text.strip_prefix('b') {
+            return BASE64.decode(encoded).map(Self).map_err(serde::de::Error::custom);
+        }
+        Ok(Self(text.into_bytes().split_off(1)))
+    }
+}
+
+/// A turn that was answered whole.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRecord {
+    /// Team of the turn.
+    pub team: TeamId,
+    /// Turns before this one, oldest first.
+    pub chain: Vec<RequestId>,
+    /// New input of the turn.
+    pub input: TextBytes,
+    /// Data of the turn's events, each followed by a line feed.
+    pub output: TextBytes,
+}
+
+impl TurnRecord {
+    fn size_bytes(&self) -> usize {
+        let chain: usize = self.chain.iter().map(String::len).sum();
+        self.input.0.len() + self.output.0.len() + chain + RECORD_OVERHEAD_BYTES
+    }
+}
+
+/// Memory of a cached record beside its contents.
+const RECORD_OVERHEAD_BYTES: usize = 256;
+
+/// Why a turn cannot be continued.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum TurnError {
+    /// The turn surely does not exist, or belongs to another team.
+    #[snafu(display("no such turn {turn}; name a turn of this team that was answered whole"))]
+    Unknown {
+        /// Turn asked for.
+        turn: RequestId,
+    },
+    /// Whether the turn exists cannot be told.
+    #[snafu(display("the turn cannot be read: {source}; retry later"))]
+    Store {
+        /// Cause.
+        source: RowStoreError,
+    },
+}
+
+/// Kept turns, with a bounded cache of those that this node saw.
+pub struct Turns {
+    store: SharedRowStore,
+    cache: RefCell<TurnCache>,
+}
+
+#[derive(Default)]
+struct TurnCache {
+    records: HashMap<RequestId, Rc<TurnRecord>>,
+    /// Oldest first.
+    order: VecDeque<RequestId>,
+    used_bytes: usize,
+    max_bytes: usize,
+}
+
+impl TurnCache {
+    fn insert(&mut self, turn: &str, record: Rc<TurnRecord>) {
+        self.used_bytes += record.size_bytes();
+        if let Some(replaced) = self.records.insert(turn.to_owned(), record) {
+            self.used_bytes -= replaced.size_bytes();
+        } else {
+            self.order.push_back(turn.to_owned());
+        }
+        while self.used_bytes > self.max_bytes {
+            let Some(oldest) = self.order.pop_front() else { break };
+            if let Some(dropped) = self.records.remove(&oldest) {
+                self.used_bytes -= dropped.size_bytes();
+            }
+        }
+    }
+}
+
+impl Turns {
+    /// Creates an empty cache of at most `cache_max_bytes` over `store`.
+    #[must_use]
+    pub fn new(store: SharedRowStore, cache_max_bytes: usize) -> Self {
+        let cache = TurnCache { max_bytes: cache_max_bytes, ..TurnCache::default() };
+        Self { store, cache: RefCell::new(cache) }
+    }
+
+    /// Returns the chain that ends with `turn`, oldest first, with the turns' request ids.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the turn does not exist, is another team's, or cannot be read.
+    pub async fn chain(
+        &self,
+        team: &str,
+        turn: &str,
+    ) -> Result<Vec<(RequestId, Rc<TurnRecord>)>, TurnError> {
+        let last = self.record(turn).await?;
+        let last = last.filter(|record| record.team == team);
+        let last = last.ok_or_else(|| TurnError::Unknown { turn: turn.to_owned() })?;
+        let earlier = try_join_all(last.chain.iter().map(|turn| async move {
+            let record = self.record(turn).await?;
+            let record = record.ok_or_else(|| TurnError::Store {
+                source: RowStoreError::Malformed { detail: format!("turn {turn} is missing") },
+            })?;
+            Ok::<_, TurnError>((turn.clone(), record))
+        }));
+        let mut chain = earlier.await?;
+        chain.push((turn.to_owned(), last));
+        Ok(chain)
+    }
+
+    /// Records a turn; it counts once this succeeds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store did not accept the record.
+    pub async fn keep(&self, turn: &str, record: Rc<TurnRecord>) -> Result<(), TurnError> {
+        self.remember(turn, Rc::clone(&record));
+        let value = serde_json::to_vec(&*record).map_err(malformed)?;
+        let part = part_of(turn, TURN_PARTS);
+        let write = RowWrite {
+            table: TURNS_TABLE,
+            part: &part,
+            key: turn,
+            expected_version: 0,
+            value: Some(&value),
+        };
+        match self.store.write(write).await {
+            Ok(RowRead::Written(_)) => Ok(()),
+            // An earlier try of this write took effect although its answer was lost.
+            Ok(RowRead::Conflict(Some(row))) if row.value == value => Ok(()),
+            Ok(RowRead::Conflict(_)) => Err(malformed("another turn has the same request id")),
+            Err(source) => Err(TurnError::Store { source }),
+        }
+    }
+
+    /// Caches a turn that this node answered whole.
+    pub fn remember(&self, turn: &str, record: Rc<TurnRecord>) {
+        self.cache.borrow_mut().insert(turn, record);
+    }
+
+    async fn record(&self, turn: &str) -> Result<Option<Rc<TurnRecord>>, TurnError> {
+        if let Some(record) = self.cache.borrow().records.get(turn) {
+            return Ok(Some(Rc::clone(record)));
+        }
+        let part = part_of(turn, TURN_PARTS);
+        let row = self.store.get(TURNS_TABLE, &part, turn).await;
+        let Some(row) = row.map_err(|source| TurnError::Store { source })? else {
+            return Ok(None);
+        };
+        let record: TurnRecord = serde_json::from_slice(&row.value).map_err(malformed)?;
+        let record = Rc::new(record);
+        self.remember(turn, Rc::clone(&record));
+        Ok(Some(record))
+    }
+}
+
+fn malformed(error: impl ToString) -> TurnError {
+    TurnError::Store { source: RowStoreError::Malformed { detail: error.to_string() } }
+}
+
+/// Returns the prompt that a chain and a new input make up.
+#[must_use]
+pub fn assemble(chain: &[(RequestId, Rc<TurnRecord>)], input: &[u8]) -> Vec<u8> {
+    let earlier: usize =
+        chain.iter().map(|(_, turn)| turn.input.0.len() + turn.output.0.len()).sum();
+    let mut prompt = Vec::with_capacity(earlier + input.len());
+    for (_, turn) in chain {
+        prompt.extend_from_slice(&turn.input.0);
+        prompt.extend_from_slice(&turn.output.0);
+    }
+    prompt.extend_from_slice(input);
+    prompt
+}
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,6 +1,7 @@
 //! Command line of the daemon.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
 use log::LevelFilter;
@@ -29,6 +30,8 @@
 pub enum Command {
     /// Runs one node with stand-ins in this process and a sample program through it.
     Trial(TrialArgs),
+    /// Runs one node on the users' platform, set up by the platform's settings file.
+    Front(FrontArgs),
 }
 
 /// Flags of the trial.
@@ -39,6 +42,18 @@
     pub serve: bool,
 }
 
+/// Flags of a node on the users' platform.
+#[derive(Debug, Clone, Args)]
+pub struct FrontArgs {
+    /// Settings file that the platform writes.
+    #[arg(long, env = "DANDELIONFRONT_BOOT", default_value = "/etc/dandelionfront/boot.toml")]
+    pub settings: PathBuf,
+
+    /// Port of the VM's address that serves metrics.
+    #[arg(long, env = "DANDELIONFRONT_METRICS_PORT", default_value_t = 9464)]
+    pub metrics_port: u16,
+}
+
 /// Flags of a node.
 #[derive(Debug, Clone, Args)]
 pub struct NodeArgs {
--- /dev/null
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -0,0 +1,177 @@
+//! Connections to backend servers.
+//!
+//! Built on `hyper`, because the client of `ntex` hides whether a request was written, rejects
+//! bodies that end with the connection and keeps its connections to itself.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Longest wait for a new connection; the ways take a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Silence of a peer with data under way after which its connection is dead.
+const USER_TIMEOUT_MS: u32 = 2_000;
+/// Idle time after which a connection is closed, unless the peer named a shorter one.
+const IDLE_MAX: Duration = Duration::from_secs(4);
+/// Part of the peer's own idle time that is left unused, so that requests do not cross its close.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
+/// Largest answer head and buffer, in bytes.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+
+/// An open connection; closed when dropped.
+#[derive(Debug)]
+pub struct BackendConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    /// Longest idle time after which the connection may be used again.
+    idle_max: Duration,
+    /// Whether an earlier request was sent on it.
+    pub is_reused: bool,
+}
+
+impl Drop for BackendConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Result of sending a request.
+#[derive(Debug)]
+pub enum SendOutcome {
+    /// The head of an answer arrived.
+    Answered(Response<Incoming>),
+    /// Nothing of the request was written.
+    NotSent(String),
+    /// The connection failed after bytes may have been written.
+    Lost(String),
+}
+
+impl BackendConnection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer refuses or does not answer in time.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=backend_connection_ended address={address} cause=\"{error}\"");
+            }
+        });
+        Ok(Self { sender, task, idle_max: IDLE_MAX, is_reused: false })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+        if let Err(error) = self.sender.ready().await {
+            return SendOutcome::NotSent(error.to_string());
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => SendOutcome::Answered(response),
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                let cause = describe(error.error());
+                if is_unsent { SendOutcome::NotSent(cause) } else { SendOutcome::Lost(cause) }
+            }
+        }
+    }
+
+    /// Takes over the idle time that an answer names, in whole seconds.
+    pub fn note_keep_alive(&mut self, seconds: u64) {
+        self.idle_max = IDLE_MAX.min(Duration::from_secs(seconds)).saturating_sub(IDLE_MARGIN);
+    }
+}
+
+/// Returns an error with its cause.
+fn describe(error: &hyper::Error) -> String {
+    use std::error::Error as _;
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: BackendConnection,
+    since: Instant,
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct BackendPool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl BackendPool {
+    /// Takes the connection used last, if one is sound and was idle for at most `idle_max`.
+    pub fn take(&self, address: SocketAddr, idle_max: Duration) -> Option<BackendConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        while let Some(Idle { connection, since }) = connections.pop() {
+            let age = since.elapsed();
+            if age > connection.idle_max.min(idle_max) {
+                // Those below are older still.
+                if age > connection.idle_max {
+                    connections.clear();
+                }
+                return None;
+            }
+            if !connection.sender.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was read whole.
+    pub fn put(&self, address: SocketAddr, mut connection: BackendConnection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        connection.is_reused = true;
+        let idle = Idle { connection, since: Instant::now() };
+        self.idle.borrow_mut().entry(address).or_default().push(idle);
+    }
+
+    /// Closes all idle connections to `address`.
+    pub fn close(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn prune(&self) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|idle| {
+                idle.since.elapsed() <= idle.connection.idle_max
+                    && !idle.connection.sender.is_closed()
+            });
+            !connections.is_empty()
+        });
+    }
+}
+
+/// A pool shared by the requests of a node.
+pub type SharedBackendPool = Rc<BackendPool>;
--- /dev/null
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -0,0 +1,10 @@
+//! Links to callers, backend servers and the store.
+
+pub mod backend;
+pub mod caller;
+pub mod responder;
+pub mod status;
+pub mod store;
+
+pub use backend::{BackendPool, SendOutcome};
+pub use responder::Responder;
--- /dev/null
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -0,0 +1,156 @@
+//! Answers to one caller.
+
+use std::fmt::Write as _;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionfront_coordination::Refusal;
+use dandelionfront_platform::headers::{self, REQUEST_ID};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, StatusCode};
+use ntex::http::body::BodySize;
+use ntex::http::h1::{Codec, Message};
+use ntex::http::header::HeaderValue;
+use ntex::http::{ConnectionType, Response};
+use ntex::io::Io;
+
+use crate::consts::JSON;
+use crate::request::answer::refusal_json;
+
+/// Length of an answer's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyLength {
+    /// Known beforehand, in bytes.
+    Known(u64),
+    /// Sent in chunks; an end without the last chunk shows as incomplete.
+    Chunked,
+}
+
+/// Writes one answer on a caller's connection.
+pub struct Responder<'a> {
+    io: &'a Io,
+    codec: &'a Codec,
+    is_head_sent: bool,
+    is_complete: bool,
+    closes: bool,
+}
+
+impl<'a> Responder<'a> {
+    /// Creates a responder for the request last read from `io`.
+    #[must_use]
+    pub fn new(io: &'a Io, codec: &'a Codec) -> Self {
+        Self { io, codec, is_head_sent: false, is_complete: false, closes: false }
+    }
+
+    /// Ends the connection after this answer.
+    pub fn close_after(&mut self) {
+        self.closes = true;
+    }
+
+    /// Returns whether the head of an answer was sent.
+    #[must_use]
+    pub fn is_head_sent(&self) -> bool {
+        self.is_head_sent
+    }
+
+    /// Returns whether a whole answer was sent.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Sends the head of a backend server's answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer cannot be encoded.
+    pub fn send_head(
+        &mut self,
+        status: StatusCode,
+        answer: &HeaderMap,
+        length: BodyLength,
+    ) -> io::Result<()> {
+        let connection = answer.get(http::header::CONNECTION).and_then(|value| value.to_str().ok());
+        let connection = connection.unwrap_or_default();
+        let mut response = Response::new(status).drop_body();
+        for (name, value) in answer {
+            if headers::is_returned(name.as_str(), connection)
+                && let Ok(value) = HeaderValue::from_bytes(value.as_bytes())
+            {
+                response.headers_mut().append(name.clone(), value);
+            }
+        }
+        self.encode_head(response, length)
+    }
+
+    fn encode_head(&mut self, mut response: Response<()>, length: BodyLength) -> io::Result<()> {
+        if self.closes {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        let size = match length {
+            BodyLength::Known(0) => BodySize::Empty,
+            BodyLength::Known(bytes) => BodySize::Sized(bytes),
+            BodyLength::Chunked => BodySize::Stream,
+        };
+        self.is_head_sent = true;
+        self.io.encode(Message::Item((response, size)), self.codec).map_err(io::Error::other)
+    }
+
+    /// Sends a part of the body and waits while the caller reads too slowly.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is gone.
+    pub async fn send_chunk(&mut self, bytes: Bytes) -> io::Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let chunk = ntex::util::Bytes::copy_from_slice(&bytes);
+        self.io.encode(Message::Chunk(Some(chunk)), self.codec).map_err(io::Error::other)?;
+        self.io.flush(false).await
+    }
+
+    /// Ends the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is gone.
+    pub async fn finish(&mut self) -> io::Result<()> {
+        self.io.encode(Message::Chunk(None), self.codec).map_err(io::Error::other)?;
+        self.is_complete = true;
+        self.io.flush(false).await
+    }
+
+    /// Sends a refusal as a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is gone.
+    pub async fn refuse(&mut self, request_id: &str, refusal: &Refusal) -> io::Result<()> {
+        let status = StatusCode::from_u16(refusal.kind.http_status());
+        let mut response =
+            Response::new(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)).drop_body();
+        let fields = response.headers_mut();
+        fields.insert(CONTENT_TYPE, HeaderValue::from_static(JSON));
+        if let Ok(value) = HeaderValue::from_str(request_id) {
+            fields.insert(REQUEST_ID, value);
+        }
+        if let Some(pause_ms) = refusal.retry_after_ms
+            && let Ok(value) = HeaderValue::from_str(&seconds(Duration::from_millis(pause_ms)))
+        {
+            fields.insert(RETRY_AFTER, value);
+        }
+        let body = Bytes::from(refusal_json(refusal));
+        self.encode_head(response, BodyLength::Known(body.len() as u64))?;
+        self.send_chunk(body).await?;
+        self.finish().await
+    }
+}
+
+/// Returns a duration in seconds with a fraction.
+fn seconds(duration: Duration) -> String {
+    let mut text = String::new();
+    let _ = write!(text, "{:.3}", duration.as_secs_f64());
+    text
+}
--- /dev/null
+++ b/crates/daemon/src/front/process/clock.rs
@@ -0,0 +1,47 @@
+//! Clocks of a node.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dandelionfront_coordination::Clock;
+use rustix::time::{ClockId, clock_gettime};
+
+use crate::process::clock::SystemClock;
+
+/// The steady clock, and the clock that also counts suspended time.
+#[derive(Debug, Clone)]
+pub struct FrontClock {
+    steady: SystemClock,
+}
+
+impl FrontClock {
+    /// Creates clocks that start now.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { steady: SystemClock::new() }
+    }
+
+    /// Returns the steady time since the start.
+    #[must_use]
+    pub fn monotonic_now(&self) -> Duration {
+        self.steady.monotonic()
+    }
+
+    /// Returns the time since boot, with the time for which the VM was suspended.
+    #[must_use]
+    #[expect(clippy::unused_self, reason = "read through the node's clocks like the steady one")]
+    pub fn boot_now(&self) -> Duration {
+        let now = clock_gettime(ClockId::Boottime);
+        let (seconds, nanos) = (now.tv_sec, now.tv_nsec);
+        Duration::new(
+            u64::try_from(seconds).unwrap_or_default(),
+            u32::try_from(nanos).unwrap_or_default(),
+        )
+    }
+
+    /// Returns the steady clock for the coordination parts.
+    #[must_use]
+    pub fn steady(&self) -> Rc<dyn Clock> {
+        Rc::new(self.steady)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/process/logs.rs
@@ -0,0 +1,91 @@
+//! Log lines on standard output, bounded and never blocking.
+
+use std::collections::VecDeque;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::UNIX_EPOCH;
+
+use log::{LevelFilter, SetLoggerError};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+
+/// Bytes of lines that wait for a slow reader before further lines are dropped.
+const BUFFER_MAX_BYTES: usize = 512 * 1024;
+/// Bytes that a pipe takes without blocking once it reports to be writable.
+const WRITE_MAX_BYTES: usize = 4_096;
+
+#[derive(Debug, Default)]
+struct Buffer {
+    bytes: VecDeque<u8>,
+    dropped_lines: u64,
+}
+
+/// Lines that wait to be written.
+#[derive(Debug, Clone, Default)]
+pub struct LogBuffer(Arc<Mutex<Buffer>>);
+
+impl LogBuffer {
+    /// Writes as much as the reader takes without blocking.
+    pub fn flush(&self) {
+        let stdout = io::stdout();
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        loop {
+            let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+            if buffer.bytes.is_empty() {
+                return;
+            }
+            let mut ready = [PollFd::new(&stdout, PollFlags::OUT)];
+            if !matches!(poll(&mut ready, Some(&now)), Ok(1)) {
+                return;
+            }
+            let bytes = buffer.bytes.make_contiguous();
+            let length = bytes.len().min(WRITE_MAX_BYTES);
+            match rustix::io::write(&stdout, &bytes[..length]) {
+                Ok(written) => drop(buffer.bytes.drain(..written)),
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+impl Write for LogBuffer {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.len() + line.len() > BUFFER_MAX_BYTES {
+            buffer.dropped_lines += 1;
+        } else {
+            if buffer.dropped_lines > 0 {
+                let note = format!("event=log_lines_dropped count={}\n", buffer.dropped_lines);
+                buffer.bytes.extend(note.as_bytes());
+                buffer.dropped_lines = 0;
+            }
+            buffer.bytes.extend(line);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging into a buffer that [`LogBuffer::flush`] empties.
+///
+/// # Errors
+///
+/// Fails when a logger was set before.
+pub fn init(level: LevelFilter) -> Result<LogBuffer, SetLoggerError> {
+    let buffer = LogBuffer::default();
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            let elapsed = UNIX_EPOCH.elapsed().unwrap_or_default();
+            let level = record.level().as_str().to_ascii_lowercase();
+            out.finish(format_args!("time={:.3} level={level} {message}", elapsed.as_secs_f64()));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("dandelionfront", level)
+        .level_for("dandelionfront_coordination", level)
+        .level_for("dandelionfront_platform", level)
+        .chain(Box::new(buffer.clone()) as Box<dyn Write + Send>)
+        .apply()?;
+    Ok(buffer)
+}
--- /dev/null
+++ b/crates/daemon/src/front/process/mod.rs
@@ -0,0 +1,13 @@
+//! What lives as long as the process.
+
+mod clock;
+mod lifecycle;
+mod logs;
+pub mod metrics;
+mod node;
+mod stop;
+
+pub use lifecycle::run;
+pub use metrics::{FrontMetrics, RetryReason};
+pub use node::FrontNode;
+pub use stop::StopSignal;
--- /dev/null
+++ b/crates/daemon/src/front/process/node.rs
@@ -0,0 +1,183 @@
+//! State of a node.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use dandelionfront_coordination::freshness::Freshness;
+use dandelionfront_coordination::ledger::Ledgers;
+use dandelionfront_coordination::placement::Placement;
+use dandelionfront_coordination::routing::RoutingTable;
+use dandelionfront_coordination::rows::SharedRowStore;
+use dandelionfront_coordination::servers::{ServerChange, ServerList};
+use dandelionfront_coordination::turns::{TurnRecord, Turns};
+use dandelionfront_coordination::{Refusal, RefusalKind};
+use dandelionfront_platform::{NodeSettings, StoreClient};
+
+use super::clock::FrontClock;
+use super::metrics::FrontMetrics;
+use super::stop::{Count, StopSignal};
+use crate::front::connection::BackendPool;
+
+/// Part of the process's memory that cached turns may use.
+const TURN_CACHE_SHARE: u64 = 8;
+/// Longest wait for the record of a turn before its answer ends; it is repeated afterwards.
+const KEEP_WAIT: Duration = Duration::from_millis(400);
+/// Pause before a turn's record is written once more.
+const KEEP_RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Everything that the requests and tasks of a node share.
+pub struct FrontNode {
+    /// Settings of the process.
+    pub settings: NodeSettings,
+    /// Clocks.
+    pub clock: FrontClock,
+    /// Metrics.
+    pub metrics: Rc<FrontMetrics>,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// Backend servers by the platform's list.
+    pub servers: RefCell<ServerList>,
+    /// Load and failures of backend servers.
+    pub placement: RefCell<Placement>,
+    /// Token budgets.
+    pub ledgers: Ledgers,
+    /// Kept turns.
+    pub turns: Turns,
+    /// Idle connections to backend servers.
+    pub pool: BackendPool,
+    /// Planned stop.
+    pub stop: StopSignal,
+    /// Open connections of callers.
+    pub caller_connections: Count,
+    /// Requests of callers under way.
+    pub caller_requests: Count,
+    /// Records of turns that the store has not accepted yet.
+    pub unkept_turns: Count,
+    table: RefCell<Rc<RoutingTable>>,
+    freshness: RefCell<Freshness>,
+    has_servers: Cell<bool>,
+}
+
+impl FrontNode {
+    /// Creates a node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: NodeSettings, store: StoreClient, metrics: Rc<FrontMetrics>) -> Self {
+        let clock = FrontClock::new();
+        let rows: SharedRowStore = Rc::new(store.clone());
+        let cache_max_bytes =
+            usize::try_from(settings.memory_max_bytes / TURN_CACHE_SHARE).unwrap_or(usize::MAX);
+        Self {
+            metrics,
+            store,
+            servers: RefCell::default(),
+            placement: RefCell::default(),
+            ledgers: Ledgers::new(Rc::clone(&rows), clock.steady()),
+            turns: Turns::new(rows, cache_max_bytes),
+            pool: BackendPool::default(),
+            stop: StopSignal::default(),
+            caller_connections: Count::default(),
+            caller_requests: Count::default(),
+            unkept_turns: Count::default(),
+            table: RefCell::default(),
+            freshness: RefCell::new(Freshness::new(settings.key_withdrawal)),
+            has_servers: Cell::new(false),
+            clock,
+            settings,
+        }
+    }
+
+    /// Returns the routing table in force; version 0 stands for none.
+    #[must_use]
+    pub fn table(&self) -> Rc<RoutingTable> {
+        Rc::clone(&self.table.borrow())
+    }
+
+    /// Puts a routing table in force.
+    pub fn replace_table(&self, table: Rc<RoutingTable>) {
+        self.table.replace(table);
+    }
+
+    /// Records that the store had no newer configuration at `asked_at`.
+    pub fn prove_fresh(&self, asked_at: Duration) {
+        let was_fresh = self.freshness.borrow().is_fresh(self.clock.boot_now());
+        self.freshness.borrow_mut().prove(asked_at);
+        if !was_fresh {
+            log::info!("event=config_fresh version={}", self.table().version());
+        }
+    }
+
+    /// Checks that withdrawn keys and new routes would be known.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the last proof of freshness is too old.
+    pub fn require_fresh(&self) -> Result<(), Refusal> {
+        let now = self.clock.boot_now();
+        let freshness = self.freshness.borrow();
+        if freshness.is_fresh(now) {
+            return Ok(());
+        }
+        let age_ms = freshness.age(now).map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1));
+        Err(Refusal::not_run(
+            RefusalKind::ConfigStale,
+            format!("the configuration was last proved current {age_ms} ms ago; retry elsewhere"),
+        ))
+    }
+
+    /// Takes one request from the limit of `team`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the team is over its limit.
+    #[expect(clippy::unused_self, clippy::unnecessary_wraps, reason = "limits follow")]
+    pub fn take_limit(&self, _table: &RoutingTable, _team: &str) -> Result<(), Refusal> {
+        Ok(())
+    }
+
+    /// Returns whether the balancer may send new connections.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.table().version() > 0 && self.has_servers.get() && !self.stop.is_stopping()
+    }
+
+    /// Records that the list of backend servers was read.
+    pub fn note_servers_read(&self) {
+        let count = self.servers.borrow().len();
+        self.metrics.servers.set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.has_servers.set(true);
+    }
+
+    /// Logs changes of the list and drops what belonged to servers that are gone.
+    pub fn note_server_changes(&self, changes: &[ServerChange]) {
+        for change in changes {
+            match change {
+                ServerChange::Seen(id) => log::info!("event=server_seen server={id}"),
+                ServerChange::Draining(id) => log::info!("event=server_draining server={id}"),
+                ServerChange::Gone(id) => {
+                    log::info!("event=server_gone server={id}");
+                    self.placement.borrow_mut().forget(id);
+                }
+            }
+        }
+    }
+
+    /// Keeps a turn; when the store does not accept it in time, goes on trying in the background.
+    pub async fn keep_turn(self: &Rc<Self>, turn: &str, record: Rc<TurnRecord>) {
+        let work = self.turns.keep(turn, Rc::clone(&record));
+        let cause = match tokio::time::timeout(KEEP_WAIT, work).await {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        log::warn!("event=turn_not_kept request={turn} cause=\"{cause}\" retried=true");
+        let (node, turn, unkept) = (Rc::clone(self), turn.to_owned(), self.unkept_turns.enter());
+        tokio::task::spawn_local(async move {
+            let _unkept = unkept;
+            while node.turns.keep(&turn, Rc::clone(&record)).await.is_err() {
+                tokio::time::sleep(KEEP_RETRY_PAUSE).await;
+            }
+            log::info!("event=turn_kept request={turn} retried=true");
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/request/admission.rs
@@ -0,0 +1,193 @@
+//! Everything that is decided before a request is sent anywhere.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dandelionfront_coordination::ids::TeamId;
+use dandelionfront_coordination::request::RequestContext;
+use dandelionfront_coordination::routing::{Route, RoutingTable};
+use dandelionfront_coordination::{Refusal, RefusalKind};
+use dandelionfront_platform::headers;
+use http::{HeaderMap, HeaderValue, Method, header};
+
+use super::turn::{self, OpenTurn};
+use crate::front::connection::caller::CallerRequest;
+use crate::front::process::FrontNode;
+
+/// Wait of a caller that names no deadline; the longest that the pages name.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
+
+/// A request that may be sent to a backend server.
+pub struct Admitted {
+    /// What the request says of itself.
+    pub context: RequestContext,
+    /// Route in force when it was admitted.
+    pub route: Route,
+    /// Service that serves it.
+    pub service: String,
+    /// Team whose key came with it.
+    pub team: Option<AdmittedTeam>,
+    /// Method.
+    pub method: Method,
+    /// Path and query as received.
+    pub target: String,
+    /// Headers to forward.
+    pub headers: HeaderMap,
+    /// Body to forward.
+    pub body: Bytes,
+    /// Time after which the caller or the operator no longer waits.
+    pub ends_at: Instant,
+    /// Time at which it was read.
+    pub arrived_at: Instant,
+    /// Set for turns with a token budget or a kept history.
+    pub turn: Option<OpenTurn>,
+    /// Key of its placement: equal keys share prompts.
+    pub placement_key: String,
+}
+
+/// The team of an admitted request.
+pub struct AdmittedTeam {
+    /// Name.
+    pub name: TeamId,
+    /// Key that came with the request, to be checked again before each send.
+    pub key: String,
+    /// Rank that goes before the route's.
+    pub priority: Option<u8>,
+}
+
+/// A refusal before anything was sent.
+pub struct Refused {
+    /// Request id, if the request had one.
+    pub id: String,
+    /// Answer to the caller.
+    pub refusal: Refusal,
+}
+
+/// Admits a request or refuses it.
+pub async fn admit(node: &Rc<FrontNode>, request: &CallerRequest) -> Result<Admitted, Refused> {
+    let context = headers::decode_request(|name| {
+        request.head.headers().get(name).and_then(|value| value.to_str().ok())
+    });
+    let id = context.id.clone();
+    admit_decoded(node, request, context).await.map_err(|refusal| Refused { id, refusal })
+}
+
+async fn admit_decoded(
+    node: &Rc<FrontNode>,
+    request: &CallerRequest,
+    context: RequestContext,
+) -> Result<Admitted, Refusal> {
+    let table = node.table();
+    if table.version() == 0 {
+        let message = "no configuration has arrived yet; retry shortly";
+        return Err(Refusal::not_run(RefusalKind::NotReady, message));
+    }
+    let route = find_route(node, &table, request)?;
+    let team = find_team(node, &table, request, &route)?;
+    if context.id.is_empty() {
+        let message = "the request has no Request-Id; send a new one with each attempt";
+        return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
+    }
+    let service = route.service_for(&context.id).cloned().ok_or_else(|| {
+        Refusal::not_run(RefusalKind::NoBackend, "the route names no service; publish one")
+    })?;
+    if let Some(team) = &team {
+        node.take_limit(&table, &team.name)?;
+    }
+    let deadline = context.deadline.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
+    let ends_at = request.arrived_at + deadline;
+    let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
+    let service_spec = table.service(&service);
+    let opened =
+        turn::open(node, &context, &route, service_spec, team_name, &request.body, ends_at).await?;
+    let placement_key = opened.placement_key;
+    Ok(Admitted {
+        headers: forwarded_headers(request, team.as_ref(), &route),
+        method: request.head.method().clone(),
+        target: request.head.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned(),
+        context,
+        service,
+        team,
+        body: opened.body,
+        ends_at,
+        arrived_at: request.arrived_at,
+        turn: opened.turn,
+        placement_key,
+        route,
+    })
+}
+
+fn find_route(
+    node: &FrontNode,
+    table: &RoutingTable,
+    request: &CallerRequest,
+) -> Result<Route, Refusal> {
+    let host = request.head.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+    if let Some(route) = table.route(host.unwrap_or_default(), request.head.path()) {
+        return Ok(route.clone());
+    }
+    // A node that may lack the newest configuration cannot say that there is no route.
+    node.require_fresh()?;
+    Err(Refusal::not_run(
+        RefusalKind::RouteUnknown,
+        format!("no route for this host and path in version {}; check both", table.version()),
+    ))
+}
+
+fn find_team(
+    node: &FrontNode,
+    table: &RoutingTable,
+    request: &CallerRequest,
+    route: &Route,
+) -> Result<Option<AdmittedTeam>, Refusal> {
+    if route.is_public || !table.uses_keys() {
+        return Ok(None);
+    }
+    node.require_fresh()?;
+    let key = request.head.headers().get(headers::KEY).and_then(|value| value.to_str().ok());
+    let team = key.and_then(|key| table.team_of_key(key));
+    let Some((team, key)) = team.zip(key) else {
+        return Err(Refusal::not_run(
+            RefusalKind::KeyUnknown,
+            format!("the key is unknown in version {}; send a key in force", table.version()),
+        ));
+    };
+    Ok(Some(AdmittedTeam {
+        name: team.name.clone(),
+        key: key.to_owned(),
+        priority: team.priority,
+    }))
+}
+
+fn forwarded_headers(
+    request: &CallerRequest,
+    team: Option<&AdmittedTeam>,
+    route: &Route,
+) -> HeaderMap {
+    let received = request.head.headers();
+    let connection = received.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    let connection = connection.unwrap_or_default();
+    let mut forwarded = HeaderMap::with_capacity(received.len());
+    for (name, value) in received {
+        if headers::is_forwarded(name.as_str(), connection)
+            && let Ok(value) = HeaderValue::from_bytes(value.as_bytes())
+        {
+            forwarded.append(name.clone(), value);
+        }
+    }
+    if let Some(value) = team.and_then(|team| HeaderValue::from_str(&team.name).ok()) {
+        forwarded.insert(headers::TEAM, value);
+    }
+    if route.repeat.is_stream() {
+        let rank = team.and_then(|team| team.priority).unwrap_or(route.priority);
+        let priority = u64::from(rank) + ENGINE_PRIORITY_BASE;
+        forwarded.insert(headers::ENGINE_PRIORITY, priority.min(ENGINE_PRIORITY_LAST).into());
+    }
+    forwarded
+}
+
+/// Priority at an engine of requests of rank 0; leaves room for more urgent ones.
+const ENGINE_PRIORITY_BASE: u64 = 3;
+/// Least urgent priority at an engine.
+const ENGINE_PRIORITY_LAST: u64 = 9;
--- /dev/null
+++ b/crates/daemon/src/front/request/mod.rs
@@ -0,0 +1,64 @@
+//! What lives for one request: admission, attempts at backend servers, the answer.
+
+mod admission;
+mod attempt;
+mod outbound;
+mod relay;
+mod stream;
+mod turn;
+
+use std::io;
+use std::rc::Rc;
+
+use dandelionfront_coordination::Refusal;
+
+use crate::front::connection::Responder;
+use crate::front::connection::caller::CallerRequest;
+use crate::front::process::FrontNode;
+
+/// Serves a request and logs its outcome.
+///
+/// # Errors
+///
+/// Fails when no whole answer could be sent; the caller's connection must then be cut.
+pub async fn serve(
+    node: &Rc<FrontNode>,
+    request: &CallerRequest,
+    responder: &mut Responder<'_>,
+) -> io::Result<()> {
+    let admitted = match admission::admit(node, request).await {
+        Ok(admitted) => admitted,
+        Err(refused) => return refuse(node, request, responder, &refused.id, &refused.refusal).await,
+    };
+    let id = admitted.context.id.clone();
+    match attempt::run(node, admitted, responder).await {
+        Ok(()) => Ok(()),
+        Err(attempt::Failure::Refused(refusal)) if !responder.is_head_sent() => {
+            refuse(node, request, responder, &id, &refusal).await
+        }
+        Err(attempt::Failure::Refused(refusal)) => {
+            log::info!("event=broken_off request={id} cause=\"{refusal}\"");
+            node.metrics.answers_broken_off.inc();
+            Err(io::Error::other(refusal.to_string()))
+        }
+        Err(attempt::Failure::CallerGone(error)) => Err(error),
+    }
+}
+
+async fn refuse(
+    node: &FrontNode,
+    request: &CallerRequest,
+    responder: &mut Responder<'_>,
+    id: &str,
+    refusal: &Refusal,
+) -> io::Result<()> {
+    node.metrics.count_refusal(refusal.kind);
+    log::info!(
+        "event=refused request={id} path={} kind={} status={} elapsed_ms={} message=\"{refusal}\"",
+        request.head.path(),
+        refusal.kind.label(),
+        refusal.kind.http_status(),
+        request.arrived_at.elapsed().as_millis(),
+    );
+    responder.refuse(id, refusal).await
+}
--- /dev/null
+++ b/crates/daemon/src/front/request/outbound.rs
@@ -0,0 +1,80 @@
+//! The request as a backend server gets it, and the first check of its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionfront_coordination::servers::ServerEntry;
+use dandelionfront_platform::headers;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::admission::Admitted;
+
+/// Builds the request for `server`; `resume_after` is the last event that the caller has.
+pub fn build(
+    admitted: &Admitted,
+    server: &ServerEntry,
+    time_left: Duration,
+    resume_after: Option<u64>,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::builder()
+        .method(admitted.method.clone())
+        .uri(&admitted.target)
+        .body(Full::new(admitted.body.clone()))?;
+    let fields = request.headers_mut();
+    fields.clone_from(&admitted.headers);
+    fields.insert(headers::DEADLINE_MS, headers::millis_value(time_left));
+    fields.insert(headers::EXPECTED_SERVER, HeaderValue::from_str(&server.id)?);
+    if let Some(event) = resume_after {
+        fields.insert(headers::LAST_EVENT_ID, event.into());
+    }
+    Ok(request)
+}
+
+/// What the head of an answer means.
+#[derive(Debug)]
+pub enum Verdict {
+    /// The request has not run.
+    NotRun(StatusCode),
+    /// The backend server's answer, to be returned as it is.
+    Genuine,
+    /// Not an answer to this request; the connection must not be used again.
+    Foreign(&'static str),
+}
+
+/// Judges the head of an answer.
+#[must_use]
+pub fn judge(response: &Response<Incoming>, request_id: &str) -> Verdict {
+    let fields = response.headers();
+    let status = response.status();
+    let echoed = fields.get(headers::REQUEST_ID);
+    if echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes()) {
+        return Verdict::Foreign("it names another request");
+    }
+    if fields.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
+        return Verdict::NotRun(status);
+    }
+    if echoed.is_none() {
+        return Verdict::Foreign("it names no request");
+    }
+    if fields.contains_key(header::CONTENT_ENCODING) {
+        return Verdict::Foreign("its body is encoded");
+    }
+    if status.is_success() && !fields.contains_key(headers::SERVER_SIGNATURE) {
+        return Verdict::Foreign("it bears no signature");
+    }
+    if matches!(status.as_u16(), 408 | 429 | 503) {
+        // Callers take these for a promise that the request has not run.
+        return Verdict::Foreign("it promises what the backend server did not");
+    }
+    Verdict::Genuine
+}
+
+/// Returns the idle time in seconds that an answer names.
+#[must_use]
+pub fn keep_alive_seconds(response: &Response<Incoming>) -> Option<u64> {
+    let value = response.headers().get("keep-alive")?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|field| field.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/daemon/src/front/request/relay.rs
@@ -0,0 +1,80 @@
+//! Answers with one body.
+
+use bytes::{Bytes, BytesMut};
+use http::{Method, Response};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
+use tokio::time::timeout_at;
+
+use super::attempt::{Attempts, Failure, Relayed};
+use crate::front::connection::responder::{BodyLength, Responder};
+
+/// Bytes up to which an answer is read whole before its first byte is passed on, so that a cut
+/// answer can be replaced.
+const BUFFERED_MAX_BYTES: usize = 256 * 1024;
+/// Largest body of a refusal that is read so that its connection can be used again.
+const DISCARD_MAX_BYTES: u64 = 16 * 1024;
+
+/// Reads and drops a body; returns whether its end was read.
+pub async fn discard(response: Response<Incoming>) -> bool {
+    let body = response.into_body();
+    if body.is_end_stream() {
+        return true;
+    }
+    match body.size_hint().exact() {
+        Some(bytes) if bytes <= DISCARD_MAX_BYTES => body.collect().await.is_ok(),
+        _ => false,
+    }
+}
+
+/// Passes an answer on once it is whole, or in parts if it is long.
+pub async fn whole(
+    attempts: &mut Attempts<'_>,
+    responder: &mut Responder<'_>,
+    response: Response<Incoming>,
+) -> Result<Relayed, Failure> {
+    let (head, mut body) = response.into_parts();
+    let mut buffered = BytesMut::new();
+    let mut is_passing = false;
+    loop {
+        let frame = match timeout_at(attempts.admitted.ends_at.into(), body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return Ok(Relayed::BrokenOff(error.to_string())),
+            Ok(None) => break,
+            Err(_) => return Ok(Relayed::BrokenOff("the deadline passed".to_owned())),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        buffered.extend_from_slice(&data);
+        if buffered.len() > BUFFERED_MAX_BYTES {
+            if !is_passing {
+                responder
+                    .send_head(head.status, &head.headers, BodyLength::Chunked)
+                    .map_err(Failure::CallerGone)?;
+                is_passing = true;
+            }
+            let part = buffered.split().freeze();
+            responder.send_chunk(part).await.map_err(Failure::CallerGone)?;
+        }
+    }
+    let rest = buffered.freeze();
+    if !is_passing {
+        let length = match declared_length(&head.headers) {
+            Some(length) if attempts.admitted.method == Method::HEAD => length,
+            _ => rest.len() as u64,
+        };
+        responder
+            .send_head(head.status, &head.headers, BodyLength::Known(length))
+            .map_err(Failure::CallerGone)?;
+    }
+    send_rest(responder, rest).await?;
+    Ok(Relayed::Complete)
+}
+
+async fn send_rest(responder: &mut Responder<'_>, rest: Bytes) -> Result<(), Failure> {
+    responder.send_chunk(rest).await.map_err(Failure::CallerGone)?;
+    responder.finish().await.map_err(Failure::CallerGone)
+}
+
+fn declared_length(headers: &http::HeaderMap) -> Option<u64> {
+    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/daemon/src/front/request/stream.rs
@@ -0,0 +1,72 @@
+//! Event streams, passed on event by event.
+
+use bytes::Bytes;
+use dandelionfront_coordination::events::{EventSplitter, StreamEvent};
+use http::Response;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+
+use super::attempt::{Attempts, Failure, Relayed};
+use crate::front::connection::responder::{BodyLength, Responder};
+
+/// Passes a stream on; only whole events in their order reach the caller.
+pub async fn relay(
+    attempts: &mut Attempts<'_>,
+    responder: &mut Responder<'_>,
+    response: Response<Incoming>,
+) -> Result<Relayed, Failure> {
+    let (head, mut body) = response.into_parts();
+    if !responder.is_head_sent() {
+        responder
+            .send_head(head.status, &head.headers, BodyLength::Chunked)
+            .map_err(Failure::CallerGone)?;
+    }
+    let mut splitter = EventSplitter::default();
+    loop {
+        let frame = match timeout_at(attempts.admitted.ends_at.into(), body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return Ok(Relayed::BrokenOff(error.to_string())),
+            Ok(None) => break,
+            Err(_) => return Ok(Relayed::BrokenOff("the deadline passed".to_owned())),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if !splitter.push(&data) {
+            return Ok(Relayed::BrokenOff("an event is too long".to_owned()));
+        }
+        while let Some(event) = splitter.next_event() {
+            if let Err(cause) = pass(attempts, responder, event).await? {
+                return Ok(Relayed::BrokenOff(cause));
+            }
+        }
+    }
+    if splitter.has_partial() {
+        return Ok(Relayed::BrokenOff("it ended within an event".to_owned()));
+    }
+    if let Some(turn) = &mut attempts.admitted.turn {
+        turn.keep().await;
+    }
+    responder.finish().await.map_err(Failure::CallerGone)?;
+    Ok(Relayed::Complete)
+}
+
+/// Passes one event on, unless it does not follow the last one.
+async fn pass(
+    attempts: &mut Attempts<'_>,
+    responder: &mut Responder<'_>,
+    event: StreamEvent,
+) -> Result<Result<(), String>, Failure> {
+    if let Some(id) = event.id {
+        if let Some(last) = attempts.last_event
+            && id != last + 1
+        {
+            return Ok(Err(format!("event {id} follows event {last}")));
+        }
+        attempts.last_event = Some(id);
+    }
+    if let Some(turn) = &mut attempts.admitted.turn {
+        turn.note_event(&event.data);
+    }
+    responder.send_chunk(Bytes::from(event.raw)).await.map_err(Failure::CallerGone)?;
+    Ok(Ok(()))
+}
--- /dev/null
+++ b/crates/daemon/src/front/version/follow.rs
@@ -0,0 +1,204 @@
+//! Following the operator's configuration and the list of backend servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dandelionfront_coordination::routing::RoutingTable;
+use dandelionfront_coordination::rows::{RowChange, RowStoreError};
+use dandelionfront_coordination::servers::{ServerChange, ServerEntry};
+use dandelionfront_platform::store::{CONFIG_KEY, FeedPage, OPERATOR_TABLE, SERVERS_TABLE};
+use dandelionfront_platform::{config, servers};
+use rand::Rng as _;
+
+use crate::front::process::FrontNode;
+
+/// Longest wait of one call for a new configuration; each answer also proves freshness.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+/// Time between two reads of the changes to the list of backend servers, a third of the time
+/// within which a draining server must get no more requests.
+const SERVERS_INTERVAL: Duration = Duration::from_millis(600);
+/// Shortest and longest pause after a failed call.
+const FAILURE_PAUSE_MS: std::ops::Range<u64> = 50..250;
+
+/// Progress of following one table.
+#[derive(Debug, Default)]
+struct Cursor {
+    /// Version to continue from; `None` before the first whole read and after lost history.
+    version: Option<u64>,
+    /// Newest version seen; older answers are stale.
+    newest: u64,
+    is_lost: bool,
+}
+
+impl Cursor {
+    /// Records an answer; returns whether it is no older than earlier ones.
+    fn advance(&mut self, version: u64) -> bool {
+        if version < self.newest {
+            return false;
+        }
+        self.newest = version;
+        self.version = Some(version);
+        true
+    }
+}
+
+/// Changes of a table, or all of its rows.
+enum Update {
+    Whole(Vec<RowChange>),
+    Changes(Vec<RowChange>),
+}
+
+/// Follows the operator's configuration until the process ends.
+pub async fn follow_config(node: Rc<FrontNode>) {
+    let mut cursor = Cursor::default();
+    loop {
+        let asked_at = node.clock.boot_now();
+        // After a failure the first answer is due at once, for its proof of freshness.
+        let wait = if cursor.is_lost { Duration::ZERO } else { CONFIG_WAIT };
+        match read(&node, &mut cursor, OPERATOR_TABLE, wait).await {
+            Ok(Some(Update::Whole(rows) | Update::Changes(rows))) => {
+                for row in rows.iter().filter(|row| row.key == CONFIG_KEY) {
+                    adopt_config(&node, row);
+                }
+                node.prove_fresh(asked_at);
+            }
+            Ok(None) => log::warn!("event=stale_answer table={OPERATOR_TABLE}"),
+            Err(_) => pause().await,
+        }
+    }
+}
+
+fn adopt_config(node: &FrontNode, row: &RowChange) {
+    let Some(value) = &row.value else { return };
+    match config::decode(value) {
+        Ok(table) => {
+            let (version, known) = (table.version(), node.table().version());
+            let is_newer = version > known;
+            log::info!(
+                "event=config_seen version={version} previous={known} row_version={} adopted={is_newer}",
+                row.version,
+            );
+            if is_newer {
+                node.adopt_table(table);
+            }
+        }
+        Err(error) => {
+            log::error!(
+                "event=config_malformed row_version={} cause=\"{error}\" kept_version={}",
+                row.version,
+                node.table().version(),
+            );
+        }
+    }
+}
+
+/// Follows the list of backend servers until the process ends.
+pub async fn follow_servers(node: Rc<FrontNode>) {
+    let mut cursor = Cursor::default();
+    loop {
+        let result = read(&node, &mut cursor, SERVERS_TABLE, Duration::ZERO).await;
+        let now = node.clock.monotonic_now();
+        match result {
+            Ok(Some(update)) => {
+                let mut changes = node.servers.borrow_mut().expire_lapsed(now);
+                changes.extend(apply_servers(&node, update, now));
+                node.note_server_changes(&changes);
+                node.note_servers_read();
+                tokio::time::sleep(SERVERS_INTERVAL).await;
+            }
+            Ok(None) => log::warn!("event=stale_answer table={SERVERS_TABLE}"),
+            Err(_) => {
+                node.servers.borrow_mut().note_store_failure(now);
+                pause().await;
+            }
+        }
+    }
+}
+
+fn apply_servers(node: &FrontNode, update: Update, now: Duration) -> Vec<ServerChange> {
+    let mut list = node.servers.borrow_mut();
+    match update {
+        Update::Whole(rows) => {
+            let entries = rows.iter().filter_map(decode_server).collect();
+            list.replace(entries, now)
+        }
+        Update::Changes(rows) => rows
+            .iter()
+            .filter_map(|row| match decode_server(row) {
+                Some(entry) => list.insert(entry),
+                None => list.remove(&row.key, now),
+            })
+            .collect(),
+    }
+}
+
+/// Decodes an entry; `None` when it was removed or names no backend server.
+fn decode_server(row: &RowChange) -> Option<ServerEntry> {
+    let value = row.value.as_ref()?;
+    match servers::decode(&row.key, value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::info!(
+                "event=server_entry_ignored server={} row_version={} cause=\"{error}\"",
+                row.key,
+                row.version,
+            );
+            None
+        }
+    }
+}
+
+/// Reads what is new; `None` when the answer is older than an earlier one.
+async fn read(
+    node: &FrontNode,
+    cursor: &mut Cursor,
+    table: &str,
+    wait: Duration,
+) -> Result<Option<Update>, RowStoreError> {
+    let result = read_once(node, cursor, table, wait).await;
+    match &result {
+        Ok(_) if cursor.is_lost => {
+            log::info!("event=store_regained table={table} version={}", cursor.newest);
+        }
+        Err(error) if !cursor.is_lost => {
+            log::warn!("event=store_lost table={table} version={} cause=\"{error}\"", cursor.newest);
+        }
+        _ => {}
+    }
+    cursor.is_lost = result.is_err();
+    result
+}
+
+async fn read_once(
+    node: &FrontNode,
+    cursor: &mut Cursor,
+    table: &str,
+    wait: Duration,
+) -> Result<Option<Update>, RowStoreError> {
+    if let Some(version) = cursor.version {
+        match node.store.changes(table, version, wait).await? {
+            FeedPage::Changes { rows, version } => {
+                return Ok(cursor.advance(version).then_some(Update::Changes(rows)));
+            }
+            FeedPage::HistoryGone => {
+                log::info!("event=history_gone table={table} version={version}");
+                cursor.version = None;
+            }
+        }
+    }
+    let (rows, version) = node.store.read_part(table, "").await?;
+    Ok(cursor.advance(version).then_some(Update::Whole(rows)))
+}
+
+async fn pause() {
+    let pause_ms = rand::rng().random_range(FAILURE_PAUSE_MS);
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
+/// Replaces the routing table by a newer one.
+impl FrontNode {
+    fn adopt_table(&self, table: RoutingTable) {
+        self.metrics.config_version.set(i64::try_from(table.version()).unwrap_or(i64::MAX));
+        self.replace_table(Rc::new(table));
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod consts;
 pub mod crash;
+pub mod front;
 pub mod logs;
 pub mod operator;
 pub mod process;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,19 +5,23 @@
 use clap::Parser;
 use dandelionfront::cli::{Cli, Command};
 use dandelionfront::settings::Settings;
-use dandelionfront::{logs, process};
+use dandelionfront::{front, logs, process};
 
 /// Exit code of faulty settings.
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if let Some(Command::Front(args)) = &cli.command {
+        return front::run(args, cli.log_level);
+    }
     if let Err(error) = logs::init(cli.log_level) {
         eprintln!("cannot start logging: {error}");
         return ExitCode::FAILURE;
     }
     match cli.command {
         Some(Command::Trial(args)) => run_trial(&args),
+        Some(Command::Front(args)) => front::run(&args, cli.log_level),
         None => match Settings::from_args(&cli.node) {
             Ok(settings) => process::run(settings),
             Err(faults) => {
