--- a/crates/coordination/src/limits/mod.rs
+++ b/crates/coordination/src/limits/mod.rs
@@ -4,7 +4,9 @@
 pub mod escrow;
 mod reclaim;
 pub mod shares;
+pub mod usage;
 
 pub use bucket::Bucket;
 pub use escrow::{Escrow, LimitSettings};
 pub use shares::{LimitRow, Share};
+pub use usage::UsageLimiter;
--- /dev/null
+++ b/crates/coordination/src/limits/usage.rs
@@ -0,0 +1,211 @@
+//! Team limits over all nodes from what each node reports to have admitted.
+//!
+//! Every node simulates the team's whole token bucket: its own admissions count at once, those of
+//! other nodes when they report, and in between they are extrapolated at their last rates. Debt
+//! that shows later is paid before anything else is admitted, so no window exceeds the limit by
+//! more than what was under way between two reports. Nodes that are not heard of keep their equal
+//! part of the limit in reserve, because they may be cut off and spend it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::bucket::BucketLimits;
+
+/// Hash of a team's name, as in reports.
+pub type TeamHash = u32;
+/// Address of a node, as other nodes see it.
+pub type MemberId = String;
+/// Requests admitted since the start of a process, by team.
+pub type AdmittedCounts = HashMap<TeamHash, u64>;
+
+/// Silence after which a node counts as cut off; several times the pause between two reports.
+pub const SILENT_AFTER: Duration = Duration::from_millis(700);
+/// Silence after which a node no longer counts as a member.
+pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+/// Weight of the newest interval in a node's rate.
+const RATE_WEIGHT: f64 = 0.4;
+
+#[derive(Debug)]
+struct Member {
+    incarnation: u64,
+    heard_at: Duration,
+    admitted: AdmittedCounts,
+    rates_per_s: HashMap<TeamHash, f64>,
+}
+
+#[derive(Debug, Default)]
+struct TeamBucket {
+    /// Tokens left; below 0 while debt is paid off.
+    tokens: f64,
+    updated_at: Duration,
+    own_admitted: u64,
+}
+
+/// Buckets of all teams and the members that share them.
+#[derive(Debug, Default)]
+pub struct UsageLimiter {
+    members: HashMap<MemberId, Member>,
+    teams: HashMap<TeamHash, TeamBucket>,
+}
+
+/// Returns the hash of a team's name.
+#[must_use]
+pub fn team_hash(team: &str) -> TeamHash {
+    let hash = xxhash_rust::xxh3::xxh3_64(team.as_bytes());
+    TeamHash::try_from(hash & u64::from(TeamHash::MAX)).unwrap_or_default()
+}
+
+impl UsageLimiter {
+    /// Takes one request from the limit of `team`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a request may be admitted again.
+    pub fn take(
+        &mut self,
+        team: TeamHash,
+        limits: BucketLimits,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        let covered = self.covered_share(now);
+        let unreported = self.unreported(team, now);
+        let bucket = self.teams.entry(team).or_default();
+        bucket.accrue(limits, covered, now);
+        let available = bucket.tokens - unreported;
+        if available >= 1.0 {
+            bucket.tokens -= 1.0;
+            bucket.own_admitted += 1;
+            return Ok(());
+        }
+        let wait_s = (1.0 - available) / (limits.rate_per_s * covered).max(f64::MIN_POSITIVE);
+        Err(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX))
+    }
+
+    /// Gives back a request that was admitted but never sent.
+    pub fn refund(&mut self, team: TeamHash) {
+        if let Some(bucket) = self.teams.get_mut(&team) {
+            bucket.tokens += 1.0;
+            bucket.own_admitted = bucket.own_admitted.saturating_sub(1);
+        }
+    }
+
+    /// Returns what this node has admitted since its start.
+    #[must_use]
+    pub fn own_admitted(&self) -> AdmittedCounts {
+        self.teams.iter().map(|(team, bucket)| (*team, bucket.own_admitted)).collect()
+    }
+
+    /// Records the report of another node.
+    pub fn note_report(
+        &mut self,
+        member: &str,
+        incarnation: u64,
+        admitted: AdmittedCounts,
+        now: Duration,
+    ) {
+        let known = self.members.remove(member);
+        let is_new = known.is_none();
+        let is_restarted = known.as_ref().is_some_and(|known| known.incarnation != incarnation);
+        let mut known = known.unwrap_or_else(|| Member {
+            incarnation,
+            heard_at: now,
+            admitted: admitted.clone(),
+            rates_per_s: HashMap::new(),
+        });
+        if is_restarted {
+            known.admitted.clear();
+        }
+        let elapsed_s = now.saturating_sub(known.heard_at).as_secs_f64();
+        for (team, count) in &admitted {
+            let before = known.admitted.get(team).copied().unwrap_or_default();
+            // A refund may lower a count; the difference is given back.
+            let delta = signed_difference(*count, before);
+            if let Some(bucket) = self.teams.get_mut(team).filter(|_| !is_new) {
+                bucket.tokens -= delta;
+            }
+            if elapsed_s > 0.0 {
+                let rate = known.rates_per_s.entry(*team).or_default();
+                *rate += RATE_WEIGHT * ((delta / elapsed_s).max(0.0) - *rate);
+            }
+        }
+        known.incarnation = incarnation;
+        known.heard_at = now;
+        known.admitted = admitted;
+        self.members.insert(member.to_owned(), known);
+    }
+
+    /// Records a node that is listed but was not heard yet.
+    pub fn note_listed(&mut self, member: &str) {
+        self.members.entry(member.to_owned()).or_insert_with(|| Member {
+            incarnation: 0,
+            heard_at: Duration::ZERO,
+            admitted: AdmittedCounts::new(),
+            rates_per_s: HashMap::new(),
+        });
+    }
+
+    /// Forgets a node that left as planned.
+    pub fn forget(&mut self, member: &str) {
+        self.members.remove(member);
+    }
+
+    /// Forgets nodes silent for [`FORGOTTEN_AFTER`] and returns them.
+    pub fn forget_silent(&mut self, now: Duration) -> Vec<MemberId> {
+        let silent: Vec<MemberId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| now >= member.heard_at + FORGOTTEN_AFTER)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &silent {
+            self.members.remove(id);
+        }
+        silent
+    }
+
+    /// Returns the part of each limit that the nodes in contact with this one may spend.
+    #[must_use]
+    pub fn covered_share(&self, now: Duration) -> f64 {
+        let heard = self.members.values().filter(|member| member.is_heard(now)).count();
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred members")]
+        let share = (heard + 1) as f64 / (self.members.len() + 1) as f64;
+        share
+    }
+
+    /// Returns the other nodes and whether each was heard lately.
+    pub fn members(&self, now: Duration) -> impl Iterator<Item = (&MemberId, bool)> {
+        self.members.iter().map(move |(id, member)| (id, member.is_heard(now)))
+    }
+
+    /// Returns what other nodes have probably admitted since their last reports.
+    fn unreported(&self, team: TeamHash, now: Duration) -> f64 {
+        self.members
+            .values()
+            .filter(|member| member.is_heard(now))
+            .map(|member| {
+                let rate = member.rates_per_s.get(&team).copied().unwrap_or_default();
+                rate * now.saturating_sub(member.heard_at).as_secs_f64()
+            })
+            .sum()
+    }
+}
+
+impl Member {
+    fn is_heard(&self, now: Duration) -> bool {
+        now < self.heard_at + SILENT_AFTER && self.heard_at > Duration::ZERO
+    }
+}
+
+impl TeamBucket {
+    fn accrue(&mut self, limits: BucketLimits, covered: f64, now: Duration) {
+        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
+        let burst = limits.burst.max(1.0) * covered;
+        self.tokens = (self.tokens + elapsed_s * limits.rate_per_s * covered).min(burst.max(1.0));
+        self.updated_at = now;
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of one interval are small")]
+fn signed_difference(new: u64, old: u64) -> f64 {
+    if new >= old { (new - old) as f64 } else { -((old - new) as f64) }
+}
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -38,8 +38,6 @@
 struct ServerView {
     /// Requests that this node has under way there.
     own_in_flight: u32,
-    /// Requests that other nodes last said to have under way there.
-    peer_in_flight: u32,
     failures_in_row: u32,
     avoid_until: Duration,
 }
@@ -48,8 +46,13 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     views: HashMap<BackendId, ServerView>,
+    /// Requests that other nodes last said to have under way.
+    peer_in_flight: HashMap<ServerHash, u32>,
 }
 
+/// Hash of a backend server's identifier, as in reports between nodes.
+pub type ServerHash = u32;
+
 impl Placement {
     /// Chooses among `servers`, leaving out `excluded`.
     pub fn choose<'a>(
@@ -81,7 +84,8 @@
         now: Duration,
     ) -> f64 {
         let view = self.views.get(&server.id);
-        let in_flight = view.map_or(0, |view| view.own_in_flight + view.peer_in_flight);
+        let peers = self.peer_in_flight.get(&server_hash(&server.id)).copied().unwrap_or_default();
+        let in_flight = peers + view.map_or(0, |view| view.own_in_flight);
         let load = f64::from(in_flight) / f64::from(server.slots.max(1));
         let is_avoided = view.is_some_and(|view| now < view.avoid_until);
         let failed = if is_avoided { FAILED_COST } else { 0.0 };
@@ -125,22 +129,16 @@
         pause
     }
 
-    /// Returns the requests that this node has under way, by backend server.
-    pub fn own_load(&self) -> impl Iterator<Item = (&BackendId, u32)> {
-        self.views
-            .iter()
-            .map(|(id, view)| (id, view.own_in_flight))
-            .filter(|(_, in_flight)| *in_flight > 0)
+    /// Returns the requests that this node has under way, by hash of the backend server's id.
+    #[must_use]
+    pub fn own_load(&self) -> Vec<(ServerHash, u32)> {
+        let views = self.views.iter().filter(|(_, view)| view.own_in_flight > 0);
+        views.map(|(id, view)| (server_hash(id), view.own_in_flight)).collect()
     }
 
     /// Replaces what other nodes have under way.
-    pub fn set_peer_load(&mut self, load: &HashMap<BackendId, u32>) {
-        for (id, view) in &mut self.views {
-            view.peer_in_flight = load.get(id).copied().unwrap_or_default();
-        }
-        for (id, in_flight) in load {
-            self.view(id).peer_in_flight = *in_flight;
-        }
+    pub fn set_peer_load(&mut self, load: HashMap<ServerHash, u32>) {
+        self.peer_in_flight = load;
     }
 
     /// Forgets a backend server that is gone.
@@ -170,3 +168,7 @@
 fn hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
+
+fn server_hash(id: &str) -> ServerHash {
+    ServerHash::try_from(hash(id) & u64::from(ServerHash::MAX)).unwrap_or_default()
+}
--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod peers;
 pub mod responder;
 pub mod status;
 pub mod store;
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -15,6 +15,7 @@
 use super::metrics::FrontMetrics;
 use super::node::FrontNode;
 use crate::cli::FrontArgs;
+use crate::front::connection::peers::Peers;
 use crate::front::connection::store::HttpTransport;
 use crate::front::connection::{caller, status};
 use crate::front::version::follow;
@@ -71,6 +72,9 @@
     let callers = TcpListener::bind(settings.caller_listen).await?;
     let readiness = TcpListener::bind(settings.readiness_listen).await?;
     let metrics_listener = TcpListener::bind((settings.vm_ip.as_str(), args.metrics_port)).await?;
+    let peer_address = format!("{}:{}", settings.vm_ip, settings.peer_ports.0);
+    let peer_address = peer_address.parse().map_err(io::Error::other)?;
+    let peers = Rc::new(Peers::bind(peer_address).await?);
     let metrics = Rc::new(FrontMetrics::new());
     let transport = HttpTransport::new(settings.store_address, Rc::clone(&metrics));
     let store = StoreClient::new(Rc::new(transport), STORE_TIMEOUT);
@@ -90,6 +94,7 @@
     tokio::task::spawn_local(status::accept(Rc::clone(&node), readiness));
     tokio::task::spawn_local(status::accept(Rc::clone(&node), metrics_listener));
     tokio::task::spawn_local(keep_house(Rc::clone(&node)));
+    spawn_peers(&node, &peers);
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(LOG_FLUSH_INTERVAL).await;
@@ -97,10 +102,19 @@
         }
     });
     wait_for_stop(&args.settings, &node).await?;
-    stop(&node).await;
+    stop(&node, &peers).await;
     Ok(())
 }
 
+fn spawn_peers(node: &Rc<FrontNode>, peers: &Rc<Peers>) {
+    let (receiving, receiver) = (Rc::clone(peers), Rc::clone(node));
+    tokio::task::spawn_local(async move { receiving.receive(&receiver).await });
+    let (reporting, reporter) = (Rc::clone(peers), Rc::clone(node));
+    tokio::task::spawn_local(async move { reporting.report(&reporter).await });
+    let (listing, listed) = (Rc::clone(peers), Rc::clone(node));
+    tokio::task::spawn_local(async move { listing.keep_listed(&listed).await });
+}
+
 async fn keep_house(node: Rc<FrontNode>) {
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
@@ -133,7 +147,7 @@
 }
 
 /// Stops as planned: serves what is under way and what still comes.
-async fn stop(node: &Rc<FrontNode>) {
+async fn stop(node: &Rc<FrontNode>, peers: &Peers) {
     let begun_at = Instant::now();
     log::info!(
         "event=stop_begun connections={} requests={}",
@@ -152,6 +166,7 @@
         tokio::time::sleep(STOP_CHECK).await;
     }
     node.ledgers.flush(Duration::ZERO, Duration::ZERO).await;
+    peers.say_goodbye(node).await;
     log::info!(
         "event=stopped elapsed_ms={} connections={} requests={} unkept_turns={}",
         begun_at.elapsed().as_millis(),
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -6,8 +6,11 @@
 
 use dandelionfront_coordination::freshness::Freshness;
 use dandelionfront_coordination::ledger::Ledgers;
+use dandelionfront_coordination::limits::UsageLimiter;
+use dandelionfront_coordination::limits::bucket::BucketLimits;
+use dandelionfront_coordination::limits::usage::team_hash;
 use dandelionfront_coordination::placement::Placement;
-use dandelionfront_coordination::routing::RoutingTable;
+use dandelionfront_coordination::routing::{RoutingTable, Team};
 use dandelionfront_coordination::rows::SharedRowStore;
 use dandelionfront_coordination::servers::{ServerChange, ServerList};
 use dandelionfront_coordination::turns::{TurnRecord, Turns};
@@ -19,6 +22,9 @@
 use super::stop::{Count, StopSignal};
 use crate::front::connection::BackendPool;
 
+/// Shortest and longest pause that a caller over its team's limit is asked to make.
+const LIMIT_RETRY_MIN_MS: u64 = 50;
+const LIMIT_RETRY_MAX_MS: u64 = 2_000;
 /// Part of the process's memory that cached turns may use.
 const TURN_CACHE_SHARE: u64 = 8;
 /// Longest wait for the record of a turn before its answer ends; it is repeated afterwards.
@@ -40,6 +46,8 @@
     pub servers: RefCell<ServerList>,
     /// Load and failures of backend servers.
     pub placement: RefCell<Placement>,
+    /// Team limits over all nodes.
+    pub limiter: RefCell<UsageLimiter>,
     /// Token budgets.
     pub ledgers: Ledgers,
     /// Kept turns.
@@ -72,6 +80,7 @@
             store,
             servers: RefCell::default(),
             placement: RefCell::default(),
+            limiter: RefCell::default(),
             ledgers: Ledgers::new(Rc::clone(&rows), clock.steady()),
             turns: Turns::new(rows, cache_max_bytes),
             pool: BackendPool::default(),
@@ -130,9 +139,29 @@
     /// # Errors
     ///
     /// Fails when the team is over its limit.
-    #[expect(clippy::unused_self, clippy::unnecessary_wraps, reason = "limits follow")]
-    pub fn take_limit(&self, _table: &RoutingTable, _team: &str) -> Result<(), Refusal> {
-        Ok(())
+    pub fn take_limit(&self, team: &Team) -> Result<(), Refusal> {
+        if team.rate_per_s <= 0.0 {
+            return Ok(());
+        }
+        let limits = BucketLimits { rate_per_s: team.rate_per_s, burst: team.burst };
+        let now = self.clock.monotonic_now();
+        let result = self.limiter.borrow_mut().take(team_hash(&team.name), limits, now);
+        result.map_err(|wait| {
+            let covered = self.limiter.borrow().covered_share(now);
+            let message = format!(
+                "team {} is over its limit of {} requests a second (share in reach {covered:.2}); \
+                 retry after the pause",
+                team.name, team.rate_per_s
+            );
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            let wait_ms = wait_ms.clamp(LIMIT_RETRY_MIN_MS, LIMIT_RETRY_MAX_MS);
+            Refusal::not_run(RefusalKind::RateLimited, message).retry_after_ms(wait_ms)
+        })
+    }
+
+    /// Gives back a request that was counted and never sent.
+    pub fn refund_limit(&self, team: &str) {
+        self.limiter.borrow_mut().refund(team_hash(team));
     }
 
     /// Returns whether the balancer may send new connections.
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -44,6 +44,40 @@
     pub turn: Option<OpenTurn>,
     /// Key of its placement: equal keys share prompts.
     pub placement_key: String,
+    /// The request in its team's limit.
+    pub counted: CountedRequest,
+}
+
+/// A request counted in its team's limit; given back when dropped before it was sent.
+#[derive(Default)]
+pub struct CountedRequest {
+    unsent: Option<(Rc<FrontNode>, TeamId)>,
+}
+
+impl CountedRequest {
+    fn take(
+        node: &Rc<FrontNode>,
+        table: &RoutingTable,
+        team: &AdmittedTeam,
+    ) -> Result<Self, Refusal> {
+        if let Some(team) = table.team_of_key(&team.key) {
+            node.take_limit(team)?;
+        }
+        Ok(Self { unsent: Some((Rc::clone(node), team.name.clone())) })
+    }
+
+    /// Records that the request was sent.
+    pub fn note_sent(&mut self) {
+        self.unsent = None;
+    }
+}
+
+impl Drop for CountedRequest {
+    fn drop(&mut self) {
+        if let Some((node, team)) = self.unsent.take() {
+            node.refund_limit(&team);
+        }
+    }
 }
 
 /// The team of an admitted request.
@@ -92,9 +126,10 @@
     let service = route.service_for(&context.id).cloned().ok_or_else(|| {
         Refusal::not_run(RefusalKind::NoBackend, "the route names no service; publish one")
     })?;
-    if let Some(team) = &team {
-        node.take_limit(&table, &team.name)?;
-    }
+    let counted = match &team {
+        Some(team) => CountedRequest::take(node, &table, team)?,
+        None => CountedRequest::default(),
+    };
     let deadline = context.deadline.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
     let ends_at = request.arrived_at + deadline;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
@@ -114,6 +149,7 @@
         arrived_at: request.arrived_at,
         turn: opened.turn,
         placement_key,
+        counted,
         route,
     })
 }
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -320,6 +320,7 @@
     }
 
     fn mark_run(&mut self, server: &BackendId) {
+        self.admitted.counted.note_sent();
         if !self.ran_at.contains(server) {
             self.ran_at.push(server.clone());
         }
