--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -99,7 +99,8 @@
         Self { store, clock, programs: RefCell::default() }
     }
 
-    /// Reserves `most_tokens` for the turn `request` of `program`.
+    /// Reserves `most_tokens` for the turn `request` of `program`; returns whether it is the
+    /// program's first.
     ///
     /// # Errors
     ///
@@ -110,7 +111,7 @@
         request: &str,
         most_tokens: u64,
         budget_tokens: u64,
-    ) -> Result<(), ReserveError> {
+    ) -> Result<bool, ReserveError> {
         let cached = self.cached(program);
         let mut cached = cached.lock().await;
         cached.used_at = self.clock.monotonic();
@@ -128,10 +129,11 @@
                 }
                 return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
             }
+            let is_first = cached.row_version == 0;
             next.open_tokens.insert(request.to_owned(), most_tokens);
             is_current = true;
             if self.write(program, &mut cached, next).await? {
-                return Ok(());
+                return Ok(is_first);
             }
         }
         Err(ReserveError::Contended)
--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -5,25 +5,59 @@
 //! that shows later is paid before anything else is admitted, so no window exceeds the limit by
 //! more than what was under way between two reports. Nodes that are not heard of keep their equal
 //! part of the limit in reserve, because they may be cut off and spend it.
+//!
+//! Under pressure programs that have begun go before new ones: finishing few beats starting many.
+//! The first turn of a program also takes the requests that a program needs on average from a
+//! second bucket, which refuses once the first one runs low.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::bucket::BucketLimits;
 
 /// Hash of a team's name, as in reports.
 pub type TeamHash = u32;
 /// Address of a node, as other nodes see it.
 pub type MemberId = String;
-/// Requests admitted since the start of a process, by team.
-pub type AdmittedCounts = HashMap<TeamHash, u64>;
+/// What a process has admitted since its start, by team.
+pub type AdmittedCounts = HashMap<TeamHash, Admitted>;
+
+/// What a process has admitted of one team since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Admitted {
+    /// Requests.
+    pub requests: u64,
+    /// Programs begun.
+    pub programs: u64,
+}
+
+/// Place of a request in its program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The first turn of a program.
+    Begins,
+    /// Any other request.
+    Continues,
+}
 
 /// Silence after which a node counts as cut off; several times the pause between two reports.
 pub const SILENT_AFTER: Duration = Duration::from_millis(700);
 /// Silence after which a node no longer counts as a member.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+/// Longest wait for a token; a quarter of the shortest deadline of the calls within programs.
+pub const WAIT_MAX: Duration = Duration::from_millis(300);
 /// Weight of the newest interval in a node's rate.
 const RATE_WEIGHT: f64 = 0.4;
+/// Requests that a program needs until enough programs were seen.
+const PROGRAM_REQUESTS_DEFAULT: f64 = 12.0;
+/// Programs that must have been seen for their average to count.
+const PROGRAMS_SEEN_MIN: u64 = 8;
+/// Part of the burst below which new programs are held back.
+const BEGIN_RESERVE: f64 = 0.6;
+/// Time over which a program spreads its requests, about a program's length.
+const PROGRAM_SPREAD: Duration = Duration::from_secs(2);
 
 #[derive(Debug)]
 struct Member {
@@ -37,8 +71,10 @@
 struct TeamBucket {
     /// Tokens left; below 0 while debt is paid off.
     tokens: f64,
+    /// Requests that new programs may still claim.
+    program_tokens: f64,
     updated_at: Duration,
-    own_admitted: u64,
+    own_admitted: Admitted,
 }
 
 /// Buckets of all teams and the members that share them.
@@ -56,7 +92,8 @@
 }
 
 impl UsageLimiter {
-    /// Takes one request from the limit of `team`.
+    /// Takes one request from the limit of `team` and returns the time after which it may be
+    /// sent; a request that continues a program may wait up to [`WAIT_MAX`] for its token.
     ///
     /// # Errors
     ///
@@ -65,27 +102,40 @@
         &mut self,
         team: TeamHash,
         limits: BucketLimits,
+        step: Step,
         now: Duration,
-    ) -> Result<(), Duration> {
+    ) -> Result<Duration, Duration> {
         let covered = self.covered_share(now);
         let unreported = self.unreported(team, now);
+        let program_requests = self.program_requests(team);
         let bucket = self.teams.entry(team).or_default();
         bucket.accrue(limits, covered, now);
         let available = bucket.tokens - unreported;
-        if available >= 1.0 {
-            bucket.tokens -= 1.0;
-            bucket.own_admitted += 1;
-            return Ok(());
+        let rate_per_s = (limits.rate_per_s * covered).max(f64::MIN_POSITIVE);
+        let wait = seconds((1.0 - available).max(0.0) / rate_per_s);
+        let wait_max = if step == Step::Begins { Duration::ZERO } else { WAIT_MAX };
+        if wait > wait_max {
+            return Err(wait);
         }
-        let wait_s = (1.0 - available) / (limits.rate_per_s * covered).max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX))
+        if step == Step::Begins {
+            let is_pressed = available < limits.burst * covered * BEGIN_RESERVE;
+            let missing = program_requests - bucket.program_tokens;
+            if is_pressed && missing > 0.0 {
+                return Err(seconds(missing / rate_per_s));
+            }
+            bucket.program_tokens -= program_requests;
+            bucket.own_admitted.programs += 1;
+        }
+        bucket.tokens -= 1.0;
+        bucket.own_admitted.requests += 1;
+        Ok(wait)
     }
 
     /// Gives back a request that was admitted but never sent.
     pub fn refund(&mut self, team: TeamHash) {
         if let Some(bucket) = self.teams.get_mut(&team) {
             bucket.tokens += 1.0;
-            bucket.own_admitted = bucket.own_admitted.saturating_sub(1);
+            bucket.own_admitted.requests = bucket.own_admitted.requests.saturating_sub(1);
         }
     }
 
@@ -119,9 +169,12 @@
         for (team, count) in &admitted {
             let before = known.admitted.get(team).copied().unwrap_or_default();
             // A refund may lower a count; the difference is given back.
-            let delta = signed_difference(*count, before);
+            let delta = signed_difference(count.requests, before.requests);
+            let begun = signed_difference(count.programs, before.programs);
+            let program_requests = self.program_requests(*team);
             if let Some(bucket) = self.teams.get_mut(team).filter(|_| !is_new) {
                 bucket.tokens -= delta;
+                bucket.program_tokens -= begun * program_requests;
             }
             if elapsed_s > 0.0 {
                 let rate = known.rates_per_s.entry(*team).or_default();
@@ -177,6 +230,19 @@
         self.members.iter().map(move |(id, member)| (id, member.is_heard(now)))
     }
 
+    /// Returns the requests that a program of `team` needs on average.
+    fn program_requests(&self, team: TeamHash) -> f64 {
+        let own = self.teams.get(&team).map(|bucket| bucket.own_admitted);
+        let others = self.members.values().filter_map(|member| member.admitted.get(&team).copied());
+        let (requests, programs) = others
+            .chain(own)
+            .fold((0, 0), |sum, count| (sum.0 + count.requests, sum.1 + count.programs));
+        if programs < PROGRAMS_SEEN_MIN {
+            return PROGRAM_REQUESTS_DEFAULT;
+        }
+        signed_difference(requests, 0) / signed_difference(programs, 0)
+    }
+
     /// Returns what other nodes have probably admitted since their last reports.
     fn unreported(&self, team: TeamHash, now: Duration) -> f64 {
         self.members
@@ -200,11 +266,20 @@
     fn accrue(&mut self, limits: BucketLimits, covered: f64, now: Duration) {
         let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
         let burst = limits.burst.max(1.0) * covered;
-        self.tokens = (self.tokens + elapsed_s * limits.rate_per_s * covered).min(burst.max(1.0));
+        let accrued = elapsed_s * limits.rate_per_s * covered;
+        let program_burst = burst + limits.rate_per_s * covered * PROGRAM_SPREAD.as_secs_f64();
+        self.tokens = (self.tokens + accrued).min(burst.max(1.0));
+        self.program_tokens = (self.program_tokens + accrued).min(program_burst);
+        // Debt beyond one program length would hold new programs back for longer than it lasts.
+        self.program_tokens = self.program_tokens.max(-program_burst);
         self.updated_at = now;
     }
 }
 
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX)
+}
+
 #[expect(clippy::cast_precision_loss, reason = "counts of one interval are small")]
 fn signed_difference(new: u64, old: u64) -> f64 {
     if new >= old { (new - old) as f64 } else { -((old - new) as f64) }
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -185,7 +185,8 @@
             by_host.entry(route.host.clone()).or_default().push(position);
         }
         for positions in by_host.values_mut() {
-            positions.sort_by_key(|&position| std::cmp::Reverse(routes[position].path_prefix.len()));
+            positions
+                .sort_by_key(|&position| std::cmp::Reverse(routes[position].path_prefix.len()));
         }
         let mut by_key = HashMap::new();
         for (position, team) in teams.iter().flatten().enumerate() {
--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -109,8 +109,7 @@
             .filter(|id| !entries.iter().any(|entry| entry.id == **id))
             .cloned()
             .collect();
-        let mut changes: Vec<_> =
-            missing.iter().filter_map(|id| self.remove(id, now)).collect();
+        let mut changes: Vec<_> = missing.iter().filter_map(|id| self.remove(id, now)).collect();
         changes.extend(entries.into_iter().filter_map(|entry| self.insert(entry)));
         changes
     }
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -97,7 +97,8 @@
                 DecodeError::TooLarge(_) | DecodeError::MaxHeaders => RefusalKind::HeadTooLarge,
                 _ => RefusalKind::InvalidRequest,
             };
-            let message = format!("the request head is faulty ({error}); send a valid HTTP/1.1 head");
+            let message =
+                format!("the request head is faulty ({error}); send a valid HTTP/1.1 head");
             let refusal = Refusal::not_run(kind, message);
             refuse_and_close(node, io, codec, &refusal).await?;
             Ok(None)
@@ -174,7 +175,8 @@
     loop {
         match io.recv(decoder).await {
             Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > body_max_bytes => {
-                let message = format!("the body is over {body_max_bytes} bytes; send a smaller one");
+                let message =
+                    format!("the body is over {body_max_bytes} bytes; send a smaller one");
                 return Ok(Err(Refusal::not_run(RefusalKind::BodyTooLarge, message)));
             }
             Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionfront_coordination::limits::usage::TeamHash;
+use dandelionfront_coordination::limits::usage::{Admitted, TeamHash};
 use dandelionfront_coordination::rows::{RowRead, RowStore as _, RowWrite};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -34,8 +34,8 @@
 struct Report {
     /// Differs after a restart.
     incarnation: u64,
-    /// Requests admitted since the start, by team.
-    admitted: Vec<(TeamHash, u64)>,
+    /// What was admitted since the start, by team.
+    admitted: Vec<(TeamHash, Admitted)>,
     /// Requests under way, by hash of the backend server's identifier.
     in_flight: Vec<(u32, u32)>,
     /// Whether the node leaves as planned.
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -52,7 +52,8 @@
             };
             let status = response.status().as_u16();
             let body = response.into_body().collect().await;
-            let body = body.map_err(|error| RowStoreError::AnswerLost { detail: error.to_string() });
+            let body =
+                body.map_err(|error| RowStoreError::AnswerLost { detail: error.to_string() });
             let body = body?.to_bytes();
             self.pool.put(self.address, connection);
             return Ok(StoreReply { status, body });
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -159,8 +159,7 @@
     node.stop.close_idle();
     let ends_at = begun_at + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < ends_at {
-        let is_empty = node.caller_requests.get() == 0 && node.unkept_turns.get() == 0;
-        if is_empty && begun_at.elapsed() >= STOP_LINGER {
+        if node.caller_requests.get() == 0 && begun_at.elapsed() >= STOP_LINGER {
             break;
         }
         tokio::time::sleep(STOP_CHECK).await;
@@ -168,10 +167,9 @@
     node.ledgers.flush(Duration::ZERO, Duration::ZERO).await;
     peers.say_goodbye(node).await;
     log::info!(
-        "event=stopped elapsed_ms={} connections={} requests={} unkept_turns={}",
+        "event=stopped elapsed_ms={} connections={} requests={}",
         begun_at.elapsed().as_millis(),
         node.caller_connections.get(),
-        node.caller_requests.get(),
-        node.unkept_turns.get()
+        node.caller_requests.get()
     );
 }
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -2,13 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dandelionfront_coordination::freshness::Freshness;
 use dandelionfront_coordination::ledger::Ledgers;
 use dandelionfront_coordination::limits::UsageLimiter;
 use dandelionfront_coordination::limits::bucket::BucketLimits;
-use dandelionfront_coordination::limits::usage::team_hash;
+use dandelionfront_coordination::limits::usage::{Step, team_hash};
 use dandelionfront_coordination::placement::Placement;
 use dandelionfront_coordination::routing::{RoutingTable, Team};
 use dandelionfront_coordination::rows::SharedRowStore;
@@ -27,10 +27,8 @@
 const LIMIT_RETRY_MAX_MS: u64 = 2_000;
 /// Part of the process's memory that cached turns may use.
 const TURN_CACHE_SHARE: u64 = 8;
-/// Longest wait for the record of a turn before its answer ends; it is repeated afterwards.
-const KEEP_WAIT: Duration = Duration::from_millis(400);
 /// Pause before a turn's record is written once more.
-const KEEP_RETRY_PAUSE: Duration = Duration::from_millis(300);
+const KEEP_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Everything that the requests and tasks of a node share.
 pub struct FrontNode {
@@ -60,8 +58,6 @@
     pub caller_connections: Count,
     /// Requests of callers under way.
     pub caller_requests: Count,
-    /// Records of turns that the store has not accepted yet.
-    pub unkept_turns: Count,
     table: RefCell<Rc<RoutingTable>>,
     freshness: RefCell<Freshness>,
     has_servers: Cell<bool>,
@@ -87,7 +83,6 @@
             stop: StopSignal::default(),
             caller_connections: Count::default(),
             caller_requests: Count::default(),
-            unkept_turns: Count::default(),
             table: RefCell::default(),
             freshness: RefCell::new(Freshness::new(settings.key_withdrawal)),
             has_servers: Cell::new(false),
@@ -127,25 +122,26 @@
         if freshness.is_fresh(now) {
             return Ok(());
         }
-        let age_ms = freshness.age(now).map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1));
+        let age_ms =
+            freshness.age(now).map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1));
         Err(Refusal::not_run(
             RefusalKind::ConfigStale,
             format!("the configuration was last proved current {age_ms} ms ago; retry elsewhere"),
         ))
     }
 
-    /// Takes one request from the limit of `team`.
+    /// Takes one request from the limit of `team`; returns the time after which it may be sent.
     ///
     /// # Errors
     ///
     /// Fails when the team is over its limit.
-    pub fn take_limit(&self, team: &Team) -> Result<(), Refusal> {
+    pub fn take_limit(&self, team: &Team, step: Step) -> Result<Duration, Refusal> {
         if team.rate_per_s <= 0.0 {
-            return Ok(());
+            return Ok(Duration::ZERO);
         }
         let limits = BucketLimits { rate_per_s: team.rate_per_s, burst: team.burst };
         let now = self.clock.monotonic_now();
-        let result = self.limiter.borrow_mut().take(team_hash(&team.name), limits, now);
+        let result = self.limiter.borrow_mut().take(team_hash(&team.name), limits, step, now);
         result.map_err(|wait| {
             let covered = self.limiter.borrow().covered_share(now);
             let message = format!(
@@ -191,22 +187,24 @@
         }
     }
 
-    /// Keeps a turn; when the store does not accept it in time, goes on trying in the background.
-    pub async fn keep_turn(self: &Rc<Self>, turn: &str, record: Rc<TurnRecord>) {
-        let work = self.turns.keep(turn, Rc::clone(&record));
-        let cause = match tokio::time::timeout(KEEP_WAIT, work).await {
-            Ok(Ok(())) => return,
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no answer in time".to_owned(),
-        };
-        log::warn!("event=turn_not_kept request={turn} cause=\"{cause}\" retried=true");
-        let (node, turn, unkept) = (Rc::clone(self), turn.to_owned(), self.unkept_turns.enter());
-        tokio::task::spawn_local(async move {
-            let _unkept = unkept;
-            while node.turns.keep(&turn, Rc::clone(&record)).await.is_err() {
-                tokio::time::sleep(KEEP_RETRY_PAUSE).await;
+    /// Keeps a turn; returns whether the store accepted it before `ends_at`.
+    ///
+    /// The end of the answer waits for this: a caller that has it may rely on the turn, whatever
+    /// fails afterwards.
+    pub async fn keep_turn(&self, turn: &str, record: Rc<TurnRecord>, ends_at: Instant) -> bool {
+        loop {
+            let work = self.turns.keep(turn, Rc::clone(&record));
+            let cause = match tokio::time::timeout_at(ends_at.into(), work).await {
+                Ok(Ok(())) => return true,
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => "the deadline passed".to_owned(),
+            };
+            let is_retried = Instant::now() + KEEP_RETRY_PAUSE < ends_at;
+            log::warn!("event=turn_not_kept request={turn} cause=\"{cause}\" retried={is_retried}");
+            if !is_retried {
+                return false;
             }
-            log::info!("event=turn_kept request={turn} retried=true");
-        });
+            tokio::time::sleep(KEEP_RETRY_PAUSE).await;
+        }
     }
 }
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::ids::TeamId;
+use dandelionfront_coordination::limits::usage::Step;
 use dandelionfront_coordination::request::RequestContext;
 use dandelionfront_coordination::routing::{Route, RoutingTable};
 use dandelionfront_coordination::{Refusal, RefusalKind};
@@ -55,15 +56,19 @@
 }
 
 impl CountedRequest {
-    fn take(
+    async fn take(
         node: &Rc<FrontNode>,
         table: &RoutingTable,
         team: &AdmittedTeam,
+        step: Step,
     ) -> Result<Self, Refusal> {
-        if let Some(team) = table.team_of_key(&team.key) {
-            node.take_limit(team)?;
+        let Some(known) = table.team_of_key(&team.key) else { return Ok(Self::default()) };
+        let wait = node.take_limit(known, step)?;
+        let counted = Self { unsent: Some((Rc::clone(node), team.name.clone())) };
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
         }
-        Ok(Self { unsent: Some((Rc::clone(node), team.name.clone())) })
+        Ok(counted)
     }
 
     /// Records that the request was sent.
@@ -94,6 +99,8 @@
 pub struct Refused {
     /// Request id, if the request had one.
     pub id: String,
+    /// Program, if the request named one.
+    pub program: Option<String>,
     /// Answer to the caller.
     pub refusal: Refusal,
 }
@@ -104,7 +111,9 @@
         request.head.headers().get(name).and_then(|value| value.to_str().ok())
     });
     let id = context.id.clone();
-    admit_decoded(node, request, context).await.map_err(|refusal| Refused { id, refusal })
+    let program = context.program.as_ref().map(|program| program.id.clone());
+    let result = admit_decoded(node, request, context).await;
+    result.map_err(|refusal| Refused { id, program, refusal })
 }
 
 async fn admit_decoded(
@@ -126,21 +135,26 @@
     let service = route.service_for(&context.id).cloned().ok_or_else(|| {
         Refusal::not_run(RefusalKind::NoBackend, "the route names no service; publish one")
     })?;
-    let counted = match &team {
-        Some(team) => CountedRequest::take(node, &table, team)?,
-        None => CountedRequest::default(),
-    };
     let deadline = context.deadline.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
     let ends_at = request.arrived_at + deadline;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
     let service_spec = table.service(&service);
     let opened =
         turn::open(node, &context, &route, service_spec, team_name, &request.body, ends_at).await?;
+    let counted = match &team {
+        Some(team) => CountedRequest::take(node, &table, team, opened.step).await?,
+        None => CountedRequest::default(),
+    };
     let placement_key = opened.placement_key;
     Ok(Admitted {
         headers: forwarded_headers(request, team.as_ref(), &route),
         method: request.head.method().clone(),
-        target: request.head.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned(),
+        target: request
+            .head
+            .uri()
+            .path_and_query()
+            .map_or("/", |target| target.as_str())
+            .to_owned(),
         context,
         service,
         team,
@@ -189,11 +203,7 @@
             format!("the key is unknown in version {}; send a key in force", table.version()),
         ));
     };
-    Ok(Some(AdmittedTeam {
-        name: team.name.clone(),
-        key: key.to_owned(),
-        priority: team.priority,
-    }))
+    Ok(Some(AdmittedTeam { name: team.name.clone(), key: key.to_owned(), priority: team.priority }))
 }
 
 fn forwarded_headers(
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -12,6 +12,7 @@
 
 use dandelionfront_coordination::Refusal;
 
+use self::admission::Refused;
 use crate::front::connection::Responder;
 use crate::front::connection::caller::CallerRequest;
 use crate::front::process::FrontNode;
@@ -28,13 +29,16 @@
 ) -> io::Result<()> {
     let admitted = match admission::admit(node, request).await {
         Ok(admitted) => admitted,
-        Err(refused) => return refuse(node, request, responder, &refused.id, &refused.refusal).await,
+        Err(Refused { id, program, refusal }) => {
+            return refuse(node, request, responder, (&id, program.as_deref()), &refusal).await;
+        }
     };
     let id = admitted.context.id.clone();
+    let program = admitted.context.program.as_ref().map(|program| program.id.clone());
     match attempt::run(node, admitted, responder).await {
         Ok(()) => Ok(()),
         Err(attempt::Failure::Refused(refusal)) if !responder.is_head_sent() => {
-            refuse(node, request, responder, &id, &refusal).await
+            refuse(node, request, responder, (&id, program.as_deref()), &refusal).await
         }
         Err(attempt::Failure::Refused(refusal)) => {
             log::info!("event=broken_off request={id} cause=\"{refusal}\"");
@@ -49,12 +53,14 @@
     node: &FrontNode,
     request: &CallerRequest,
     responder: &mut Responder<'_>,
-    id: &str,
+    (id, program): (&str, Option<&str>),
     refusal: &Refusal,
 ) -> io::Result<()> {
     node.metrics.count_refusal(refusal.kind);
     log::info!(
-        "event=refused request={id} path={} kind={} status={} elapsed_ms={} message=\"{refusal}\"",
+        "event=refused request={id} program={} path={} kind={} status={} elapsed_ms={} \
+         message=\"{refusal}\"",
+        program.unwrap_or("-"),
         request.head.path(),
         refusal.kind.label(),
         refusal.kind.http_status(),
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::events::{EventSplitter, StreamEvent};
+use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::Response;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
@@ -43,8 +44,13 @@
     if splitter.has_partial() {
         return Ok(Relayed::BrokenOff("it ended within an event".to_owned()));
     }
-    if let Some(turn) = &mut attempts.admitted.turn {
-        turn.keep().await;
+    let ends_at = attempts.admitted.ends_at;
+    if let Some(turn) = &mut attempts.admitted.turn
+        && !turn.keep(ends_at).await
+    {
+        let message = "the store did not accept the turn in time; send it again from its start";
+        let refusal = Refusal::unknown(RefusalKind::PlatformUnavailable, message);
+        return Err(Failure::Refused(refusal));
     }
     responder.finish().await.map_err(Failure::CallerGone)?;
     Ok(Relayed::Complete)
--- a/crates/daemon/src/front/request/turn.rs
+++ b/crates/daemon/src/front/request/turn.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::ledger::ReserveError;
+use dandelionfront_coordination::limits::usage::Step;
 use dandelionfront_coordination::request::RequestContext;
 use dandelionfront_coordination::routing::{Route, ServiceSpec};
 use dandelionfront_coordination::turns::{TextBytes, TurnError, TurnRecord, assemble};
@@ -37,6 +38,8 @@
     pub body: Bytes,
     /// Key of its placement.
     pub placement_key: String,
+    /// Whether the turn begins a program.
+    pub step: Step,
 }
 
 /// Reads the history of a turn and reserves its tokens; other requests pass unchanged.
@@ -54,7 +57,8 @@
     let budget = program.and_then(|program| Some((program, program.budget_tokens?)));
     let is_turn = route.repeat.is_stream() && (budget.is_some() || route.keeps_turns);
     if !is_turn {
-        return Ok(Opened { turn: None, body: body.clone(), placement_key });
+        let (turn, body, step) = (None, body.clone(), Step::Continues);
+        return Ok(Opened { turn, body, placement_key, step });
     }
     let tokens_per_event =
         service.and_then(|spec| spec.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event);
@@ -66,7 +70,7 @@
         delivered_events: 0,
         kept: None,
     };
-    let mut prompt = body.clone();
+    let (mut prompt, mut step) = (body.clone(), Step::Continues);
     if route.keeps_turns {
         let work = read_history(node, context, team, body);
         let (kept, whole) = within(ends_at, work).await?;
@@ -77,10 +81,13 @@
     if let Some((program, budget_tokens)) = budget {
         let most = context.output_tokens_max;
         let work = node.ledgers.reserve(&program.id, &context.id, most, budget_tokens);
-        within(ends_at, async { work.await.map_err(|error| refuse_reservation(&error)) }).await?;
+        let work = async { work.await.map_err(|error| refuse_reservation(&error)) };
+        if within(ends_at, work).await? {
+            step = Step::Begins;
+        }
         turn.reserved_for = Some(program.id.clone());
     }
-    Ok(Opened { turn: Some(turn), body: prompt, placement_key })
+    Ok(Opened { turn: Some(turn), body: prompt, placement_key, step })
 }
 
 /// Returns the key that requests with a common prompt share.
@@ -146,16 +153,16 @@
         }
     }
 
-    /// Keeps a turn whose stream ended whole; the answer counts from then on.
-    pub async fn keep(&mut self) {
-        let Some(kept) = self.kept.take() else { return };
+    /// Keeps a turn whose stream ended whole; returns whether its answer may end.
+    pub async fn keep(&mut self, ends_at: Instant) -> bool {
+        let Some(kept) = self.kept.take() else { return true };
         let record = TurnRecord {
             team: kept.team,
             chain: kept.chain,
             input: TextBytes(kept.input.to_vec()),
             output: TextBytes(kept.output),
         };
-        self.node.keep_turn(&self.request, Rc::new(record)).await;
+        self.node.keep_turn(&self.request, Rc::new(record), ends_at).await
     }
 }
 
--- a/crates/daemon/src/front/version/follow.rs
+++ b/crates/daemon/src/front/version/follow.rs
@@ -161,7 +161,10 @@
             log::info!("event=store_regained table={table} version={}", cursor.newest);
         }
         Err(error) if !cursor.is_lost => {
-            log::warn!("event=store_lost table={table} version={} cause=\"{error}\"", cursor.newest);
+            log::warn!(
+                "event=store_lost table={table} version={} cause=\"{error}\"",
+                cursor.newest
+            );
         }
         _ => {}
     }
