--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -1,8 +1,9 @@
 //! Token budgets of programs, kept in one row a program.
 //!
-//! A turn starts only after its most tokens were reserved in the row, so the sum over all nodes
-//! stays within the budget whatever fails; what a turn did not use is given back by the node's
-//! next write of the row.
+//! A node starts a turn only within tokens that it claimed in the row before, so the sum over all
+//! nodes stays within the budget whatever fails. A claim covers a few turns ahead: one write then
+//! serves several turns, and a program that has begun goes on while the store is away. What a
+//! node did not use is given back by its next write.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -14,7 +15,6 @@
 use snafu::Snafu;
 
 use crate::clock::Clock;
-use crate::request::RequestId;
 use crate::rows::{RowRead, RowStoreError, RowWrite, SharedRowStore, VersionedRow, part_of};
 
 /// Table of the ledgers.
@@ -24,29 +24,38 @@
 /// Conflicts after which a reservation is given up; each means that another node wrote.
 const CONFLICTS_MAX: u32 = 16;
 
+/// Most turns that a claim covers beside the one that asked for it; as many as a program starts
+/// within an outage of the store.
+const TURNS_AHEAD_MAX: u64 = 6;
+/// Part of the unclaimed budget that a claim ahead may take, so that other nodes can claim too.
+const AHEAD_SHARE: u64 = 3;
+
+/// Identifier of one run of a node, as in claims.
+pub type ClaimantId = String;
+
 /// Contents of a program's row.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
     /// Tokens delivered by turns whose end is recorded.
     #[serde(rename = "settled")]
     pub settled_tokens: u64,
-    /// Most tokens of each turn whose end is not recorded, by request.
-    #[serde(rename = "open")]
-    pub open_tokens: BTreeMap<RequestId, u64>,
+    /// Further tokens that each node may deliver.
+    #[serde(rename = "claims")]
+    pub claimed_tokens: BTreeMap<ClaimantId, u64>,
 }
 
 impl Ledger {
     /// Returns the most tokens that have been or may still be delivered.
     #[must_use]
     pub fn committed_tokens(&self) -> u64 {
-        self.settled_tokens.saturating_add(self.open_tokens.values().sum())
+        self.settled_tokens.saturating_add(self.claimed_tokens.values().sum())
     }
 
-    fn settle(&mut self, settlements: &BTreeMap<RequestId, u64>) {
-        for (request, delivered_tokens) in settlements {
-            if self.open_tokens.remove(request).is_some() {
-                self.settled_tokens = self.settled_tokens.saturating_add(*delivered_tokens);
-            }
+    fn set_claim(&mut self, claimant: &str, tokens: u64) {
+        if tokens == 0 {
+            self.claimed_tokens.remove(claimant);
+        } else {
+            self.claimed_tokens.insert(claimant.to_owned(), tokens);
         }
     }
 }
@@ -80,27 +89,56 @@
 struct Cached {
     row_version: u64,
     ledger: Ledger,
-    /// Tokens delivered by ended turns, not yet in the row.
-    settlements: BTreeMap<RequestId, u64>,
+    /// Tokens delivered by ended turns within the claim, not yet settled in the row.
+    used_tokens: u64,
+    /// Most tokens of the turns under way.
+    running_tokens: u64,
     used_at: Duration,
+    /// Whether the last claim got less ahead than it asked for.
+    is_tight: bool,
+}
+
+impl Cached {
+    /// Returns the row as it would be with this node's claim reduced to what runs.
+    fn settled(&self, claimant: &str) -> Ledger {
+        let mut next = self.ledger.clone();
+        next.settled_tokens = next.settled_tokens.saturating_add(self.used_tokens);
+        next.set_claim(claimant, self.running_tokens);
+        next
+    }
+
+    fn own_claim(&self, claimant: &str) -> u64 {
+        self.ledger.claimed_tokens.get(claimant).copied().unwrap_or_default()
+    }
+}
+
+/// Times after which unused programs are written back and forgotten.
+#[derive(Debug, Clone, Copy)]
+pub struct FlushTimes {
+    /// Time after which an unused claim is given back.
+    pub release: Duration,
+    /// The same for a program whose budget is nearly claimed.
+    pub release_tight: Duration,
+    /// Time after which an unused program is forgotten; its row stays.
+    pub forget: Duration,
 }
 
 /// Ledgers of the programs that this node serves.
 pub struct Ledgers {
     store: SharedRowStore,
     clock: Rc<dyn Clock>,
+    claimant: ClaimantId,
     programs: RefCell<HashMap<String, Rc<Mutex<Cached>>>>,
 }
 
 impl Ledgers {
-    /// Creates an empty cache over `store`.
+    /// Creates an empty cache over `store`; `claimant` must differ for each run of a node.
     #[must_use]
-    pub fn new(store: SharedRowStore, clock: Rc<dyn Clock>) -> Self {
-        Self { store, clock, programs: RefCell::default() }
+    pub fn new(store: SharedRowStore, clock: Rc<dyn Clock>, claimant: ClaimantId) -> Self {
+        Self { store, clock, claimant, programs: RefCell::default() }
     }
 
-    /// Reserves `most_tokens` for the turn `request` of `program`; returns whether it is the
-    /// program's first.
+    /// Reserves `most_tokens` for a turn of `program`; returns whether it is the program's first.
     ///
     /// # Errors
     ///
@@ -108,19 +146,24 @@
     pub async fn reserve(
         &self,
         program: &str,
-        request: &str,
         most_tokens: u64,
         budget_tokens: u64,
     ) -> Result<bool, ReserveError> {
         let cached = self.cached(program);
         let mut cached = cached.lock().await;
         cached.used_at = self.clock.monotonic();
+        let needed = cached.used_tokens + cached.running_tokens + most_tokens;
+        if needed <= cached.own_claim(&self.claimant) {
+            cached.running_tokens += most_tokens;
+            return Ok(false);
+        }
         let mut is_current = false;
         for _ in 0..CONFLICTS_MAX {
-            let mut next = cached.ledger.clone();
-            next.settle(&cached.settlements);
+            let mut next = cached.settled(&self.claimant);
             let committed_tokens = next.committed_tokens();
-            if committed_tokens.saturating_add(most_tokens) > budget_tokens {
+            let Some(unclaimed) =
+                budget_tokens.checked_sub(committed_tokens.saturating_add(most_tokens))
+            else {
                 // Another node may have given tokens back since the row was seen.
                 if !is_current {
                     self.refresh(program, &mut cached).await?;
@@ -128,28 +171,33 @@
                     continue;
                 }
                 return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
-            }
+            };
+            let wanted = most_tokens.saturating_mul(TURNS_AHEAD_MAX);
+            let ahead = wanted.min(unclaimed / AHEAD_SHARE);
+            let claim = cached.running_tokens + most_tokens + ahead;
+            next.set_claim(&self.claimant, claim);
             let is_first = cached.row_version == 0;
-            next.open_tokens.insert(request.to_owned(), most_tokens);
             is_current = true;
             if self.write(program, &mut cached, next).await? {
+                cached.running_tokens += most_tokens;
+                cached.is_tight = ahead < wanted;
                 return Ok(is_first);
             }
         }
         Err(ReserveError::Contended)
     }
 
-    /// Records that the turn `request` delivered `delivered_tokens` and ended.
-    pub async fn settle(&self, program: &str, request: &str, delivered_tokens: u64) {
+    /// Records that a turn that reserved `most_tokens` ended after `delivered_tokens`.
+    pub async fn settle(&self, program: &str, most_tokens: u64, delivered_tokens: u64) {
         let cached = self.cached(program);
         let mut cached = cached.lock().await;
         cached.used_at = self.clock.monotonic();
-        cached.settlements.insert(request.to_owned(), delivered_tokens);
+        cached.running_tokens = cached.running_tokens.saturating_sub(most_tokens);
+        cached.used_tokens += delivered_tokens;
     }
 
-    /// Writes settlements of programs unused for `idle`, and forgets programs unused for
-    /// `forget_after`; returns the number of rows written.
-    pub async fn flush(&self, idle: Duration, forget_after: Duration) -> usize {
+    /// Gives back claims of unused programs and forgets programs; returns the rows written.
+    pub async fn flush(&self, times: FlushTimes) -> usize {
         let now = self.clock.monotonic();
         let programs: Vec<(String, Rc<Mutex<Cached>>)> = {
             let programs = self.programs.borrow();
@@ -158,17 +206,18 @@
         let mut written = 0;
         for (program, cached) in programs {
             let Some(mut cached) = cached.try_lock() else { continue };
-            if cached.settlements.is_empty() {
-                if now >= cached.used_at + forget_after {
+            let unused = now.saturating_sub(cached.used_at);
+            let release = if cached.is_tight { times.release_tight } else { times.release };
+            if cached.own_claim(&self.claimant) == cached.running_tokens {
+                if unused >= times.forget && cached.running_tokens == 0 {
                     self.programs.borrow_mut().remove(&program);
                 }
                 continue;
             }
-            if now < cached.used_at + idle {
+            if unused < release {
                 continue;
             }
-            let mut next = cached.ledger.clone();
-            next.settle(&cached.settlements);
+            let next = cached.settled(&self.claimant);
             match self.write(&program, &mut cached, next).await {
                 Ok(true) => written += 1,
                 // The row changed: the next round writes over the new one.
@@ -207,7 +256,7 @@
             Ok(RowRead::Written(version)) => {
                 cached.row_version = version;
                 cached.ledger = next;
-                cached.settlements.clear();
+                cached.used_tokens = 0;
                 Ok(true)
             }
             Ok(RowRead::Conflict(row)) => {
@@ -219,7 +268,7 @@
                 // fails against whatever is written next.
                 self.refresh(program, cached).await?;
                 if cached.ledger == next {
-                    cached.settlements.clear();
+                    cached.used_tokens = 0;
                     return Ok(true);
                 }
                 Ok(false)
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 use std::{io, path::Path};
 
+use dandelionfront_coordination::ledger::FlushTimes;
 use dandelionfront_platform::{NodeSettings, StoreClient};
 use log::LevelFilter;
 use ntex::rt::System;
@@ -26,10 +27,19 @@
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after which what a turn left of its reservation is given back without a further turn.
-const SETTLE_IDLE: Duration = Duration::from_millis(500);
-/// Time after which an unused program is forgotten; its row stays.
-const PROGRAM_FORGET: Duration = Duration::from_secs(20);
+/// Times after which claims on budgets are given back: longer than the pauses within programs, and
+/// shorter than the time after which a turn's unused tokens should count again if they are needed.
+const LEDGER_TIMES: FlushTimes = FlushTimes {
+    release: Duration::from_secs(3),
+    release_tight: Duration::from_millis(500),
+    forget: Duration::from_secs(20),
+};
+/// Gives everything back, before the end of the process.
+const LEDGER_TIMES_AT_STOP: FlushTimes = FlushTimes {
+    release: Duration::ZERO,
+    release_tight: Duration::ZERO,
+    forget: Duration::ZERO,
+};
 /// Time after the stop signal for which idle connections of callers are kept.
 const STOP_IDLE_KEEP: Duration = Duration::from_millis(1_200);
 /// Time after the stop signal for which new connections still come: the balancer asks every
@@ -119,7 +129,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         node.pool.prune();
-        node.ledgers.flush(SETTLE_IDLE, PROGRAM_FORGET).await;
+        node.ledgers.flush(LEDGER_TIMES).await;
     }
 }
 
@@ -164,7 +174,7 @@
         }
         tokio::time::sleep(STOP_CHECK).await;
     }
-    node.ledgers.flush(Duration::ZERO, Duration::ZERO).await;
+    node.ledgers.flush(LEDGER_TIMES_AT_STOP).await;
     peers.say_goodbye(node).await;
     log::info!(
         "event=stopped elapsed_ms={} connections={} requests={}",
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -68,6 +68,7 @@
     #[must_use]
     pub fn new(settings: NodeSettings, store: StoreClient, metrics: Rc<FrontMetrics>) -> Self {
         let clock = FrontClock::new();
+        let claimant = format!("{:016x}", rand::random::<u64>());
         let rows: SharedRowStore = Rc::new(store.clone());
         let cache_max_bytes =
             usize::try_from(settings.memory_max_bytes / TURN_CACHE_SHARE).unwrap_or(usize::MAX);
@@ -77,7 +78,7 @@
             servers: RefCell::default(),
             placement: RefCell::default(),
             limiter: RefCell::default(),
-            ledgers: Ledgers::new(Rc::clone(&rows), clock.steady()),
+            ledgers: Ledgers::new(Rc::clone(&rows), clock.steady(), claimant),
             turns: Turns::new(rows, cache_max_bytes),
             pool: BackendPool::default(),
             stop: StopSignal::default(),
--- a/crates/daemon/src/front/request/turn.rs
+++ b/crates/daemon/src/front/request/turn.rs
@@ -17,7 +17,8 @@
 pub struct OpenTurn {
     node: Rc<FrontNode>,
     request: String,
-    reserved_for: Option<String>,
+    /// Program whose budget holds the turn, and the tokens reserved.
+    reserved: Option<(String, u64)>,
     tokens_per_event: u64,
     delivered_events: u64,
     kept: Option<KeptTurn>,
@@ -65,7 +66,7 @@
     let mut turn = OpenTurn {
         node: Rc::clone(node),
         request: context.id.clone(),
-        reserved_for: None,
+        reserved: None,
         tokens_per_event,
         delivered_events: 0,
         kept: None,
@@ -80,12 +81,12 @@
     }
     if let Some((program, budget_tokens)) = budget {
         let most = context.output_tokens_max;
-        let work = node.ledgers.reserve(&program.id, &context.id, most, budget_tokens);
+        let work = node.ledgers.reserve(&program.id, most, budget_tokens);
         let work = async { work.await.map_err(|error| refuse_reservation(&error)) };
         if within(ends_at, work).await? {
             step = Step::Begins;
         }
-        turn.reserved_for = Some(program.id.clone());
+        turn.reserved = Some((program.id.clone(), most));
     }
     Ok(Opened { turn: Some(turn), body: prompt, placement_key, step })
 }
@@ -168,12 +169,11 @@
 
 impl Drop for OpenTurn {
     fn drop(&mut self) {
-        let Some(program) = self.reserved_for.take() else { return };
+        let Some((program, most_tokens)) = self.reserved.take() else { return };
         let node = Rc::clone(&self.node);
-        let request = std::mem::take(&mut self.request);
         let delivered_tokens = self.delivered_events * self.tokens_per_event;
         tokio::task::spawn_local(async move {
-            node.ledgers.settle(&program, &request, delivered_tokens).await;
+            node.ledgers.settle(&program, most_tokens, delivered_tokens).await;
         });
     }
 }
