Claim budgets ahead only while ample, settle tight ones at once

Change: two turns ahead while ten fit; what a turn left is settled when it ends once under three turns fit, otherwise after 3 s or with the next turn.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -24,11 +24,13 @@
 /// Conflicts after which a reservation is given up; each means that another node wrote.
 const CONFLICTS_MAX: u32 = 16;
 
-/// Most turns that a claim covers beside the one that asked for it; as many as a program starts
-/// within an outage of the store.
-const TURNS_AHEAD_MAX: u64 = 6;
-/// Part of the unclaimed budget that a claim ahead may take, so that other nodes can claim too.
-const AHEAD_SHARE: u64 = 3;
+/// Turns that a claim covers beside the one that asked for it, while the budget is ample.
+const TURNS_AHEAD: u64 = 2;
+/// Turns that the unclaimed budget must hold for a claim ahead: calls of one program reach many
+/// nodes, and each may keep a claim for a while.
+const AMPLE_TURNS: u64 = 10;
+/// Turns below which the unclaimed budget is tight, so that unused tokens are given back at once.
+const TIGHT_TURNS: u64 = 3;
 
 /// Identifier of one run of a node, as in claims.
 pub type ClaimantId = String;
@@ -94,7 +96,7 @@
     /// Most tokens of the turns under way.
     running_tokens: u64,
     used_at: Duration,
-    /// Whether the last claim got less ahead than it asked for.
+    /// Whether the budget was nearly claimed when this node last claimed.
     is_tight: bool,
 }
 
@@ -172,15 +174,15 @@
                 }
                 return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
             };
-            let wanted = most_tokens.saturating_mul(TURNS_AHEAD_MAX);
-            let ahead = wanted.min(unclaimed / AHEAD_SHARE);
+            let is_ample = unclaimed >= most_tokens.saturating_mul(AMPLE_TURNS);
+            let ahead = if is_ample { most_tokens.saturating_mul(TURNS_AHEAD) } else { 0 };
             let claim = cached.running_tokens + most_tokens + ahead;
             next.set_claim(&self.claimant, claim);
             let is_first = cached.row_version == 0;
             is_current = true;
             if self.write(program, &mut cached, next).await? {
                 cached.running_tokens += most_tokens;
-                cached.is_tight = ahead < wanted;
+                cached.is_tight = unclaimed < most_tokens.saturating_mul(TIGHT_TURNS);
                 return Ok(is_first);
             }
         }
@@ -194,6 +196,13 @@
         cached.used_at = self.clock.monotonic();
         cached.running_tokens = cached.running_tokens.saturating_sub(most_tokens);
         cached.used_tokens += delivered_tokens;
+        if cached.is_tight {
+            let next = cached.settled(&self.claimant);
+            if let Err(error) = self.write(program, &mut cached, next).await {
+                // The next round of flushes repeats it.
+                log::warn!("event=settle_failed program={program} cause=\"{error}\"");
+            }
+        }
     }
 
     /// Gives back claims of unused programs and forgets programs; returns the rows written.
