Hold new programs back by the fleet's requests a program, bound rates of late reports

Programs of a team under pressure are cut short, so their own average let too many begin.

Change: spacing counts as 100 ms at least; the average is taken over all teams; new programs leave 0.4 of the burst to those that have begun.

--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -48,14 +48,18 @@
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 /// Longest wait for a token; a quarter of the shortest deadline of the calls within programs.
 pub const WAIT_MAX: Duration = Duration::from_millis(300);
+/// Least time between two reports that counts for a rate, the pause between two reports.
+const REPORT_SPACING_MIN: Duration = Duration::from_millis(100);
 /// Weight of the newest interval in a node's rate.
 const RATE_WEIGHT: f64 = 0.4;
 /// Requests that a program needs until enough programs were seen.
 const PROGRAM_REQUESTS_DEFAULT: f64 = 12.0;
 /// Programs that must have been seen for their average to count.
 const PROGRAMS_SEEN_MIN: u64 = 8;
-/// Part of the burst below which new programs are held back.
-const BEGIN_RESERVE: f64 = 0.6;
+/// Part of the burst below which new programs are counted against the second bucket.
+const PRESSURE: f64 = 0.85;
+/// Part of the burst that new programs leave to those that have begun.
+const BEGIN_RESERVE: f64 = 0.4;
 /// Time over which a program spreads its requests, about a program's length.
 const PROGRAM_SPREAD: Duration = Duration::from_secs(2);
 
@@ -107,7 +111,7 @@
     ) -> Result<Duration, Duration> {
         let covered = self.covered_share(now);
         let unreported = self.unreported(team, now);
-        let program_requests = self.program_requests(team);
+        let program_requests = self.program_requests();
         let bucket = self.teams.entry(team).or_default();
         bucket.accrue(limits, covered, now);
         let available = bucket.tokens - unreported;
@@ -118,10 +122,11 @@
             return Err(wait);
         }
         if step == Step::Begins {
-            let is_pressed = available < limits.burst * covered * BEGIN_RESERVE;
+            let burst = limits.burst * covered;
             let missing = program_requests - bucket.program_tokens;
-            if is_pressed && missing > 0.0 {
-                return Err(seconds(missing / rate_per_s));
+            let short = burst * BEGIN_RESERVE - available;
+            if available < burst * PRESSURE && missing.max(short) > 0.0 {
+                return Err(seconds(missing.max(short) / rate_per_s));
             }
             bucket.program_tokens -= program_requests;
             bucket.own_admitted.programs += 1;
@@ -165,21 +170,20 @@
         if is_restarted {
             known.admitted.clear();
         }
-        let elapsed_s = now.saturating_sub(known.heard_at).as_secs_f64();
+        let program_requests = self.program_requests();
+        // Reports that were held up arrive together; their spacing says nothing of the rate.
+        let elapsed_s = now.saturating_sub(known.heard_at).max(REPORT_SPACING_MIN).as_secs_f64();
         for (team, count) in &admitted {
             let before = known.admitted.get(team).copied().unwrap_or_default();
             // A refund may lower a count; the difference is given back.
             let delta = signed_difference(count.requests, before.requests);
             let begun = signed_difference(count.programs, before.programs);
-            let program_requests = self.program_requests(*team);
             if let Some(bucket) = self.teams.get_mut(team).filter(|_| !is_new) {
                 bucket.tokens -= delta;
                 bucket.program_tokens -= begun * program_requests;
             }
-            if elapsed_s > 0.0 {
-                let rate = known.rates_per_s.entry(*team).or_default();
-                *rate += RATE_WEIGHT * ((delta / elapsed_s).max(0.0) - *rate);
-            }
+            let rate = known.rates_per_s.entry(*team).or_default();
+            *rate += RATE_WEIGHT * ((delta / elapsed_s).max(0.0) - *rate);
         }
         known.incarnation = incarnation;
         known.heard_at = now;
@@ -230,10 +234,11 @@
         self.members.iter().map(move |(id, member)| (id, member.is_heard(now)))
     }
 
-    /// Returns the requests that a program of `team` needs on average.
-    fn program_requests(&self, team: TeamHash) -> f64 {
-        let own = self.teams.get(&team).map(|bucket| bucket.own_admitted);
-        let others = self.members.values().filter_map(|member| member.admitted.get(&team).copied());
+    /// Returns the requests that a program needs on average, over all teams: programs of a team
+    /// under pressure are cut short.
+    fn program_requests(&self) -> f64 {
+        let own = self.teams.values().map(|bucket| bucket.own_admitted);
+        let others = self.members.values().flat_map(|member| member.admitted.values().copied());
         let (requests, programs) = others
             .chain(own)
             .fold((0, 0), |sum, count| (sum.0 + count.requests, sum.1 + count.programs));
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -35,11 +35,8 @@
     forget: Duration::from_secs(20),
 };
 /// Gives everything back, before the end of the process.
-const LEDGER_TIMES_AT_STOP: FlushTimes = FlushTimes {
-    release: Duration::ZERO,
-    release_tight: Duration::ZERO,
-    forget: Duration::ZERO,
-};
+const LEDGER_TIMES_AT_STOP: FlushTimes =
+    FlushTimes { release: Duration::ZERO, release_tight: Duration::ZERO, forget: Duration::ZERO };
 /// Time after the stop signal for which idle connections of callers are kept.
 const STOP_IDLE_KEEP: Duration = Duration::from_millis(1_200);
 /// Time after the stop signal for which new connections still come: the balancer asks every
