--- /dev/null
+++ b/crates/coordination/tests/backends.rs
@@ -0,0 +1,216 @@
+//! Backend servers: the list, trust and placement, routes and freshness.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dandelionfront_coordination::events::EventSplitter;
+use dandelionfront_coordination::freshness::Freshness;
+use dandelionfront_coordination::placement::{Placement, PlacementPolicy};
+use dandelionfront_coordination::routing::{
+    CallerLimits, RepeatPolicy, Route, RoutingTable, Target, Team,
+};
+use dandelionfront_coordination::servers::{
+    LAPSE_GRACE, ServerChange, ServerEntry, ServerList, ServerState,
+};
+
+fn entry(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.to_owned(),
+        service: "geo".to_owned(),
+        address: "10.0.0.1:80".parse().expect("valid"),
+        zone: "a".to_owned(),
+        slots: 12,
+        state: ServerState::Ready,
+        started_unix_ms: 1,
+    }
+}
+
+fn ready(list: &ServerList) -> usize {
+    list.ready("geo").count()
+}
+
+const MS: Duration = Duration::from_millis(1);
+
+#[test]
+fn draining_and_gone_servers_get_no_work() {
+    let mut list = ServerList::default();
+    assert_eq!(list.insert(entry("a")), Some(ServerChange::Seen("a".to_owned())));
+    assert_eq!(list.insert(entry("a")), None);
+    list.insert(entry("b"));
+    let draining = ServerEntry { state: ServerState::Draining, ..entry("a") };
+    assert_eq!(list.insert(draining), Some(ServerChange::Draining("a".to_owned())));
+    assert_eq!(ready(&list), 1);
+    assert_eq!(list.remove("b", 5 * MS), Some(ServerChange::Gone("b".to_owned())));
+    assert_eq!(ready(&list), 0);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_for_a_while() {
+    let mut list = ServerList::default();
+    list.insert(entry("a"));
+    list.insert(entry("b"));
+    let failed_at = Duration::from_secs(10);
+    list.note_store_failure(failed_at);
+    let back_at = failed_at + 100 * MS;
+    assert_eq!(list.remove("a", back_at), None);
+    assert_eq!(list.remove("b", back_at), None);
+    assert_eq!(ready(&list), 2);
+    // One of them comes back, the other does not.
+    assert_eq!(list.insert(entry("a")), Some(ServerChange::Seen("a".to_owned())));
+    assert!(list.expire_lapsed(failed_at + LAPSE_GRACE - MS).is_empty());
+    let gone = list.expire_lapsed(failed_at + LAPSE_GRACE);
+    assert_eq!(gone, [ServerChange::Gone("b".to_owned())]);
+    assert_eq!(ready(&list), 1);
+}
+
+#[test]
+fn a_draining_server_that_lapses_is_gone_at_once() {
+    let mut list = ServerList::default();
+    list.insert(ServerEntry { state: ServerState::Draining, ..entry("a") });
+    list.note_store_failure(Duration::from_secs(1));
+    assert!(list.remove("a", Duration::from_secs(1)).is_some());
+}
+
+#[test]
+fn equal_keys_meet_on_one_server_on_every_node() {
+    let servers: Vec<ServerEntry> = (0..18).map(|index| entry(&format!("s{index}"))).collect();
+    let choose = |placement: &Placement, key: &str, excluded: &[String]| {
+        let policy = PlacementPolicy::Affinity;
+        let chosen = placement.choose(policy, key, servers.iter(), excluded, Duration::ZERO);
+        chosen.expect("some server").id.clone()
+    };
+    let (first, second) = (Placement::default(), Placement::default());
+    let mut used: HashMap<String, u32> = HashMap::new();
+    for key in 0..1_000 {
+        let key = format!("program-{key}");
+        let home = choose(&first, &key, &[]);
+        assert_eq!(home, choose(&second, &key, &[]));
+        // After the loss of its server a line moves to the same one on every node.
+        let lost = [home.clone()];
+        assert_eq!(choose(&first, &key, &lost), choose(&second, &key, &lost));
+        *used.entry(home).or_default() += 1;
+    }
+    let busiest = used.values().max().expect("used");
+    assert!(*busiest < 90, "{busiest} of 1000 keys on one of 18 servers");
+}
+
+#[test]
+fn load_moves_a_line_only_beyond_the_cost_of_reading_again() {
+    let servers: Vec<ServerEntry> = (0..4).map(|index| entry(&format!("s{index}"))).collect();
+    let mut placement = Placement::default();
+    let choose = |placement: &Placement| {
+        let policy = PlacementPolicy::Affinity;
+        let chosen = placement.choose(policy, "p", servers.iter(), &[], Duration::ZERO);
+        chosen.expect("some server").id.clone()
+    };
+    let home = choose(&placement);
+    (0..4).for_each(|_| placement.begin(&home));
+    assert_eq!(choose(&placement), home);
+    (0..4).for_each(|_| placement.begin(&home));
+    assert_ne!(choose(&placement), home);
+}
+
+#[test]
+fn a_failed_server_is_avoided_for_longer_each_time_and_trusted_after_an_answer() {
+    let servers = [entry("a"), entry("b")];
+    let mut placement = Placement::default();
+    let choose = |placement: &Placement, now| {
+        let policy = PlacementPolicy::LeastLoaded;
+        let chosen = placement.choose(policy, "k", servers.iter(), &[], now);
+        chosen.expect("some server").id.clone()
+    };
+    let first = choose(&placement, Duration::ZERO);
+    let pause = placement.note_failure(&first, Duration::ZERO);
+    assert_ne!(choose(&placement, pause - MS), first);
+    assert_eq!(choose(&placement, pause), first);
+    assert!(placement.note_failure(&first, pause) > pause);
+    placement.note_success(&first);
+    assert_eq!(choose(&placement, pause), first);
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeat: RepeatPolicy::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 0,
+        targets: vec![
+            Target { service: "x".to_owned(), weight: 90.0 },
+            Target { service: "y".to_owned(), weight: 10.0 },
+        ],
+        attempts_max: 2,
+        keeps_turns: false,
+        turn_retention: Duration::ZERO,
+        is_public: false,
+        is_sticky: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let team = Team {
+        name: "t".to_owned(),
+        keys: vec!["k".to_owned()],
+        priority: None,
+        rate_per_s: 1.0,
+        burst: 1.0,
+    };
+    let routes =
+        vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/")];
+    let table = RoutingTable::new(7, routes, Vec::new(), Some(vec![team]), CallerLimits::default());
+    let name = |host, path| table.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("H:8080", "/a/b/c"), Some("long"));
+    assert_eq!(name("h", "/a/bc"), Some("short"));
+    assert_eq!(name("h", "/b/"), None);
+    assert_eq!(name("i", "/b/"), Some("other"));
+    assert_eq!(name("j", "/a/"), None);
+    assert_eq!(table.team_of_key("k").map(|team| team.name.as_str()), Some("t"));
+    assert_eq!(table.team_of_key("K"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights_and_the_request() {
+    let route = route("r", "h", "/");
+    let ids: Vec<String> = (0..2_000).map(|id| format!("{id:x}")).collect();
+    let to_y =
+        ids.iter().filter(|id| route.service_for(id).is_some_and(|name| name == "y")).count();
+    assert!((150..250).contains(&to_y), "{to_y} of 2000 for a weight of 10 in 100");
+    assert!(ids.iter().all(|id| route.service_for(id) == route.service_for(id)));
+}
+
+#[test]
+fn keys_are_refused_before_a_withdrawal_could_be_overdue() {
+    let second = Duration::from_secs(1);
+    let mut freshness = Freshness::new(5 * second);
+    assert!(!freshness.is_fresh(second));
+    freshness.prove(10 * second);
+    assert!(freshness.is_fresh(14 * second));
+    assert!(!freshness.is_fresh(15 * second));
+    // An answer to an older question proves nothing newer.
+    freshness.prove(9 * second);
+    assert_eq!(freshness.age(12 * second), Some(2 * second));
+}
+
+#[test]
+fn a_stream_is_cut_into_whole_events_however_it_arrives() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n: note\n\nid: x\ndata: d\n\nid: 3\nda";
+    for size in 1..stream.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for chunk in stream.chunks(size) {
+            assert!(splitter.push(chunk));
+            events.extend(std::iter::from_fn(|| splitter.next_event()));
+        }
+        let seen: Vec<(Option<u64>, &[u8])> =
+            events.iter().map(|event| (event.id, event.data.as_slice())).collect();
+        let expected: [(Option<u64>, &[u8]); 4] =
+            [(Some(1), b"a"), (Some(2), b"b\nc"), (None, b""), (None, b"d")];
+        assert_eq!(seen, expected);
+        assert!(splitter.has_partial());
+        let raw: Vec<u8> = events.into_iter().flat_map(|event| event.raw).collect();
+        assert_eq!(raw, stream[..stream.len() - 8]);
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/turns.rs
@@ -0,0 +1,85 @@
+//! Kept turns: chains over nodes, teams and failures of the store.
+
+use std::rc::Rc;
+
+use dandelionfront_coordination::turns::{TextBytes, TurnError, TurnRecord, Turns, assemble};
+use dandelionfront_standins::MemoryRows;
+use dandelionfront_standins::rows::RowFaults;
+
+fn record(chain: &[&str], input: &[u8], output: &[u8]) -> Rc<TurnRecord> {
+    Rc::new(TurnRecord {
+        team: "alpha".to_owned(),
+        chain: chain.iter().map(|turn| (*turn).to_owned()).collect(),
+        input: TextBytes(input.to_vec()),
+        output: TextBytes(output.to_vec()),
+    })
+}
+
+fn node(rows: &MemoryRows) -> Turns {
+    Turns::new(Rc::new(rows.clone()), 1 << 20)
+}
+
+async fn keep_three(turns: &Turns) {
+    turns.keep("t1", record(&[], b"in1 ", b"out1\n")).await.expect("kept");
+    turns.keep("t2", record(&["t1"], b"in2 ", b"out2\n")).await.expect("kept");
+    turns.keep("t3", record(&["t1", "t2"], b"\xff\x00", b"out3\n")).await.expect("kept");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_cold_node_assembles_the_whole_chain_in_order() {
+    let rows = MemoryRows::default();
+    keep_three(&node(&rows)).await;
+    let chain = node(&rows).chain("alpha", "t3").await.expect("known");
+    let prompt = assemble(&chain, b"new");
+    assert_eq!(prompt, b"in1 out1\nin2 out2\n\xff\x00out3\nnew");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn two_turns_may_continue_from_the_same_one() {
+    let rows = MemoryRows::default();
+    let turns = node(&rows);
+    keep_three(&turns).await;
+    turns.keep("t4", record(&["t1"], b"in4 ", b"out4\n")).await.expect("kept");
+    let chain = node(&rows).chain("alpha", "t4").await.expect("known");
+    assert_eq!(assemble(&chain, b"x"), b"in1 out1\nin4 out4\nx");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn turns_of_other_teams_and_unknown_turns_do_not_exist() {
+    let rows = MemoryRows::default();
+    let turns = node(&rows);
+    keep_three(&turns).await;
+    for (team, turn) in [("beta", "t3"), ("alpha", "t9")] {
+        let error = turns.chain(team, turn).await.expect_err("not this team's");
+        assert!(matches!(error, TurnError::Unknown { .. }), "{error:?}");
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_outage_leaves_open_whether_a_turn_exists() {
+    let rows = MemoryRows::default();
+    keep_three(&node(&rows)).await;
+    rows.set_faults(RowFaults { outage: true, ..RowFaults::default() });
+    let error = node(&rows).chain("alpha", "t3").await.expect_err("unreadable");
+    assert!(matches!(error, TurnError::Store { .. }), "{error:?}");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_record_whose_answer_was_lost_can_be_written_again() {
+    let rows = MemoryRows::default();
+    let turns = node(&rows);
+    rows.set_faults(RowFaults { lose_answers: 1, ..RowFaults::default() });
+    let kept = record(&[], b"in", b"out");
+    turns.keep("t1", Rc::clone(&kept)).await.expect_err("the answer was lost");
+    turns.keep("t1", Rc::clone(&kept)).await.expect("the row holds the same record");
+    turns.keep("t1", record(&[], b"in", b"other")).await.expect_err("another record");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_full_cache_drops_the_oldest_turns_and_reads_them_again() {
+    let rows = MemoryRows::default();
+    let turns = Turns::new(Rc::new(rows.clone()), 700);
+    keep_three(&turns).await;
+    let chain = turns.chain("alpha", "t3").await.expect("read from the store");
+    assert_eq!(chain.len(), 3);
+}
--- a/crates/standins/src/clock.rs
+++ b/crates/standins/src/clock.rs
@@ -12,9 +12,16 @@
 const YIELDS: usize = 100;
 
 /// Clock for tests of the coordination library: a sleep lets others run and then advances it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct StepClock(Rc<Cell<Duration>>);
 
+impl StepClock {
+    /// Moves the clock forward.
+    pub fn advance(&self, duration: Duration) {
+        self.0.set(self.0.get() + duration);
+    }
+}
+
 impl Clock for StepClock {
     fn monotonic(&self) -> Duration {
         self.0.get()
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,12 +9,15 @@
 pub mod http;
 pub mod platform;
 pub mod proxy;
+pub mod rows;
 pub mod service;
+pub mod site;
 pub mod table;
 
 pub use clock::StepClock;
 pub use engine::{Engine, EngineSettings};
 pub use platform::{Platform, PlatformFaults};
 pub use proxy::{FaultProxy, ProxyFaults};
+pub use rows::MemoryRows;
 pub use service::{Service, ServiceSettings};
 pub use table::MemoryTable;
--- /dev/null
+++ b/crates/standins/src/rows.rs
@@ -0,0 +1,186 @@
+//! Versioned rows in memory, with the faults that tests need.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use dandelionfront_coordination::rows::{
+    RowChange, RowRead, RowStore, RowStoreError, RowWrite, VersionedRow,
+};
+
+use crate::http::lock;
+
+/// Table, part and key of a row.
+pub type RowName = (String, String, String);
+
+/// Failures that a caller of the rows sees.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RowFaults {
+    /// Refuses every call.
+    pub outage: bool,
+    /// Applies this many further writes and loses their answers.
+    pub lose_answers: u32,
+    /// Loses this many further writes before they take effect.
+    pub lose_writes: u32,
+}
+
+/// All rows, with the history of their changes.
+#[derive(Debug, Default)]
+pub struct RowTable {
+    rows: BTreeMap<RowName, VersionedRow>,
+    history: Vec<(RowName, u64)>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+}
+
+/// Writes and removals of one transaction.
+pub type RowUpdates = Vec<(RowName, Option<Vec<u8>>)>;
+
+impl RowTable {
+    /// Applies `updates` if each row in `expected` has its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns the current rows of `expected` when one has another version.
+    pub fn transact(
+        &mut self,
+        expected: &[(RowName, u64)],
+        updates: RowUpdates,
+    ) -> Result<u64, Vec<(RowName, VersionedRow)>> {
+        let version_of = |name: &RowName| self.rows.get(name).map_or(0, |row| row.version);
+        if expected.iter().any(|(name, version)| version_of(name) != *version) {
+            let current = expected
+                .iter()
+                .filter_map(|(name, _)| self.rows.get(name).map(|row| (name.clone(), row.clone())));
+            return Err(current.collect());
+        }
+        self.version += 1;
+        for (name, value) in updates {
+            match value {
+                Some(value) => {
+                    let row = VersionedRow { version: self.version, value };
+                    self.rows.insert(name.clone(), row);
+                }
+                None => drop(self.rows.remove(&name)),
+            }
+            self.history.push((name, self.version));
+        }
+        Ok(self.version)
+    }
+
+    /// Returns the rows of a part from `from` on.
+    pub fn range<'a>(
+        &'a self,
+        table: &'a str,
+        part: &'a str,
+        from: &'a str,
+    ) -> impl Iterator<Item = (&'a RowName, &'a VersionedRow)> {
+        let start = (table.to_owned(), part.to_owned(), from.to_owned());
+        self.rows.range(start..).take_while(move |(name, _)| name.0 == table && name.1 == part)
+    }
+
+    /// Returns the rows of `table` changed after `version`, or `None` when they are forgotten.
+    #[must_use]
+    pub fn changes(&self, table: &str, version: u64) -> Option<Vec<RowChange>> {
+        if version < self.forgotten {
+            return None;
+        }
+        let mut newest: BTreeMap<u64, &RowName> = BTreeMap::new();
+        for (name, changed_at) in &self.history {
+            if name.0 == table && *changed_at > version {
+                newest.retain(|_, other| *other != name);
+                newest.insert(*changed_at, name);
+            }
+        }
+        let change = |(changed_at, name): (u64, &RowName)| {
+            let row = self.rows.get(name);
+            RowChange {
+                part: name.1.clone(),
+                key: name.2.clone(),
+                version: changed_at,
+                value: row.map(|row| row.value.clone()),
+                is_removed: row.is_none(),
+            }
+        };
+        Some(newest.into_iter().map(change).collect())
+    }
+
+    /// Forgets all changes up to now.
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.version;
+    }
+
+    /// Returns the newest version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+/// A store for tests of the coordination library; clones share their rows.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryRows {
+    table: Arc<Mutex<RowTable>>,
+    faults: Arc<Mutex<RowFaults>>,
+    writes: Arc<Mutex<u64>>,
+}
+
+impl MemoryRows {
+    /// Sets the failures that callers see.
+    pub fn set_faults(&self, faults: RowFaults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Returns the number of write calls.
+    #[must_use]
+    pub fn write_count(&self) -> u64 {
+        *lock(&self.writes)
+    }
+
+    fn check(&self) -> Result<(), RowStoreError> {
+        if lock(&self.faults).outage {
+            return Err(RowStoreError::Refused { status: 503 });
+        }
+        Ok(())
+    }
+}
+
+fn take(count: &mut u32) -> bool {
+    let is_left = *count > 0;
+    *count = count.saturating_sub(1);
+    is_left
+}
+
+#[async_trait(?Send)]
+impl RowStore for MemoryRows {
+    async fn get(
+        &self,
+        table: &str,
+        part: &str,
+        key: &str,
+    ) -> Result<Option<VersionedRow>, RowStoreError> {
+        self.check()?;
+        let name = (table.to_owned(), part.to_owned(), key.to_owned());
+        Ok(lock(&self.table).rows.get(&name).cloned())
+    }
+
+    async fn write(&self, write: RowWrite<'_>) -> Result<RowRead, RowStoreError> {
+        self.check()?;
+        *lock(&self.writes) += 1;
+        let lost = RowStoreError::AnswerLost { detail: "fault".to_owned() };
+        if take(&mut lock(&self.faults).lose_writes) {
+            return Err(lost);
+        }
+        let name = (write.table.to_owned(), write.part.to_owned(), write.key.to_owned());
+        let updates = vec![(name.clone(), write.value.map(<[u8]>::to_vec))];
+        let outcome = lock(&self.table).transact(&[(name, write.expected_version)], updates);
+        if take(&mut lock(&self.faults).lose_answers) {
+            return Err(lost);
+        }
+        Ok(match outcome {
+            Ok(version) => RowRead::Written(version),
+            Err(rows) => RowRead::Conflict(rows.into_iter().next().map(|(_, row)| row)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/site/runner.rs
@@ -0,0 +1,162 @@
+//! Stand-in for a backend server behind the users' platform: engine or plain service.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use futures_util::StreamExt as _;
+use ntex::time::{Millis, sleep};
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, types::Json, types::State};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::http::{RecordedRequest, lock, serve};
+
+/// Settings of a backend server.
+#[derive(Debug, Clone)]
+pub struct RunnerSettings {
+    /// Identifier that requests expect.
+    pub id: String,
+    /// Events of a stream.
+    pub events: u64,
+    /// Time before each event, or before a plain answer.
+    pub step_ms: u32,
+}
+
+/// Faults that a backend server shows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RunnerFaults {
+    /// Refuses this many requests without running them.
+    pub refuse: u32,
+    /// Cuts this many streams after one event and a half.
+    pub cut_streams: u32,
+    /// Runs this many requests and closes the connection instead of answering.
+    pub lose_answers: u32,
+    /// Answers this many requests under another request's identifier.
+    pub answer_foreign: u32,
+}
+
+/// The backend server stand-in.
+#[derive(Debug)]
+pub struct Runner {
+    settings: RunnerSettings,
+    record: Mutex<Vec<RecordedRequest>>,
+    faults: Mutex<RunnerFaults>,
+}
+
+impl Runner {
+    /// Serves the stand-in on a thread of its own and returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn spawn(listen: SocketAddr, settings: RunnerSettings) -> io::Result<SocketAddr> {
+        let runner = Self { settings, record: Mutex::default(), faults: Mutex::default() };
+        serve(listen, Arc::new(runner), routes)
+    }
+
+    /// Counts one of the faults down; returns whether it strikes.
+    fn strikes(&self, fault: impl Fn(&mut RunnerFaults) -> &mut u32) -> bool {
+        let mut faults = lock(&self.faults);
+        let left = fault(&mut faults);
+        let strikes = *left > 0;
+        *left = left.saturating_sub(1);
+        strikes
+    }
+}
+
+fn routes(config: &mut web::ServiceConfig) {
+    config
+        .service(web::resource("/standin/record").route(web::get().to(get_record)))
+        .service(web::resource("/standin/faults").route(web::put().to(put_faults)))
+        .service(web::resource("/{path}*").route(web::route().to(execute)));
+}
+
+type Shared = State<Arc<Runner>>;
+
+async fn get_record(runner: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&*lock(&runner.record))
+}
+
+async fn put_faults(runner: Shared, faults: Json<RunnerFaults>) -> HttpResponse {
+    *lock(&runner.faults) = faults.into_inner();
+    HttpResponse::NoContent().finish()
+}
+
+async fn execute(runner: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let header = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let id = header("request-id");
+    if header("expect-instance") != runner.settings.id {
+        return HttpResponse::build(ntex::http::StatusCode::MISDIRECTED_REQUEST)
+            .header("instance-id", runner.settings.id.clone())
+            .finish();
+    }
+    if runner.strikes(|faults| &mut faults.refuse) {
+        return HttpResponse::ServiceUnavailable().header("not-executed", "1").finish();
+    }
+    let path = request.uri().path_and_query().map_or("", |path| path.as_str());
+    let number = {
+        let mut record = lock(&runner.record);
+        let number = record.len() as u64 + 1;
+        let method = request.method().as_str();
+        record.push(RecordedRequest::new(number, method, path, request.headers(), &body));
+        number
+    };
+    if runner.strikes(|faults| &mut faults.lose_answers) {
+        return cut();
+    }
+    let echoed =
+        if runner.strikes(|faults| &mut faults.answer_foreign) { "other".to_owned() } else { id };
+    let mut response = HttpResponse::Ok();
+    response.header("request-id", echoed);
+    response.header("server-seal", format!("{}.{number}", runner.settings.id));
+    if path.contains("/stream/") {
+        let first = header("last-event-id").parse::<u64>().unwrap_or_default() + 1;
+        return stream(runner, response, first);
+    }
+    sleep(Millis(runner.settings.step_ms)).await;
+    response.json(&json!({ "server": runner.settings.id, "execution": number }))
+}
+
+/// Ends the connection without a whole answer.
+fn cut() -> HttpResponse {
+    let error = futures_util::stream::once(async { Err::<Bytes, _>(io::Error::other("cut")) });
+    HttpResponse::Ok().streaming(Box::pin(error))
+}
+
+fn stream(runner: Shared, mut response: web::HttpResponseBuilder, first: u64) -> HttpResponse {
+    let is_cut = runner.strikes(|faults| &mut faults.cut_streams);
+    let last = if is_cut { first + 1 } else { runner.settings.events };
+    let events = futures_util::stream::unfold(first, move |id| {
+        let runner = runner.clone();
+        async move {
+            if id > last {
+                return None;
+            }
+            sleep(Millis(runner.settings.step_ms)).await;
+            if is_cut && id == last {
+                // Half an event and then the end of the connection.
+                let half = Bytes::from(format!("id: {id}\nda"));
+                return Some((Ok(half), u64::MAX - 1));
+            }
+            let event = Bytes::from(format!("id: {id}\ndata: {}\n\n", event_data(id)));
+            Some((Ok(event), id + 1))
+        }
+    });
+    let tail = futures_util::stream::unfold(is_cut, |cuts| async move {
+        cuts.then(|| (Err::<Bytes, _>(io::Error::other("cut")), false))
+    });
+    response.header("content-type", "text/event-stream");
+    response.streaming(Box::pin(events.chain(tail)))
+}
+
+/// Returns the data of the event `id`.
+#[must_use]
+pub fn event_data(id: u64) -> String {
+    format!("token-{id}")
+}
--- /dev/null
+++ b/crates/standins/src/site/store.rs
@@ -0,0 +1,267 @@
+//! Stand-in for the platform's metadata store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use ntex::time::{Millis, sleep};
+use ntex::web::{self, HttpResponse, types::Json, types::Query, types::State};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::http::{lock, serve};
+use crate::rows::{RowName, RowTable, RowUpdates};
+
+/// Faults that the store shows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StoreFaults {
+    /// Answers every call with 503.
+    pub outage: bool,
+    /// Delays every answer.
+    pub delay_ms: u32,
+    /// Closes the connection instead of answering this many transactions that took effect.
+    pub lose_answers: u32,
+}
+
+/// The store stand-in.
+#[derive(Debug, Default)]
+pub struct SiteStore {
+    rows: Mutex<RowTable>,
+    faults: Mutex<StoreFaults>,
+    transactions: Mutex<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Transaction {
+    #[serde(default)]
+    expected_rev: Vec<Expectation>,
+    #[serde(default)]
+    writes: Vec<RowValue>,
+    #[serde(default)]
+    remove: Vec<RowKey>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Expectation {
+    #[serde(flatten)]
+    row: RowKey,
+    ver: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RowValue {
+    #[serde(flatten)]
+    row: RowKey,
+    value: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct RowKey {
+    table: String,
+    #[serde(default)]
+    part: String,
+    key: String,
+}
+
+impl RowKey {
+    fn name(self) -> RowName {
+        (self.table, self.part, self.key)
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct RangeQuery {
+    table: String,
+    #[serde(default)]
+    part: String,
+    #[serde(default)]
+    from: String,
+    #[serde(default = "page_rows")]
+    limit: usize,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FeedQuery {
+    table: String,
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+fn page_rows() -> usize {
+    500
+}
+
+/// Pause between two looks for a change while a feed call waits.
+const FEED_PAUSE: Millis = Millis(5);
+
+impl SiteStore {
+    /// Serves the stand-in on a thread of its own and returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn spawn(listen: SocketAddr) -> io::Result<SocketAddr> {
+        serve(listen, Arc::new(Self::default()), routes)
+    }
+
+    async fn pass(&self) -> Option<HttpResponse> {
+        let faults = lock(&self.faults).clone();
+        if faults.delay_ms > 0 {
+            sleep(Millis(faults.delay_ms)).await;
+        }
+        faults.outage.then(|| HttpResponse::ServiceUnavailable().finish())
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        let loses = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        loses
+    }
+
+    fn stamp(&self, mut answer: Value) -> Value {
+        answer["ver"] = lock(&self.rows).version().into();
+        answer["nowMs"] = crate::http::unix_ms().into();
+        answer
+    }
+}
+
+fn routes(config: &mut web::ServiceConfig) {
+    config
+        .service(web::resource("/v1/rows-tx").route(web::post().to(transact)))
+        .service(web::resource("/v1/rows-get").route(web::get().to(get_rows)))
+        .service(web::resource("/v1/rows-feed").route(web::get().to(feed)))
+        .service(web::resource("/standin/faults").route(web::put().to(put_faults)))
+        .service(web::resource("/standin/rows").route(web::put().to(put_row)))
+        .service(web::resource("/standin/forget").route(web::put().to(forget_history)))
+        .service(web::resource("/standin/stats").route(web::get().to(get_stats)));
+}
+
+type Shared = State<Arc<SiteStore>>;
+
+async fn transact(store: Shared, transaction: Json<Transaction>) -> HttpResponse {
+    if let Some(fault) = store.pass().await {
+        return fault;
+    }
+    *lock(&store.transactions) += 1;
+    let Transaction { expected_rev, writes, remove } = transaction.into_inner();
+    let expected: Vec<_> =
+        expected_rev.into_iter().map(|entry| (entry.row.name(), entry.ver)).collect();
+    let mut updates: RowUpdates = Vec::new();
+    for write in writes {
+        let Ok(value) = BASE64.decode(&write.value) else {
+            return HttpResponse::BadRequest().body("value is not base64");
+        };
+        updates.push((write.row.name(), Some(value)));
+    }
+    updates.extend(remove.into_iter().map(|row| (row.name(), None)));
+    let outcome = lock(&store.rows).transact(&expected, updates);
+    if store.loses_answer() {
+        return HttpResponse::GatewayTimeout().force_close().finish();
+    }
+    match outcome {
+        Ok(version) => {
+            let mut answer = store.stamp(json!({}));
+            answer["ver"] = version.into();
+            HttpResponse::Ok().json(&answer)
+        }
+        Err(current) => {
+            let rows: Vec<Value> =
+                current.iter().map(|(name, row)| encode(name, &row.value, row.version)).collect();
+            HttpResponse::PreconditionFailed().json(&store.stamp(json!({ "rows": rows })))
+        }
+    }
+}
+
+fn encode(name: &RowName, value: &[u8], version: u64) -> Value {
+    json!({
+        "table": name.0,
+        "part": name.1,
+        "key": name.2,
+        "value": BASE64.encode(value),
+        "ver": version,
+    })
+}
+
+async fn get_rows(store: Shared, query: Query<RangeQuery>) -> HttpResponse {
+    if let Some(fault) = store.pass().await {
+        return fault;
+    }
+    let (page, has_more) = {
+        let table = lock(&store.rows);
+        let mut rows = table.range(&query.table, &query.part, &query.from);
+        let page: Vec<Value> = rows
+            .by_ref()
+            .take(query.limit.min(page_rows()))
+            .map(|(name, row)| encode(name, &row.value, row.version))
+            .collect();
+        (page, rows.next().is_some())
+    };
+    HttpResponse::Ok().json(&store.stamp(json!({ "rows": page, "hasMore": has_more })))
+}
+
+async fn feed(store: Shared, query: Query<FeedQuery>) -> HttpResponse {
+    let ends_at = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        if let Some(fault) = store.pass().await {
+            return fault;
+        }
+        let Some(changes) = lock(&store.rows).changes(&query.table, query.after) else {
+            return HttpResponse::Gone().finish();
+        };
+        if !changes.is_empty() || Instant::now() >= ends_at {
+            let rows: Vec<Value> = changes
+                .iter()
+                .map(|change| {
+                    let name = (query.table.clone(), change.part.clone(), change.key.clone());
+                    let value = change.value.clone().unwrap_or_default();
+                    let mut row = encode(&name, &value, change.version);
+                    row["tombstone"] = change.is_removed.into();
+                    row
+                })
+                .collect();
+            return HttpResponse::Ok().json(&store.stamp(json!({ "rows": rows })));
+        }
+        sleep(FEED_PAUSE).await;
+    }
+}
+
+async fn put_faults(store: Shared, faults: Json<StoreFaults>) -> HttpResponse {
+    *lock(&store.faults) = faults.into_inner();
+    HttpResponse::NoContent().finish()
+}
+
+/// Writes a row as the operator or a backend server does, or removes it.
+#[derive(Debug, Deserialize)]
+struct DirectWrite {
+    table: String,
+    key: String,
+    value: Option<Value>,
+}
+
+async fn put_row(store: Shared, write: Json<DirectWrite>) -> HttpResponse {
+    let write = write.into_inner();
+    let name = (write.table, String::new(), write.key);
+    let value = write.value.map(|value| value.to_string().into_bytes());
+    let outcome = lock(&store.rows).transact(&[], vec![(name, value)]);
+    match outcome {
+        Ok(version) => HttpResponse::Ok().json(&json!({ "ver": version })),
+        Err(_) => HttpResponse::PreconditionFailed().finish(),
+    }
+}
+
+async fn forget_history(store: Shared) -> HttpResponse {
+    lock(&store.rows).forget_history();
+    HttpResponse::NoContent().finish()
+}
+
+async fn get_stats(store: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&json!({ "transactions": *lock(&store.transactions) }))
+}
