--- a/crates/daemon/src/front/connection/status.rs
+++ b/crates/daemon/src/front/connection/status.rs
@@ -13,10 +13,10 @@
 use ntex::io::Io;
 use tokio::net::{TcpListener, TcpStream};
 
+use dandelionfront_platform::settings::READY_PATH;
+
 use crate::front::process::FrontNode;
 
-/// Path at which the balancer asks for readiness.
-const READY_PATH: &str = "/v1/ready";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -60,7 +60,7 @@
         READY_PATH if node.is_ready() => (StatusCode::OK, Bytes::new()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         METRICS_PATH => (StatusCode::OK, node.metrics.render().into()),
-        _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"ask for /v1/ready or /metrics\n")),
+        _ => (StatusCode::NOT_FOUND, Bytes::from_static(b"ask for /metrics\n")),
     }
 }
 
