Take team buckets over at a start, play the whole path as separate processes

Change: a report carries the tokens left; a node that starts takes them over from the first report and otherwise begins with half a burst. It is ready only after the others had time to report.

--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -31,6 +31,8 @@
     pub requests: u64,
     /// Programs begun.
     pub programs: u64,
+    /// Tokens left in the team's bucket, from which a node that starts takes over.
+    pub tokens_left: i64,
 }
 
 /// Place of a request in its program.
@@ -60,6 +62,9 @@
 const PRESSURE: f64 = 0.85;
 /// Part of the burst that new programs leave to those that have begun.
 const BEGIN_RESERVE: f64 = 0.4;
+/// Part of the burst that a bucket holds before any other node was heard: what was spent before a
+/// restart of all nodes is unknown.
+const START_FILL: f64 = 0.5;
 /// Time over which a program spreads its requests, about a program's length.
 const PROGRAM_SPREAD: Duration = Duration::from_secs(2);
 
@@ -86,6 +91,8 @@
 pub struct UsageLimiter {
     members: HashMap<MemberId, Member>,
     teams: HashMap<TeamHash, TeamBucket>,
+    /// Whether the buckets were taken over from another node.
+    has_taken_over: bool,
 }
 
 /// Returns the hash of a team's name.
@@ -112,7 +119,7 @@
         let covered = self.covered_share(now);
         let unreported = self.unreported(team, now);
         let program_requests = self.program_requests();
-        let bucket = self.teams.entry(team).or_default();
+        let bucket = self.teams.entry(team).or_insert_with(|| TeamBucket::starting(limits));
         bucket.accrue(limits, covered, now);
         let available = bucket.tokens - unreported;
         let rate_per_s = (limits.rate_per_s * covered).max(f64::MIN_POSITIVE);
@@ -147,7 +154,21 @@
     /// Returns what this node has admitted since its start.
     #[must_use]
     pub fn own_admitted(&self) -> AdmittedCounts {
-        self.teams.iter().map(|(team, bucket)| (*team, bucket.own_admitted)).collect()
+        self.teams.iter().map(|(team, bucket)| (*team, bucket.report())).collect()
+    }
+
+    /// Takes the tokens of all teams over from the first report after the start.
+    fn take_over(&mut self, admitted: &AdmittedCounts, now: Duration) {
+        self.has_taken_over = true;
+        for (team, count) in admitted {
+            let bucket = self.teams.entry(*team).or_default();
+            let own_requests = signed_difference(bucket.own_admitted.requests, 0);
+            #[expect(clippy::cast_precision_loss, reason = "bursts are small")]
+            let tokens = count.tokens_left as f64 - own_requests;
+            bucket.tokens = tokens;
+            bucket.program_tokens = bucket.program_tokens.max(tokens);
+            bucket.updated_at = now;
+        }
     }
 
     /// Records the report of another node.
@@ -158,8 +179,11 @@
         admitted: AdmittedCounts,
         now: Duration,
     ) {
+        if !self.has_taken_over {
+            self.take_over(&admitted, now);
+        }
         let known = self.members.remove(member);
-        let is_new = known.is_none();
+        let is_new = known.as_ref().is_none_or(|known| known.heard_at.is_zero());
         let is_restarted = known.as_ref().is_some_and(|known| known.incarnation != incarnation);
         let mut known = known.unwrap_or_else(|| Member {
             incarnation,
@@ -167,7 +191,7 @@
             admitted: admitted.clone(),
             rates_per_s: HashMap::new(),
         });
-        if is_restarted {
+        if is_restarted && !is_new {
             known.admitted.clear();
         }
         let program_requests = self.program_requests();
@@ -268,6 +292,18 @@
 }
 
 impl TeamBucket {
+    /// Returns the bucket of a team unknown so far; it accrues from the start of the clock.
+    fn starting(limits: BucketLimits) -> Self {
+        let tokens = limits.burst * START_FILL;
+        Self { tokens, program_tokens: tokens, ..Self::default() }
+    }
+
+    fn report(&self) -> Admitted {
+        #[expect(clippy::cast_possible_truncation, reason = "bursts are small")]
+        let tokens_left = self.tokens.floor() as i64;
+        Admitted { tokens_left, ..self.own_admitted }
+    }
+
     fn accrue(&mut self, limits: BucketLimits, covered: f64, now: Duration) {
         let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
         let burst = limits.burst.max(1.0) * covered;
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -154,8 +154,11 @@
     let team = team_hash("alpha");
     let mut now = Duration::from_secs(20);
     let counts = |requests| {
-        let admitted =
-            dandelionfront_coordination::limits::usage::Admitted { requests, ..Default::default() };
+        let admitted = dandelionfront_coordination::limits::usage::Admitted {
+            requests,
+            programs: 0,
+            tokens_left: 40,
+        };
         HashMap::from([(team, admitted)])
     };
     limiter.take(team, LIMITS, Step::Continues, now).expect("full");
@@ -169,6 +172,35 @@
     assert_eq!(wait, Ok(Duration::ZERO));
 }
 
+#[test]
+fn a_node_that_starts_takes_the_buckets_over() {
+    let mut fleet = Fleet::new(4);
+    for _ in 0..1_000 {
+        fleet.advance();
+        fleet.take(0, Step::Continues);
+    }
+    // The flood has emptied the bucket; a fresh node must not hold a burst of its own.
+    let mut fresh = UsageLimiter::default();
+    let report = fleet.nodes[1].own_admitted();
+    let spent = fleet.nodes[0].own_admitted();
+    fresh.note_report("n0", 1, spent, fleet.now);
+    fresh.note_report("n1", 1, report, fleet.now);
+    let team = team_hash("alpha");
+    let admitted = (0..50).filter(|_| fresh.take(team, LIMITS, Step::Continues, fleet.now).is_ok());
+    // A wait of up to 300 ms holds 15 tokens.
+    assert!(admitted.count() <= 16);
+}
+
+#[test]
+fn a_node_alone_serves_at_once_after_its_start() {
+    let mut limiter = UsageLimiter::default();
+    let (team, now) = (team_hash("alpha"), Duration::from_millis(300));
+    // Half of the burst holds three programs of the length assumed at first.
+    for _ in 0..3 {
+        assert_eq!(limiter.take(team, LIMITS, Step::Begins, now), Ok(Duration::ZERO));
+    }
+}
+
 /// Pattern: a team whose limit was lowered far below what its programs need. Finishing few
 /// programs beats starting many.
 fn programs_finished(holds_new_back: bool) -> usize {
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -26,6 +26,8 @@
 const NODES_TABLE: &str = "nodes";
 /// Time between two reads of the list, for nodes that were cut off when others started.
 const LIST_INTERVAL: Duration = Duration::from_secs(15);
+/// Time after the first listing in which the others' reports arrive; callers come afterwards.
+const FIRST_REPORTS_WAIT: Duration = Duration::from_millis(250);
 /// Pause after a failed read or write of the list.
 const LIST_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -126,7 +128,11 @@
     pub async fn keep_listed(&self, node: &FrontNode) {
         loop {
             match self.list(node).await {
-                Ok(()) => tokio::time::sleep(LIST_INTERVAL).await,
+                Ok(()) => {
+                    tokio::time::sleep(FIRST_REPORTS_WAIT).await;
+                    node.note_members_known();
+                    tokio::time::sleep(LIST_INTERVAL).await;
+                }
                 Err(error) => {
                     log::info!("event=listing_failed cause=\"{error}\"");
                     tokio::time::sleep(LIST_RETRY_PAUSE).await;
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -61,6 +61,7 @@
     table: RefCell<Rc<RoutingTable>>,
     freshness: RefCell<Freshness>,
     has_servers: Cell<bool>,
+    has_members: Cell<bool>,
 }
 
 impl FrontNode {
@@ -87,6 +88,7 @@
             table: RefCell::default(),
             freshness: RefCell::new(Freshness::new(settings.key_withdrawal)),
             has_servers: Cell::new(false),
+            has_members: Cell::new(false),
             clock,
             settings,
         }
@@ -164,7 +166,10 @@
     /// Returns whether the balancer may send new connections.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.table().version() > 0 && self.has_servers.get() && !self.stop.is_stopping()
+        self.table().version() > 0
+            && self.has_servers.get()
+            && self.has_members.get()
+            && !self.stop.is_stopping()
     }
 
     /// Records that the list of backend servers was read.
@@ -174,6 +179,14 @@
         self.has_servers.set(true);
     }
 
+    /// Records that the other nodes are listed and had time to report.
+    pub fn note_members_known(&self) {
+        if !self.has_members.replace(true) {
+            let covered = self.limiter.borrow().covered_share(self.clock.monotonic_now());
+            log::info!("event=members_known covered_share={covered:.2}");
+        }
+    }
+
     /// Logs changes of the list and drops what belonged to servers that are gone.
     pub fn note_server_changes(&self, changes: &[ServerChange]) {
         for change in changes {
--- /dev/null
+++ b/crates/daemon/tests/front.rs
@@ -0,0 +1,287 @@
+//! The whole path on the users' platform, as separate processes.
+
+mod support;
+
+use serde_json::json;
+use support::http::{Reply, eventually};
+use support::site::{ALPHA_KEY, BETA_KEY, Call, EVENTS, SMALL_KEY, Site, TOKENS_PER_EVENT, config};
+
+fn stream_text() -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
+}
+
+fn output_text() -> String {
+    (1..=EVENTS).map(|id| format!("token-{id}\n")).collect()
+}
+
+/// Sends a turn of a program with a budget.
+async fn turn(
+    site: &Site,
+    node: usize,
+    id: &str,
+    path: &str,
+    previous: Option<&str>,
+    budget: &str,
+) -> Reply {
+    let mut headers = vec![
+        ("program-id", "p-1"),
+        ("session-id", "p-1"),
+        ("finish-ms", "9000"),
+        ("token-usage", "100,50"),
+        ("token-budget", budget),
+    ];
+    headers.extend(previous.map(|previous| ("previous-turn", previous)));
+    let input = format!("input-{id};");
+    let call = Call { id, path, headers: &headers, body: &input, ..Call::default() };
+    site.send(node, &call).await.expect("an answer")
+}
+
+#[ntex::test]
+async fn a_program_over_three_nodes_keeps_its_history_and_budget_when_one_is_killed() {
+    let mut site = Site::start(3).await;
+    let (mut expected, mut previous) = (String::new(), None::<String>);
+    for step in 0..6_usize {
+        if step == 3 {
+            site.nodes[0].process.kill();
+        }
+        // Turns wander: over all three nodes before the kill, over the other two afterwards.
+        let node = if step < 3 { step } else { 1 + step % 2 };
+        let id = format!("turn-{step}");
+        let reply = turn(&site, node, &id, "/stream/kept/a", previous.as_deref(), "2000").await;
+        assert_eq!((reply.status, reply.body), (200, stream_text()), "turn {step}");
+        expected.push_str(&format!("input-{id};"));
+        let ran = site.record(&site.engines).await;
+        let ran = ran.iter().find(|request| Site::header(request, "request-id") == id);
+        assert_eq!(ran.expect("the turn ran")["body"], expected.as_str(), "turn {step}");
+        expected.push_str(&output_text());
+        previous = Some(id.clone());
+        let tool = format!("tool-{step}");
+        let call = Call { id: &tool, headers: &[("program-id", "p-1")], ..Call::default() };
+        assert_eq!(site.send(node, &call).await.expect("an answer").status, 200);
+    }
+    assert_eq!(site.record(&site.engines).await.len(), 6);
+    assert_eq!(site.record(&site.services).await.len(), 6);
+}
+
+#[ntex::test]
+async fn a_budget_holds_over_nodes_to_the_last_turn() {
+    let site = Site::start(3).await;
+    // A turn takes 50 tokens at most and delivers 40: five fit into 210.
+    let mut whole = 0;
+    for step in 0..9_usize {
+        let id = format!("turn-{step}");
+        let reply = turn(&site, step % 3, &id, "/stream/talk/a", None, "210").await;
+        match reply.status {
+            200 => whole += 1,
+            status => {
+                assert_eq!((status, reply.kind().as_str()), (402, "budget_exhausted"));
+                assert_eq!(reply.run(), "not_run");
+            }
+        }
+    }
+    assert_eq!(whole * EVENTS * TOKENS_PER_EVENT, 200);
+    assert_eq!(site.record(&site.engines).await.len(), 5, "refused turns never ran");
+}
+
+#[ntex::test]
+async fn turns_of_other_teams_do_not_exist_and_outages_leave_it_open() {
+    let site = Site::start(1).await;
+    assert_eq!(turn(&site, 0, "t-1", "/stream/kept/a", None, "1000").await.status, 200);
+    let headers = [("previous-turn", "t-1")];
+    let path = "/stream/kept/a";
+    let other = Call { id: "t-2", path, key: BETA_KEY, headers: &headers, ..Call::default() };
+    let reply = site.send(0, &other).await.expect("an answer");
+    assert_eq!((reply.status, reply.kind().as_str()), (404, "turn_unknown"));
+    site.set_faults(&site.store, &json!({ "outage": true })).await;
+    let headers = [("previous-turn", "t-unknown")];
+    let own = Call { id: "t-3", path, headers: &headers, ..Call::default() };
+    let reply = site.send(0, &own).await.expect("an answer");
+    assert_eq!((reply.status, reply.kind().as_str()), (503, "platform_unavailable"));
+}
+
+#[ntex::test]
+async fn an_unsafe_call_whose_answer_is_lost_runs_once_and_is_not_said_to_be_unrun() {
+    let site = Site::start(1).await;
+    for service in &site.services {
+        site.set_faults(&service.address, &json!({ "lose_answers": 1 })).await;
+    }
+    let reply = site.send(0, &Call { id: "u-1", ..Call::default() }).await.expect("an answer");
+    assert_eq!((reply.status, reply.run().as_str()), (502, "unknown"));
+    assert_eq!(site.record(&site.services).await.len(), 1);
+    // A safe call goes on at the other server.
+    let safe = Call { id: "s-1", method: "GET", path: "/lookup/x", ..Call::default() };
+    assert_eq!(site.send(0, &safe).await.expect("an answer").status, 200);
+}
+
+#[ntex::test]
+async fn a_refusal_without_a_run_is_tried_elsewhere_and_then_said_truly() {
+    let site = Site::start(1).await;
+    site.set_faults(&site.services[0].address, &json!({ "refuse": 1 })).await;
+    site.set_faults(&site.services[1].address, &json!({ "refuse": 1 })).await;
+    assert_eq!(site.send(0, &Call::default()).await.expect("an answer").status, 200);
+    for service in &site.services {
+        site.set_faults(&service.address, &json!({ "refuse": 100_000 })).await;
+    }
+    let reply = site.send(0, &Call { id: "u-2", ..Call::default() }).await.expect("an answer");
+    assert_eq!((reply.status, reply.run().as_str()), (503, "not_run"));
+    assert_eq!(site.record(&site.services).await.len(), 1);
+}
+
+#[ntex::test]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let site = Site::start(1).await;
+    for service in &site.services {
+        site.set_faults(&service.address, &json!({ "answer_foreign": 1 })).await;
+    }
+    let reply = site.send(0, &Call::default()).await.expect("an answer");
+    assert_eq!((reply.status, reply.run().as_str()), (502, "unknown"));
+}
+
+#[ntex::test]
+async fn a_cut_stream_goes_on_after_its_last_whole_event() {
+    let site = Site::start(1).await;
+    for engine in &site.engines {
+        site.set_faults(&engine.address, &json!({ "cut_streams": 1 })).await;
+    }
+    let reply = turn(&site, 0, "t-1", "/stream/talk/a", None, "1000").await;
+    assert_eq!((reply.status, reply.body), (200, stream_text()));
+    let resumed = site.record(&site.engines).await;
+    let after: Vec<&str> =
+        resumed.iter().map(|request| Site::header(request, "last-event-id")).collect();
+    assert!(after.contains(&"1"), "{after:?}");
+    // A stream that may not be resumed ends without its end.
+    for engine in &site.engines {
+        site.set_faults(&engine.address, &json!({ "cut_streams": 1 })).await;
+    }
+    let headers = [("token-usage", "10,50")];
+    let path = "/stream/kept/a";
+    let call = Call { id: "t-2", path, headers: &headers, ..Call::default() };
+    site.send(0, &call).await.expect_err("the answer must not look complete");
+}
+
+#[ntex::test]
+async fn backend_servers_see_the_team_and_neither_the_key_nor_forged_headers() {
+    let site = Site::start(1).await;
+    let headers = [
+        ("tenant", "beta"),
+        ("hold", "h"),
+        ("pin-ms", "9"),
+        ("kv-from", "x"),
+        ("kv-backup", "y"),
+        ("request-priority", "0"),
+        ("expect-instance", "other"),
+        ("x-own", "kept"),
+    ];
+    let call = Call { headers: &headers, body: "body", ..Call::default() };
+    assert_eq!(site.send(0, &call).await.expect("an answer").status, 200);
+    let record = site.record(&site.services).await;
+    let seen = record[0]["headers"].as_object().expect("headers");
+    assert_eq!(seen["tenant"], "alpha");
+    assert_eq!(seen["x-own"], "kept");
+    assert!(seen["expect-instance"].as_str().is_some_and(|id| id.starts_with("desk-")));
+    for name in ["key", "hold", "pin-ms", "kv-from", "kv-backup", "request-priority"] {
+        assert!(!seen.contains_key(name), "{name} was forwarded");
+    }
+    assert!(!record[0].to_string().contains(ALPHA_KEY));
+}
+
+#[ntex::test]
+async fn versions_keys_limits_and_drains_take_effect_and_never_revert() {
+    let site = Site::start(2).await;
+    let mut newer = config(5);
+    newer["tenants"][1]["apiKeys"] = json!([]);
+    newer["routes"].as_array_mut().expect("routes").retain(|route| route["name"] != "lookup");
+    site.publish(newer).await;
+    for node in 0..2 {
+        eventually("the key stops working", async || {
+            let call = Call { key: BETA_KEY, ..Call::default() };
+            let reply = site.send(node, &call).await.expect("an answer");
+            (reply.status == 401).then_some(())
+        })
+        .await;
+        let lookup = Call { path: "/lookup/x", method: "GET", ..Call::default() };
+        assert_eq!(site.send(node, &lookup).await.expect("an answer").status, 404);
+    }
+    site.publish(config(4)).await;
+    site.put_row("op", "other", Some(json!({}))).await;
+    let late = Call { key: BETA_KEY, ..Call::default() };
+    assert_eq!(site.send(0, &late).await.expect("an answer").status, 401);
+    // Two requests fit into the small team's burst, whatever nodes they come through.
+    let mut statuses = Vec::new();
+    for step in 0..6_usize {
+        let call = Call { key: SMALL_KEY, ..Call::default() };
+        statuses.push(site.send(step % 2, &call).await.expect("an answer").status);
+        ntex::time::sleep(std::time::Duration::from_millis(250)).await;
+    }
+    assert!(statuses.iter().filter(|status| **status == 200).count() <= 2, "{statuses:?}");
+    assert!(statuses.ends_with(&[429]), "{statuses:?}");
+    // A draining server gets no more requests.
+    let draining = &site.services[0];
+    site.list(&draining.id, &draining.address, "desk", "draining").await;
+    let before = eventually("the drain is known", async || {
+        let count = site.record(&site.services[..1]).await.len();
+        for id in 0..8 {
+            let id = format!("d-{id}");
+            site.send(0, &Call { id: &id, ..Call::default() }).await.expect("an answer");
+        }
+        (site.record(&site.services[..1]).await.len() == count).then_some(count)
+    })
+    .await;
+    assert_eq!(site.record(&site.services[..1]).await.len(), before);
+}
+
+#[ntex::test]
+async fn a_planned_stop_finishes_streams_and_turns_unready_at_once() {
+    let mut site = Site::start(1).await;
+    let call = Call { id: "t-1", path: "/stream/talk/a", ..Call::default() };
+    let (request, http) = (site.request(0, &call), site.http.clone());
+    let running = ntex::rt::spawn(async move { http.send(request, "in").await });
+    eventually("the stream runs", async || {
+        (!site.record(&site.engines).await.is_empty()).then_some(())
+    })
+    .await;
+    site.nodes[0].process.signal("TERM");
+    let reply = running.await.expect("no panic").expect("a whole answer");
+    assert_eq!((reply.status, reply.body), (200, stream_text()));
+    eventually("the node is not ready", async || {
+        let request = site.http.request("GET", &site.nodes[0].ready, "/v1/ready");
+        let reply = site.http.send(request, "").await;
+        reply.is_ok_and(|reply| reply.status == 503).then_some(())
+    })
+    .await;
+    // Callers that the balancer still sends are served.
+    let late = Call { id: "t-2", ..Call::default() };
+    assert_eq!(site.send(0, &late).await.expect("an answer").status, 200);
+    let code = eventually("the process ends", async || site.nodes[0].process.try_exit()).await;
+    assert_eq!(code, 0);
+}
+
+#[ntex::test]
+async fn bad_input_gets_an_answer_that_names_the_remedy() {
+    let site = Site::start(1).await;
+    let long = "x".repeat(70_000);
+    let wide = "y".repeat(5_000);
+    let wide_header = [("x-wide", wide.as_str())];
+    let calls = [
+        ("unknown path", Call { path: "/nowhere/", ..Call::default() }, 404),
+        ("unknown key", Call { key: "wrong", ..Call::default() }, 401),
+        ("no request id", Call { id: "", ..Call::default() }, 400),
+        ("long body", Call { body: &long, ..Call::default() }, 413),
+        ("long head", Call { headers: &wide_header, ..Call::default() }, 431),
+    ];
+    let mut seen = Vec::new();
+    for (what, call, status) in calls {
+        let reply = site.send(0, &call).await.expect("an answer");
+        assert_eq!(reply.status, status, "{what}: {}", reply.body);
+        seen.push(format!("{what}: {} {}", reply.status, reply.body));
+    }
+    insta::assert_debug_snapshot!(seen);
+    let open = Call { path: "/open/x", method: "GET", key: "wrong", ..Call::default() };
+    assert_eq!(site.send(0, &open).await.expect("an answer").status, 200);
+    let metrics = site.http.request("GET", &site.nodes[0].metrics, "/metrics");
+    let metrics = site.http.send(metrics, "").await.expect("an answer").expect(200).body;
+    assert!(
+        metrics.contains("dandelionfront_refusals_total{reason=\"key_unknown\"} 1"),
+        "{metrics}"
+    );
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,3 +4,4 @@
 pub mod fleet;
 pub mod http;
 pub mod process;
+pub mod site;
--- /dev/null
+++ b/crates/daemon/tests/support/site.rs
@@ -0,0 +1,240 @@
+//! Nodes on a stand-in of the users' platform.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+
+use dandelionfront_standins::site::{Runner, RunnerSettings, SiteStore};
+use ntex::client::ClientRequest;
+use serde_json::{Value, json};
+
+use super::http::{Http, Reply, eventually};
+use super::process::ChildProcess;
+
+/// Key of team `alpha`, whose limit is ample.
+pub const ALPHA_KEY: &str = "key-of-alpha";
+/// Key of team `beta`.
+pub const BETA_KEY: &str = "key-of-beta";
+/// Key of team `small`, which may send two requests and hardly any later.
+pub const SMALL_KEY: &str = "key-of-small";
+/// Host of all routes.
+const HOST: &str = "calls.example";
+/// Events of a whole stream.
+pub const EVENTS: u64 = 4;
+/// Tokens that each event counts.
+pub const TOKENS_PER_EVENT: u64 = 10;
+
+/// One daemon process and its addresses.
+pub struct SiteNode {
+    pub process: ChildProcess,
+    pub listen: String,
+    pub ready: String,
+    pub metrics: String,
+    settings: PathBuf,
+}
+
+impl Drop for SiteNode {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A backend server.
+pub struct SiteRunner {
+    pub id: String,
+    pub address: String,
+}
+
+/// Store, backend servers and nodes.
+pub struct Site {
+    pub http: Http,
+    pub store: String,
+    pub engines: Vec<SiteRunner>,
+    pub services: Vec<SiteRunner>,
+    pub nodes: Vec<SiteNode>,
+    pub config: Value,
+}
+
+/// A request of a caller.
+pub struct Call<'a> {
+    pub id: &'a str,
+    pub method: &'a str,
+    pub path: &'a str,
+    pub key: &'a str,
+    pub headers: &'a [(&'a str, &'a str)],
+    pub body: &'a str,
+}
+
+impl Default for Call<'_> {
+    fn default() -> Self {
+        Self { id: "r-1", method: "POST", path: "/plain/x", key: ALPHA_KEY, headers: &[], body: "" }
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+fn route(prefix: &str, kind: &str, service: &str, more: &Value) -> Value {
+    let mut route = json!({
+        "name": prefix.trim_matches('/'), "hostname": HOST, "pathPrefix": prefix, "kind": kind,
+        "timeoutMs": 4000, "targetLatencyMs": 250, "priority": 0, "service": service,
+        "maxAttempts": 2, "public": false,
+    });
+    for (field, value) in more.as_object().expect("an object") {
+        route[field] = value.clone();
+    }
+    route
+}
+
+/// Returns the first configuration.
+pub fn config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("/plain/", "unsafe", "desk", &json!({})),
+            route("/lookup/", "safe", "desk", &json!({})),
+            route("/open/", "safe", "desk", &json!({ "public": true })),
+            route("/stream/talk/", "stream", "geo", &json!({ "resumable": true })),
+            route("/stream/kept/", "stream", "geo", &json!({ "retainContext": true, "retentionS": 60 })),
+        ],
+        "services": [
+            { "name": "geo", "maxConnections": 100,
+              "engine": { "slots": 4, "kvCapacity": 100_000, "tokensPerEvent": TOKENS_PER_EVENT } },
+            { "name": "desk", "maxConnections": 100 },
+        ],
+        "limits": { "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 2000,
+                    "idleTimeoutMs": 5000 },
+        "tenants": [
+            { "name": "alpha", "apiKeys": [ALPHA_KEY], "ratePerS": 1000, "burst": 1000 },
+            { "name": "beta", "apiKeys": [BETA_KEY], "ratePerS": 0, "burst": 0 },
+            { "name": "small", "apiKeys": [SMALL_KEY], "ratePerS": 0.01, "burst": 2 },
+        ],
+    })
+}
+
+impl Site {
+    /// Starts a store, two engines, two services and `nodes` nodes that are ready.
+    pub async fn start(nodes: usize) -> Self {
+        let http = Http::new().await;
+        let any = "127.0.0.1:0".parse().expect("valid");
+        let store = SiteStore::spawn(any).expect("starts").to_string();
+        let runner = |id: &str, step_ms| {
+            let settings = RunnerSettings { id: id.to_owned(), events: EVENTS, step_ms };
+            let address = Runner::spawn(any, settings).expect("starts").to_string();
+            SiteRunner { id: id.to_owned(), address }
+        };
+        let engines = vec![runner("engine-1", 2), runner("engine-2", 2)];
+        let services = vec![runner("desk-1", 1), runner("desk-2", 1)];
+        let config = config(3);
+        let mut site = Self { http, store, engines, services, nodes: Vec::new(), config };
+        for index in 0..2 {
+            site.list(&site.engines[index].id, &site.engines[index].address, "geo", "ready").await;
+            site.list(&site.services[index].id, &site.services[index].address, "desk", "ready")
+                .await;
+        }
+        site.publish(site.config.clone()).await;
+        for _ in 0..nodes {
+            site.add_node();
+        }
+        site.wait_ready().await;
+        site
+    }
+
+    /// Writes the entry of a backend server.
+    pub async fn list(&self, id: &str, address: &str, service: &str, state: &str) {
+        let value = json!({
+            "service": service, "address": address, "zone": "zone-a", "version": "v1", "slots": 4,
+            "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+        });
+        self.put_row("servers", id, Some(value)).await;
+    }
+
+    /// Writes or removes a row as the operator or a backend server does.
+    pub async fn put_row(&self, table: &str, key: &str, value: Option<Value>) {
+        let row = json!({ "table": table, "key": key, "value": value });
+        self.http.put_json(&self.store, "/standin/rows", &row).await;
+    }
+
+    /// Publishes a configuration.
+    pub async fn publish(&self, config: Value) {
+        self.put_row("op", "config", Some(config)).await;
+    }
+
+    /// Sets the faults of a stand-in.
+    pub async fn set_faults(&self, address: &str, faults: &Value) {
+        self.http.put_json(address, "/standin/faults", faults).await;
+    }
+
+    /// Starts one more node.
+    pub fn add_node(&mut self) {
+        let (listen, ready, metrics) = (free_address(), free_address(), free_address());
+        let peer_port = free_address().port();
+        let settings = format!(
+            "nodeName = \"node\"\nip = \"127.0.0.1\"\nzone = \"zone-a\"\n\
+             portRange = [{peer_port},{peer_port}]\nheartbeatMs = 500\n\
+             [listen]\nfront = \"{listen}\"\nready = \"{ready}\"\n\
+             [limits]\nmemoryMb = 100\n\
+             [bounds]\ndrainMs = 2000\ngraceS = 8\nrevokeMs = 5000\nquotaWindowS = 5\nquotaOverrun = 0.1\n\
+             [provider]\naddress = \"{}\"\n",
+            self.store
+        );
+        let path = std::env::temp_dir().join(format!("dandelionfront-{}.toml", listen.port()));
+        std::fs::write(&path, settings).expect("the temporary folder is writable");
+        let args = ["front", "--settings", &path.display().to_string(), "--metrics-port"];
+        let mut args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+        args.push(metrics.port().to_string());
+        let process = ChildProcess::daemon(&args, &[]);
+        self.nodes.push(SiteNode {
+            process,
+            listen: listen.to_string(),
+            ready: ready.to_string(),
+            metrics: metrics.to_string(),
+            settings: path,
+        });
+    }
+
+    /// Waits until every node is ready.
+    pub async fn wait_ready(&self) {
+        for node in &self.nodes {
+            eventually("the node is ready", async || {
+                let request = self.http.request("GET", &node.ready, "/v1/ready");
+                let reply = self.http.send(request, "").await.ok()?;
+                (reply.status == 200).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Builds a request to a node.
+    pub fn request(&self, node: usize, call: &Call<'_>) -> ClientRequest {
+        let address = &self.nodes[node].listen;
+        let mut request = self.http.request(call.method, address, call.path);
+        request = request.set_header("host", HOST).set_header("request-id", call.id);
+        request = request.set_header("deadline-ms", "4000").set_header("key", call.key);
+        for (name, value) in call.headers {
+            request = request.set_header(*name, *value);
+        }
+        request
+    }
+
+    /// Sends a request to a node and reads the whole answer.
+    pub async fn send(&self, node: usize, call: &Call<'_>) -> Result<Reply, String> {
+        self.http.send(self.request(node, call), call.body).await
+    }
+
+    /// Returns what the given backend servers ran, in the order of each.
+    pub async fn record(&self, runners: &[SiteRunner]) -> Vec<Value> {
+        let mut record = Vec::new();
+        for runner in runners {
+            let ran = self.http.get_json(&runner.address, "/standin/record").await;
+            record.extend(ran.as_array().expect("a list").iter().cloned());
+        }
+        record
+    }
+
+    /// Returns a header of a recorded request.
+    pub fn header<'a>(request: &'a Value, name: &str) -> &'a str {
+        request["headers"][name].as_str().unwrap_or_default()
+    }
+}
