Reach the store through other nodes, adapt the patience with it

Lost answers were waited for during 700 ms each, also in calm.

Ruled out: leaving it to the balancer. With more than half of a zone's nodes out it sends callers to all of them, so unready nodes still got 188 refused requests a second.

Change: a node that the store does not answer sends its calls through a node that reports to reach it; the answers are the store's own, so they prove freshness too. Calls that may have taken effect are not repeated from elsewhere. The wait for an answer follows the store's pace, from 120 ms up. A ledger write that comes late is recognised and not settled twice.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -24,6 +24,8 @@
 /// Conflicts after which a reservation is given up; each means that another node wrote.
 const CONFLICTS_MAX: u32 = 16;
 
+/// Reads after which a row whose answers are lost counts as unreadable.
+const READ_TRIES: u32 = 4;
 /// Turns that a claim covers beside the one that asked for it, while the budget is ample.
 const TURNS_AHEAD: u64 = 2;
 /// Turns that the unclaimed budget must hold for a claim ahead: calls of one program reach many
@@ -98,6 +100,15 @@
     used_at: Duration,
     /// Whether the budget was nearly claimed when this node last claimed.
     is_tight: bool,
+    /// A write whose answer was lost: it may take effect seconds later.
+    pending: Option<PendingWrite>,
+}
+
+#[derive(Debug)]
+struct PendingWrite {
+    ledger: Ledger,
+    /// Used tokens that the write settles.
+    used_tokens: u64,
 }
 
 impl Cached {
@@ -266,21 +277,20 @@
                 cached.row_version = version;
                 cached.ledger = next;
                 cached.used_tokens = 0;
+                cached.pending = None;
                 Ok(true)
             }
             Ok(RowRead::Conflict(row)) => {
-                adopt(cached, row)?;
-                Ok(false)
+                cached.adopt(row)?;
+                Ok(cached.ledger == next)
             }
             Err(RowStoreError::AnswerLost { .. }) => {
+                let used_tokens = cached.used_tokens;
+                cached.pending = Some(PendingWrite { ledger: next.clone(), used_tokens });
                 // The row tells whether the write took effect; if it comes later, its condition
                 // fails against whatever is written next.
                 self.refresh(program, cached).await?;
-                if cached.ledger == next {
-                    cached.used_tokens = 0;
-                    return Ok(true);
-                }
-                Ok(false)
+                Ok(cached.ledger == next)
             }
             Err(source) => Err(ReserveError::Store { source }),
         }
@@ -288,19 +298,32 @@
 
     async fn refresh(&self, program: &str, cached: &mut Cached) -> Result<(), ReserveError> {
         let part = part_of(program, LEDGER_PARTS);
-        let row = self.store.get(LEDGER_TABLE, &part, program).await;
-        adopt(cached, row.map_err(|source| ReserveError::Store { source })?)
+        let mut tries_left = READ_TRIES;
+        loop {
+            tries_left -= 1;
+            match self.store.get(LEDGER_TABLE, &part, program).await {
+                Ok(row) => return cached.adopt(row),
+                Err(RowStoreError::AnswerLost { .. }) if tries_left > 0 => {}
+                Err(source) => return Err(ReserveError::Store { source }),
+            }
+        }
     }
 }
 
-fn adopt(cached: &mut Cached, row: Option<VersionedRow>) -> Result<(), ReserveError> {
-    let (version, ledger) = match row {
-        Some(row) => (row.version, serde_json::from_slice(&row.value).map_err(malformed)?),
-        None => (0, Ledger::default()),
-    };
-    cached.row_version = version;
-    cached.ledger = ledger;
-    Ok(())
+impl Cached {
+    /// Takes over the current row.
+    fn adopt(&mut self, row: Option<VersionedRow>) -> Result<(), ReserveError> {
+        let (version, ledger) = match row {
+            Some(row) => (row.version, serde_json::from_slice(&row.value).map_err(malformed)?),
+            None => (0, Ledger::default()),
+        };
+        if let Some(pending) = self.pending.take_if(|pending| pending.ledger == ledger) {
+            self.used_tokens = self.used_tokens.saturating_sub(pending.used_tokens);
+        }
+        self.row_version = version;
+        self.ledger = ledger;
+        Ok(())
+    }
 }
 
 fn malformed(error: serde_json::Error) -> ReserveError {
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -147,7 +147,7 @@
     };
     let request = CallerRequest { head, body, arrived_at };
     let mut responder = Responder::new(io, codec);
-    if node.stop.is_stopping() {
+    if node.stop.is_stopping() || node.reach.is_cut_off() {
         responder.close_after();
     }
     let is_answered = tokio::select! {
--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -3,6 +3,8 @@
 pub mod backend;
 pub mod caller;
 pub mod peers;
+pub mod reach;
+pub mod relay_server;
 pub mod responder;
 pub mod status;
 pub mod store;
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -42,6 +42,8 @@
     in_flight: Vec<(u32, u32)>,
     /// Whether the node leaves as planned.
     is_leaving: bool,
+    /// Whether the node reaches the platform's store.
+    has_store: bool,
 }
 
 /// The node's socket for reports.
@@ -110,6 +112,7 @@
             admitted: node.limiter.borrow().own_admitted().into_iter().collect(),
             in_flight: node.placement.borrow().own_load(),
             is_leaving,
+            has_store: !node.reach.is_lost() && node.table().version() > 0,
         };
         match postcard::to_allocvec(&report) {
             Ok(bytes) => {
@@ -186,10 +189,12 @@
     if report.is_leaving {
         log::info!("event=member_left member={member}");
         node.limiter.borrow_mut().forget(&member);
+        node.reach.note_helper(sender, false);
         loads.remove(&sender);
     } else {
         let admitted = report.admitted.into_iter().collect();
         node.limiter.borrow_mut().note_report(&member, report.incarnation, admitted, now);
+        node.reach.note_helper(sender, report.has_store);
         loads.insert(sender, report.in_flight);
     }
     let limiter = node.limiter.borrow();
--- /dev/null
+++ b/crates/daemon/src/front/connection/reach.rs
@@ -0,0 +1,170 @@
+//! Ways to the platform's store: the node's own, or through another node.
+//!
+//! A node that the store turns away, or that is cut off from it, sends its calls through a node
+//! that reaches it. The answers are the store's own, so they prove freshness like direct ones.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dandelionfront_coordination::limits::usage::SILENT_AFTER;
+use dandelionfront_coordination::rows::RowStoreError;
+use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
+use rand::seq::IteratorRandom as _;
+
+use super::relay_server::LOST_STATUS;
+use super::store::HttpTransport;
+use crate::front::process::{FrontClock, FrontMetrics};
+
+/// Time without an answer after which the store counts as lost; a few failed calls.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+/// Time between two direct calls while the store is lost.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// What a node knows of the ways to the store.
+pub struct StoreReach {
+    clock: FrontClock,
+    /// Time since which the store does not answer this node directly.
+    lost_at: Cell<Option<Duration>>,
+    probed_at: Cell<Duration>,
+    /// Nodes that reach the store, with the time of their last reports.
+    helpers: RefCell<HashMap<SocketAddr, Duration>>,
+}
+
+impl StoreReach {
+    /// Creates a state in which the store counts as reached.
+    #[must_use]
+    pub fn new(clock: FrontClock) -> Self {
+        Self {
+            clock,
+            lost_at: Cell::new(None),
+            probed_at: Cell::new(Duration::ZERO),
+            helpers: RefCell::default(),
+        }
+    }
+
+    /// Returns whether the store has not answered this node directly for a while.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        let now = self.clock.monotonic_now();
+        self.lost_at.get().is_some_and(|lost_at| now >= lost_at + LOST_AFTER)
+    }
+
+    /// Returns whether other nodes reach the store and this one does not: callers are then better
+    /// served there.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.is_lost() && self.helper().is_some()
+    }
+
+    /// Records whether another node reaches the store.
+    pub fn note_helper(&self, member: SocketAddr, has_store: bool) {
+        let mut helpers = self.helpers.borrow_mut();
+        if has_store {
+            helpers.insert(member, self.clock.monotonic_now());
+        } else {
+            helpers.remove(&member);
+        }
+    }
+
+    fn note_direct(&self, is_answered: bool) {
+        let (was_lost, now) = (self.is_lost(), self.clock.monotonic_now());
+        if is_answered {
+            self.lost_at.set(None);
+        } else if self.lost_at.get().is_none() {
+            self.lost_at.set(Some(now));
+        }
+        if self.is_lost() != was_lost {
+            log::warn!(
+                "event=store_reach is_lost={} helper={}",
+                self.is_lost(),
+                self.helper().map_or("-".to_owned(), |helper| helper.to_string()),
+            );
+        }
+    }
+
+    /// Returns whether the next call goes directly.
+    fn tries_direct(&self) -> bool {
+        let now = self.clock.monotonic_now();
+        let is_due = now >= self.probed_at.get() + PROBE_INTERVAL;
+        if !self.is_cut_off() || is_due {
+            self.probed_at.set(now);
+            return true;
+        }
+        false
+    }
+
+    /// Returns a node that reached the store when it last reported.
+    fn helper(&self) -> Option<SocketAddr> {
+        let now = self.clock.monotonic_now();
+        let helpers = self.helpers.borrow();
+        let heard = helpers.iter().filter(|(_, heard_at)| now < **heard_at + SILENT_AFTER);
+        heard.map(|(member, _)| *member).choose(&mut rand::rng())
+    }
+}
+
+/// Transport that goes through another node when the store does not answer directly.
+pub struct ReachingTransport {
+    direct: Rc<HttpTransport>,
+    reach: Rc<StoreReach>,
+    metrics: Rc<FrontMetrics>,
+    helpers: RefCell<HashMap<SocketAddr, Rc<HttpTransport>>>,
+}
+
+impl ReachingTransport {
+    /// Creates a transport over `direct` with the ways known to `reach`.
+    #[must_use]
+    pub fn new(
+        direct: Rc<HttpTransport>,
+        reach: Rc<StoreReach>,
+        metrics: Rc<FrontMetrics>,
+    ) -> Self {
+        Self { direct, reach, metrics, helpers: RefCell::default() }
+    }
+
+    async fn call_helper(
+        &self,
+        helper: SocketAddr,
+        request: StoreRequest,
+    ) -> Result<StoreReply, RowStoreError> {
+        self.metrics.store_calls_relayed.inc();
+        let transport = {
+            let mut helpers = self.helpers.borrow_mut();
+            let new = || Rc::new(HttpTransport::new(helper, Rc::clone(&self.metrics)));
+            Rc::clone(helpers.entry(helper).or_insert_with(new))
+        };
+        let reply = transport.call(request).await?;
+        if reply.status == LOST_STATUS {
+            let detail = format!("{helper} got no answer");
+            return Err(RowStoreError::AnswerLost { detail });
+        }
+        Ok(reply)
+    }
+}
+
+#[async_trait(?Send)]
+impl Transport for ReachingTransport {
+    async fn call(&self, request: StoreRequest) -> Result<StoreReply, RowStoreError> {
+        if self.reach.tries_direct() {
+            let result = self.direct.call(request.clone()).await;
+            let is_turned_away = match &result {
+                Ok(reply) => matches!(reply.status, 429 | 503),
+                Err(_) => true,
+            };
+            self.reach.note_direct(!is_turned_away);
+            // A call that may have taken effect must not be made once more from here.
+            if !is_turned_away || matches!(result, Err(RowStoreError::AnswerLost { .. })) {
+                return result;
+            }
+            let Some(helper) = self.reach.helper() else { return result };
+            return self.call_helper(helper, request).await;
+        }
+        match self.reach.helper() {
+            Some(helper) => self.call_helper(helper, request).await,
+            None => self.direct.call(request).await,
+        }
+    }
+}
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -1,8 +1,9 @@
 //! Transport to the platform's metadata store.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -19,18 +20,26 @@
 /// Longest idle time after which a connection is used again.
 const REUSE_IDLE_MAX: Duration = Duration::from_secs(3);
 
+/// Shortest wait for an answer, several times what the store takes in calm.
+const PATIENCE_MIN: Duration = Duration::from_millis(120);
+/// Multiple of the time that answers take at which one counts as lost.
+const PATIENCE_FACTOR: u32 = 5;
+/// Weight of the newest answer in the time that answers take, as a divisor.
+const PATIENCE_SMOOTHING: u32 = 4;
+
 /// HTTP transport with a pool of its own.
 pub struct HttpTransport {
     address: SocketAddr,
     pool: BackendPool,
     metrics: Rc<FrontMetrics>,
+    patience: Cell<Duration>,
 }
 
 impl HttpTransport {
     /// Creates a transport to the store at `address`.
     #[must_use]
     pub fn new(address: SocketAddr, metrics: Rc<FrontMetrics>) -> Self {
-        Self { address, pool: BackendPool::default(), metrics }
+        Self { address, pool: BackendPool::default(), metrics, patience: Cell::new(PATIENCE_MIN) }
     }
 
     async fn exchange(&self, request: &StoreRequest) -> Result<StoreReply, RowStoreError> {
@@ -60,6 +69,18 @@
         }
     }
 
+    /// Adapts the patience to the time that an answer took.
+    fn note_answer(&self, taken: Duration) {
+        let wanted = (taken * PATIENCE_FACTOR).max(PATIENCE_MIN);
+        let patience = self.patience.get();
+        let next = if wanted > patience {
+            wanted
+        } else {
+            patience - (patience - wanted) / PATIENCE_SMOOTHING
+        };
+        self.patience.set(next);
+    }
+
     fn encode(&self, request: &StoreRequest) -> Result<Request<Full<Bytes>>, RowStoreError> {
         Request::builder()
             .method(request.method.clone())
@@ -74,12 +95,20 @@
 #[async_trait(?Send)]
 impl Transport for HttpTransport {
     async fn call(&self, request: StoreRequest) -> Result<StoreReply, RowStoreError> {
-        let timer = self.metrics.store_seconds.start_timer();
-        let result = timeout(request.timeout, self.exchange(&request)).await.unwrap_or_else(|_| {
-            let detail = format!("no answer within {} ms", request.timeout.as_millis());
+        let began_at = Instant::now();
+        let longest = request.wait + self.patience.get().min(request.timeout);
+        let result = timeout(longest, self.exchange(&request)).await.unwrap_or_else(|_| {
+            self.patience.set((self.patience.get() * 2).min(request.timeout));
+            let detail = format!("no answer within {} ms", longest.as_millis());
             Err(RowStoreError::AnswerLost { detail })
         });
-        timer.observe_duration();
+        let taken = began_at.elapsed();
+        if request.wait.is_zero() {
+            self.metrics.store_seconds.observe(taken.as_secs_f64());
+            if result.is_ok() {
+                self.note_answer(taken);
+            }
+        }
         if let Err(error) = &result {
             self.metrics.store_failures.inc();
             log::debug!("event=store_call_failed path={} cause=\"{error}\"", request.path);
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Start, reload and planned stop of a node.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,17 +13,19 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
+use super::clock::FrontClock;
 use super::logs::{self, LogBuffer};
 use super::metrics::FrontMetrics;
 use super::node::FrontNode;
 use crate::cli::FrontArgs;
 use crate::front::connection::peers::Peers;
+use crate::front::connection::reach::{ReachingTransport, StoreReach};
 use crate::front::connection::store::HttpTransport;
-use crate::front::connection::{caller, status};
+use crate::front::connection::{caller, relay_server, status};
 use crate::front::version::follow;
 
-/// Longest wait for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest wait for an answer of the store, within which even a slow one has answered.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between two writes of buffered log lines.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two rounds of housekeeping.
@@ -80,10 +83,15 @@
     let readiness = TcpListener::bind(settings.readiness_listen).await?;
     let metrics_listener = TcpListener::bind((settings.vm_ip.as_str(), args.metrics_port)).await?;
     let peer_address = format!("{}:{}", settings.vm_ip, settings.peer_ports.0);
-    let peer_address = peer_address.parse().map_err(io::Error::other)?;
+    let peer_address: SocketAddr = peer_address.parse().map_err(io::Error::other)?;
     let peers = Rc::new(Peers::bind(peer_address).await?);
     let metrics = Rc::new(FrontMetrics::new());
-    let transport = HttpTransport::new(settings.store_address, Rc::clone(&metrics));
+    let relay_listener = TcpListener::bind(peer_address).await?;
+    let clock = FrontClock::new();
+    let direct = Rc::new(HttpTransport::new(settings.store_address, Rc::clone(&metrics)));
+    let reach = Rc::new(StoreReach::new(clock.clone()));
+    let transport =
+        ReachingTransport::new(Rc::clone(&direct), Rc::clone(&reach), Rc::clone(&metrics));
     let store = StoreClient::new(Rc::new(transport), STORE_TIMEOUT);
     log::info!(
         "event=started vm={} zone={} callers={} store={} memory_max_bytes={} version={}",
@@ -94,12 +102,13 @@
         settings.memory_max_bytes,
         env!("CARGO_PKG_VERSION"),
     );
-    let node = Rc::new(FrontNode::new(settings, store, metrics));
+    let node = Rc::new(FrontNode::new(settings, clock, (store, reach), metrics));
     tokio::task::spawn_local(follow::follow_config(Rc::clone(&node)));
     tokio::task::spawn_local(follow::follow_servers(Rc::clone(&node)));
     tokio::task::spawn_local(caller::accept(Rc::clone(&node), callers));
     tokio::task::spawn_local(status::accept(Rc::clone(&node), readiness));
     tokio::task::spawn_local(status::accept(Rc::clone(&node), metrics_listener));
+    tokio::task::spawn_local(relay_server::accept(direct, relay_listener));
     tokio::task::spawn_local(keep_house(Rc::clone(&node)));
     spawn_peers(&node, &peers);
     tokio::task::spawn_local(async move {
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -39,6 +39,8 @@
     pub callers_gone: IntCounter,
     /// Connections opened to backend servers.
     pub backend_connections: IntCounter,
+    /// Store calls made through another node.
+    pub store_calls_relayed: IntCounter,
     /// Store calls without an answer.
     pub store_failures: IntCounter,
     /// Duration of store calls, in seconds.
@@ -70,6 +72,11 @@
                 "backend_connections_total",
                 "Connections opened to backend servers",
             ),
+            store_calls_relayed: counter(
+                &registry,
+                "store_calls_relayed_total",
+                "Store calls made through another node",
+            ),
             store_failures: counter(&registry, "store_failures_total", "Store calls that failed"),
             store_seconds: register(
                 &registry,
--- a/crates/daemon/src/front/process/mod.rs
+++ b/crates/daemon/src/front/process/mod.rs
@@ -7,6 +7,7 @@
 mod node;
 mod stop;
 
+pub use clock::FrontClock;
 pub use lifecycle::run;
 pub use metrics::{FrontMetrics, RetryReason};
 pub use node::FrontNode;
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -21,6 +21,7 @@
 use super::metrics::FrontMetrics;
 use super::stop::{Count, StopSignal};
 use crate::front::connection::BackendPool;
+use crate::front::connection::reach::StoreReach;
 
 /// Shortest and longest pause that a caller over its team's limit is asked to make.
 const LIMIT_RETRY_MIN_MS: u64 = 50;
@@ -40,6 +41,8 @@
     pub metrics: Rc<FrontMetrics>,
     /// The platform's store.
     pub store: StoreClient,
+    /// Ways to the store.
+    pub reach: Rc<StoreReach>,
     /// Backend servers by the platform's list.
     pub servers: RefCell<ServerList>,
     /// Load and failures of backend servers.
@@ -67,8 +70,12 @@
 impl FrontNode {
     /// Creates a node that knows nothing yet.
     #[must_use]
-    pub fn new(settings: NodeSettings, store: StoreClient, metrics: Rc<FrontMetrics>) -> Self {
-        let clock = FrontClock::new();
+    pub fn new(
+        settings: NodeSettings,
+        clock: FrontClock,
+        (store, reach): (StoreClient, Rc<StoreReach>),
+        metrics: Rc<FrontMetrics>,
+    ) -> Self {
         let claimant = format!("{:016x}", rand::random::<u64>());
         let rows: SharedRowStore = Rc::new(store.clone());
         let cache_max_bytes =
@@ -76,6 +83,7 @@
         Self {
             metrics,
             store,
+            reach,
             servers: RefCell::default(),
             placement: RefCell::default(),
             limiter: RefCell::default(),
