Report unready while the store is only reached through another node

Cause: found by the new separate-process test: the readiness check lacked the state that the relay keeps, so the balancer went on sending callers to nodes that the store turned away.

Listeners share one accept loop and one way to read a body.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -263,7 +263,7 @@
         cached: &mut Cached,
         next: Ledger,
     ) -> Result<bool, ReserveError> {
-        let value = serde_json::to_vec(&next).map_err(malformed)?;
+        let value = serde_json::to_vec(&next).map_err(|error| malformed(&error))?;
         let part = part_of(program, LEDGER_PARTS);
         let write = RowWrite {
             table: LEDGER_TABLE,
@@ -314,7 +314,10 @@
     /// Takes over the current row.
     fn adopt(&mut self, row: Option<VersionedRow>) -> Result<(), ReserveError> {
         let (version, ledger) = match row {
-            Some(row) => (row.version, serde_json::from_slice(&row.value).map_err(malformed)?),
+            Some(row) => (
+                row.version,
+                serde_json::from_slice(&row.value).map_err(|error| malformed(&error))?,
+            ),
             None => (0, Ledger::default()),
         };
         if let Some(pending) = self.pending.take_if(|pending| pending.ledger == ledger) {
@@ -326,6 +329,6 @@
     }
 }
 
-fn malformed(error: serde_json::Error) -> ReserveError {
+fn malformed(error: &serde_json::Error) -> ReserveError {
     ReserveError::Store { source: RowStoreError::Malformed { detail: error.to_string() } }
 }
--- a/crates/coordination/src/turns.rs
+++ b/crates/coordination/src/turns.rs
@@ -158,7 +158,7 @@
     /// Fails when the store did not accept the record.
     pub async fn keep(&self, turn: &str, record: Rc<TurnRecord>) -> Result<(), TurnError> {
         self.remember(turn, Rc::clone(&record));
-        let value = serde_json::to_vec(&*record).map_err(malformed)?;
+        let value = serde_json::to_vec(&*record).map_err(|error| malformed(&error))?;
         let part = part_of(turn, TURN_PARTS);
         let write = RowWrite {
             table: TURNS_TABLE,
@@ -171,7 +171,7 @@
             Ok(RowRead::Written(_)) => Ok(()),
             // An earlier try of this write took effect although its answer was lost.
             Ok(RowRead::Conflict(Some(row))) if row.value == value => Ok(()),
-            Ok(RowRead::Conflict(_)) => Err(malformed("another turn has the same request id")),
+            Ok(RowRead::Conflict(_)) => Err(malformed(&"another turn has the same request id")),
             Err(source) => Err(TurnError::Store { source }),
         }
     }
@@ -190,14 +190,15 @@
         let Some(row) = row.map_err(|source| TurnError::Store { source })? else {
             return Ok(None);
         };
-        let record: TurnRecord = serde_json::from_slice(&row.value).map_err(malformed)?;
+        let record: TurnRecord =
+            serde_json::from_slice(&row.value).map_err(|error| malformed(&error))?;
         let record = Rc::new(record);
         self.remember(turn, Rc::clone(&record));
         Ok(Some(record))
     }
 }
 
-fn malformed(error: impl ToString) -> TurnError {
+fn malformed(error: &dyn std::fmt::Display) -> TurnError {
     TurnError::Store { source: RowStoreError::Malformed { detail: error.to_string() } }
 }
 
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -57,7 +57,7 @@
     assert_eq!(ready(&list), 2);
     // One of them comes back, the other does not.
     assert_eq!(list.insert(entry("a")), Some(ServerChange::Seen("a".to_owned())));
-    assert!(list.expire_lapsed(failed_at + LAPSE_GRACE - MS).is_empty());
+    assert!(list.expire_lapsed(failed_at + LAPSE_GRACE.saturating_sub(MS)).is_empty());
     let gone = list.expire_lapsed(failed_at + LAPSE_GRACE);
     assert_eq!(gone, [ServerChange::Gone("b".to_owned())]);
     assert_eq!(ready(&list), 1);
@@ -121,7 +121,7 @@
     };
     let first = choose(&placement, Duration::ZERO);
     let pause = placement.note_failure(&first, Duration::ZERO);
-    assert_ne!(choose(&placement, pause - MS), first);
+    assert_ne!(choose(&placement, pause.saturating_sub(MS)), first);
     assert_eq!(choose(&placement, pause), first);
     assert!(placement.note_failure(&first, pause) > pause);
     placement.note_success(&first);
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -37,7 +37,7 @@
     fn advance(&mut self) {
         self.now += STEP;
         self.steps += 1;
-        if self.steps % REPORT_EVERY != 0 {
+        if !self.steps.is_multiple_of(REPORT_EVERY) {
             return;
         }
         for sender in 0..self.nodes.len() {
@@ -69,7 +69,7 @@
         let mut busiest = 0;
         let mut first = 0;
         for last in 0..self.sent_at.len() {
-            while self.sent_at[last] - self.sent_at[first] > WINDOW {
+            while self.sent_at[last] > self.sent_at[first] + WINDOW {
                 first += 1;
             }
             busiest = busiest.max(last - first + 1);
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -6,18 +6,18 @@
 use std::task::Poll;
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::header::EXPECT;
-use ntex::SharedCfg;
+use ntex::http::Request;
 use ntex::http::error::DecodeError;
-use ntex::http::h1::{Codec, PayloadDecoder, PayloadItem, PayloadType};
-use ntex::http::{HttpServiceConfig, KeepAlive, Request};
+use ntex::http::h1::{Codec, PayloadType};
 use ntex::io::{Io, IoStatusUpdate};
 use ntex::util::Either;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use super::listener::{self, BodyError};
 use super::responder::Responder;
 use crate::front::process::FrontNode;
 use crate::front::request;
@@ -33,44 +33,20 @@
     pub arrived_at: Instant,
 }
 
-/// Accepts callers until the node has stopped.
+/// Accepts callers until the process ends.
 pub async fn accept(node: Rc<FrontNode>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let node = Rc::clone(&node);
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve(&node, stream).await {
-                        log::debug!("event=caller_connection_ended cause=\"{error}\"");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed cause=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    listener::accept("callers", listener, |stream| serve(Rc::clone(&node), stream)).await;
 }
 
-/// Pause after a failed accept, which is mostly a lack of descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-
 /// Serves one connection to its end.
-async fn serve(node: &Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
-    let limits = node.table().limits().clone();
-    let http = HttpServiceConfig::new()
-        .set_keepalive(KeepAlive::Os)
-        .set_max_buf_size(limits.header_max_bytes + 1);
-    let config: SharedCfg = SharedCfg::new("CALLER").add(http).into();
-    let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
-    let codec = Codec::new(0, config.get());
+async fn serve(node: Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
+    let (io, codec) = listener::open(stream, node.table().limits().header_max_bytes)?;
     let _open = node.caller_connections.enter();
     loop {
-        let Some((head, payload)) = next_request(node, &io, &codec).await? else {
+        let Some((head, payload)) = next_request(&node, &io, &codec).await? else {
             return io.shutdown().await;
         };
-        if !serve_request(node, &io, &codec, head, payload).await? {
+        if !serve_request(&node, &io, &codec, head, payload).await? {
             return io.shutdown().await;
         }
     }
@@ -130,21 +106,39 @@
     let arrived_at = Instant::now();
     let _busy = node.caller_requests.enter();
     let body_max_bytes = node.table().limits().body_max_bytes;
-    let body = match payload {
-        PayloadType::None => Bytes::new(),
+    match payload {
+        PayloadType::None => serve_whole(node, io, codec, head, Bytes::new(), arrived_at).await,
         PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
             if head.headers().contains_key(EXPECT) {
                 io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n")?;
             }
-            match read_body(io, &decoder, body_max_bytes).await? {
-                Ok(body) => body,
-                Err(refusal) => {
-                    refuse_and_close(node, io, codec, &refusal).await?;
-                    return Ok(false);
-                }
-            }
+            let refusal = match listener::read_body(io, &decoder, body_max_bytes).await {
+                Ok(body) => return serve_whole(node, io, codec, head, body, arrived_at).await,
+                Err(BodyError::Connection(error)) => return Err(error),
+                Err(BodyError::TooLong) => Refusal::not_run(
+                    RefusalKind::BodyTooLarge,
+                    format!("the body is over {body_max_bytes} bytes; send a smaller one"),
+                ),
+                Err(BodyError::Malformed(error)) => Refusal::not_run(
+                    RefusalKind::InvalidRequest,
+                    format!("the body is faulty ({error}); send valid chunks"),
+                ),
+            };
+            refuse_and_close(node, io, codec, &refusal).await?;
+            Ok(false)
         }
-    };
+    }
+}
+
+/// Serves a request that was read whole; returns whether the connection may be used again.
+async fn serve_whole(
+    node: &Rc<FrontNode>,
+    io: &Io,
+    codec: &Codec,
+    head: Request,
+    body: Bytes,
+    arrived_at: Instant,
+) -> io::Result<bool> {
     let request = CallerRequest { head, body, arrived_at };
     let mut responder = Responder::new(io, codec);
     if node.stop.is_stopping() || node.reach.is_cut_off() {
@@ -166,31 +160,6 @@
     Ok(codec.keepalive() && !node.stop.is_stopping())
 }
 
-async fn read_body(
-    io: &Io,
-    decoder: &PayloadDecoder,
-    body_max_bytes: usize,
-) -> io::Result<Result<Bytes, Refusal>> {
-    let mut body = BytesMut::new();
-    loop {
-        match io.recv(decoder).await {
-            Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > body_max_bytes => {
-                let message =
-                    format!("the body is over {body_max_bytes} bytes; send a smaller one");
-                return Ok(Err(Refusal::not_run(RefusalKind::BodyTooLarge, message)));
-            }
-            Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
-            Ok(Some(PayloadItem::Eof)) => return Ok(Ok(body.freeze())),
-            Ok(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Err(Either::Left(error)) => {
-                let message = format!("the body is faulty ({error}); send valid chunks");
-                return Ok(Err(Refusal::not_run(RefusalKind::InvalidRequest, message)));
-            }
-            Err(Either::Right(error)) => return Err(error),
-        }
-    }
-}
-
 /// Completes when the caller closed the connection.
 async fn peer_gone(io: &Io) {
     poll_fn(|cx| match io.poll_status_update(cx) {
--- /dev/null
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -0,0 +1,119 @@
+//! What all listeners of a node share.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use ntex::SharedCfg;
+use ntex::http::body::BodySize;
+use ntex::http::error::DecodeError;
+use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem};
+use ntex::http::header::{CONTENT_TYPE, HeaderValue};
+use ntex::http::{HttpServiceConfig, KeepAlive, Response, StatusCode};
+use ntex::io::Io;
+use ntex::util::Either;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept, which is mostly a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until the process ends, each served by a task of its own.
+pub async fn accept<S, F>(name: &'static str, listener: TcpListener, serve: S)
+where
+    S: Fn(TcpStream) -> F,
+    F: Future<Output = io::Result<()>> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve(stream);
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = serving.await {
+                        log::debug!("event=connection_ended listener={name} cause=\"{error}\"");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed listener={name} cause=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Prepares a connection for HTTP/1.1 with heads of at most `head_max_bytes`.
+///
+/// # Errors
+///
+/// Fails when the connection is gone.
+pub fn open(stream: TcpStream, head_max_bytes: usize) -> io::Result<(Io, Codec)> {
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KeepAlive::Os)
+        .set_max_buf_size(head_max_bytes.saturating_add(1));
+    let config: SharedCfg = SharedCfg::new("HTTP").add(http).into();
+    let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
+    Ok((io, Codec::new(0, config.get())))
+}
+
+/// Why a body could not be read.
+#[derive(Debug)]
+pub enum BodyError {
+    /// It is over the limit.
+    TooLong,
+    /// Its framing is faulty.
+    Malformed(DecodeError),
+    /// The connection failed.
+    Connection(io::Error),
+}
+
+/// Reads a whole body of at most `max_bytes`.
+///
+/// # Errors
+///
+/// Fails when the body is too long or faulty, or the connection ends before it.
+pub async fn read_body(
+    io: &Io,
+    decoder: &PayloadDecoder,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let mut body = BytesMut::new();
+    loop {
+        match io.recv(decoder).await {
+            Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max_bytes => {
+                return Err(BodyError::TooLong);
+            }
+            Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Some(PayloadItem::Eof)) => return Ok(body.freeze()),
+            Ok(None) => return Err(BodyError::Connection(io::ErrorKind::UnexpectedEof.into())),
+            Err(Either::Left(error)) => return Err(BodyError::Malformed(error)),
+            Err(Either::Right(error)) => return Err(BodyError::Connection(error)),
+        }
+    }
+}
+
+/// Sends a whole answer.
+///
+/// # Errors
+///
+/// Fails when the connection is gone.
+pub async fn send_whole(
+    io: &Io,
+    codec: &Codec,
+    status: StatusCode,
+    content_type: &'static str,
+    body: &[u8],
+) -> io::Result<()> {
+    let mut response = Response::new(status).drop_body();
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    let size = match body.len() {
+        0 => BodySize::Empty,
+        length => BodySize::Sized(length as u64),
+    };
+    io.encode(Message::Item((response, size)), codec).map_err(io::Error::other)?;
+    if !body.is_empty() {
+        let chunk = ntex::util::Bytes::copy_from_slice(body);
+        io.encode(Message::Chunk(Some(chunk)), codec).map_err(io::Error::other)?;
+    }
+    io.encode(Message::Chunk(None), codec).map_err(io::Error::other)?;
+    io.flush(true).await
+}
--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod listener;
 pub mod peers;
 pub mod reach;
 pub mod relay_server;
--- a/crates/daemon/src/front/connection/reach.rs
+++ b/crates/daemon/src/front/connection/reach.rs
@@ -13,6 +13,7 @@
 use dandelionfront_coordination::limits::usage::SILENT_AFTER;
 use dandelionfront_coordination::rows::RowStoreError;
 use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
+use http::Method;
 use rand::seq::IteratorRandom as _;
 
 use super::relay_server::LOST_STATUS;
@@ -30,6 +31,8 @@
     /// Time since which the store does not answer this node directly.
     lost_at: Cell<Option<Duration>>,
     probed_at: Cell<Duration>,
+    /// State in the last log line.
+    is_logged_lost: Cell<bool>,
     /// Nodes that reach the store, with the time of their last reports.
     helpers: RefCell<HashMap<SocketAddr, Duration>>,
 }
@@ -42,6 +45,7 @@
             clock,
             lost_at: Cell::new(None),
             probed_at: Cell::new(Duration::ZERO),
+            is_logged_lost: Cell::new(false),
             helpers: RefCell::default(),
         }
     }
@@ -70,19 +74,17 @@
         }
     }
 
+    /// Records whether the store answered a direct call.
     fn note_direct(&self, is_answered: bool) {
-        let (was_lost, now) = (self.is_lost(), self.clock.monotonic_now());
         if is_answered {
             self.lost_at.set(None);
         } else if self.lost_at.get().is_none() {
-            self.lost_at.set(Some(now));
+            self.lost_at.set(Some(self.clock.monotonic_now()));
         }
-        if self.is_lost() != was_lost {
-            log::warn!(
-                "event=store_reach is_lost={} helper={}",
-                self.is_lost(),
-                self.helper().map_or("-".to_owned(), |helper| helper.to_string()),
-            );
+        let is_lost = self.is_lost();
+        if self.is_logged_lost.replace(is_lost) != is_lost {
+            let helper = self.helper().map_or("-".to_owned(), |helper| helper.to_string());
+            log::warn!("event=store_reach is_lost={is_lost} helper={helper}");
         }
     }
 
@@ -155,8 +157,10 @@
                 Err(_) => true,
             };
             self.reach.note_direct(!is_turned_away);
-            // A call that may have taken effect must not be made once more from here.
-            if !is_turned_away || matches!(result, Err(RowStoreError::AnswerLost { .. })) {
+            // A write that may have taken effect must not be made once more from here.
+            let is_lost_write = request.method != Method::GET
+                && matches!(result, Err(RowStoreError::AnswerLost { .. }));
+            if !is_turned_away || is_lost_write {
                 return result;
             }
             let Some(helper) = self.reach.helper() else { return result };
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -76,7 +76,7 @@
         let next = if wanted > patience {
             wanted
         } else {
-            patience - (patience - wanted) / PATIENCE_SMOOTHING
+            patience.saturating_sub(patience.saturating_sub(wanted) / PATIENCE_SMOOTHING)
         };
         self.patience.set(next);
     }
--- a/crates/daemon/src/front/process/clock.rs
+++ b/crates/daemon/src/front/process/clock.rs
@@ -9,7 +9,7 @@
 use crate::process::clock::SystemClock;
 
 /// The steady clock, and the clock that also counts suspended time.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct FrontClock {
     steady: SystemClock,
 }
@@ -29,7 +29,6 @@
 
     /// Returns the time since boot, with the time for which the VM was suspended.
     #[must_use]
-    #[expect(clippy::unused_self, reason = "read through the node's clocks like the steady one")]
     pub fn boot_now(&self) -> Duration {
         let now = clock_gettime(ClockId::Boottime);
         let (seconds, nanos) = (now.tv_sec, now.tv_nsec);
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -25,7 +25,7 @@
 use crate::front::version::follow;
 
 /// Longest wait for an answer of the store, within which even a slow one has answered.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two writes of buffered log lines.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two rounds of housekeeping.
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -178,6 +178,7 @@
             && self.has_servers.get()
             && self.has_members.get()
             && !self.stop.is_stopping()
+            && !self.reach.is_cut_off()
     }
 
     /// Records that the list of backend servers was read.
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -133,12 +133,9 @@
         let ends_at = self.admitted.ends_at.into();
         let sent_at = Instant::now();
         self.log_sent(&server, time_left, connection.is_reused);
-        let outcome = match timeout_at(ends_at, connection.send(request)).await {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                self.mark_run(&server.id);
-                return Err(self.out_of_time());
-            }
+        let Ok(outcome) = timeout_at(ends_at, connection.send(request)).await else {
+            self.mark_run(&server.id);
+            return Err(self.out_of_time());
         };
         let response = match outcome {
             SendOutcome::Answered(response) => response,
--- a/crates/daemon/src/front/version/follow.rs
+++ b/crates/daemon/src/front/version/follow.rs
@@ -13,7 +13,7 @@
 use crate::front::process::FrontNode;
 
 /// Longest wait of one call for a new configuration; each answer also proves freshness.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+const CONFIG_WAIT: Duration = Duration::from_secs(1);
 /// Time between two reads of the changes to the list of backend servers, a third of the time
 /// within which a draining server must get no more requests.
 const SERVERS_INTERVAL: Duration = Duration::from_millis(600);
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -2,16 +2,18 @@
 
 mod support;
 
+use dandelionfront_standins::FaultProxy;
 use serde_json::json;
 use support::http::{Reply, eventually};
 use support::site::{ALPHA_KEY, BETA_KEY, Call, EVENTS, SMALL_KEY, Site, TOKENS_PER_EVENT, config};
 
 fn stream_text() -> String {
-    (1..=EVENTS).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
+    let events = (1..=EVENTS).map(|id| format!("id: {id}\ndata: token-{id}\n\n"));
+    events.collect::<Vec<_>>().concat()
 }
 
 fn output_text() -> String {
-    (1..=EVENTS).map(|id| format!("token-{id}\n")).collect()
+    (1..=EVENTS).map(|id| format!("token-{id}\n")).collect::<Vec<_>>().concat()
 }
 
 /// Sends a turn of a program with a budget.
@@ -49,7 +51,9 @@
         let id = format!("turn-{step}");
         let reply = turn(&site, node, &id, "/stream/kept/a", previous.as_deref(), "2000").await;
         assert_eq!((reply.status, reply.body), (200, stream_text()), "turn {step}");
-        expected.push_str(&format!("input-{id};"));
+        expected += "input-";
+        expected += &id;
+        expected += ";";
         let ran = site.record(&site.engines).await;
         let ran = ran.iter().find(|request| Site::header(request, "request-id") == id);
         assert_eq!(ran.expect("the turn ran")["body"], expected.as_str(), "turn {step}");
@@ -285,3 +289,35 @@
         "{metrics}"
     );
 }
+
+#[ntex::test]
+async fn a_node_that_the_store_turns_away_reaches_it_through_another() {
+    let mut site = Site::start(1).await;
+    let any = "127.0.0.1:0".parse().expect("valid");
+    let target = site.store.parse().expect("an address");
+    let (proxy, control) = FaultProxy::spawn(any, any, target).expect("starts");
+    site.add_node_with_store(&proxy.to_string());
+    site.wait_ready().await;
+    let refuse = json!({ "refuse": true, "close_open": true });
+    site.http.put_json(&control.to_string(), "/v1/faults", &refuse).await;
+    eventually("the node steps aside", async || {
+        let request = site.http.request("GET", &site.nodes[1].ready, "/v1/ready");
+        let reply = site.http.send(request, "").await;
+        reply.is_ok_and(|reply| reply.status == 503).then_some(())
+    })
+    .await;
+    // Budgets, kept turns and keys still work there, and it follows new versions.
+    let first = turn(&site, 1, "t-1", "/stream/kept/a", None, "1000").await;
+    assert_eq!((first.status, first.body), (200, stream_text()));
+    let second = turn(&site, 0, "t-2", "/stream/kept/a", Some("t-1"), "1000").await;
+    assert_eq!(second.status, 200);
+    let mut newer = config(9);
+    newer["tenants"][1]["apiKeys"] = json!([]);
+    site.publish(newer).await;
+    eventually("the key stops working", async || {
+        let call = Call { key: BETA_KEY, ..Call::default() };
+        let reply = site.send(1, &call).await.expect("an answer");
+        (reply.status == 401).then_some(())
+    })
+    .await;
+}
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -168,6 +168,11 @@
 
     /// Starts one more node.
     pub fn add_node(&mut self) {
+        self.add_node_with_store(&self.store.clone());
+    }
+
+    /// Starts one more node that reaches the store at `store`.
+    pub fn add_node_with_store(&mut self, store: &str) {
         let (listen, ready, metrics) = (free_address(), free_address(), free_address());
         let peer_port = free_address().port();
         let settings = format!(
@@ -176,8 +181,7 @@
              [listen]\nfront = \"{listen}\"\nready = \"{ready}\"\n\
              [limits]\nmemoryMb = 100\n\
              [bounds]\ndrainMs = 2000\ngraceS = 8\nrevokeMs = 5000\nquotaWindowS = 5\nquotaOverrun = 0.1\n\
-             [provider]\naddress = \"{}\"\n",
-            self.store
+             [provider]\naddress = \"{store}\"\n",
         );
         let path = std::env::temp_dir().join(format!("dandelionfront-{}.toml", listen.port()));
         std::fs::write(&path, settings).expect("the temporary folder is writable");
