Grow the store's patience only on silence in a row

Change: one silent call leaves the patience as it is, a second in a row doubles it; a kept turn's record is repeated after 50 to 400 ms.

--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -33,13 +33,21 @@
     pool: BackendPool,
     metrics: Rc<FrontMetrics>,
     patience: Cell<Duration>,
+    /// Whether the last call got no answer.
+    was_silent: Cell<bool>,
 }
 
 impl HttpTransport {
     /// Creates a transport to the store at `address`.
     #[must_use]
     pub fn new(address: SocketAddr, metrics: Rc<FrontMetrics>) -> Self {
-        Self { address, pool: BackendPool::default(), metrics, patience: Cell::new(PATIENCE_MIN) }
+        Self {
+            address,
+            pool: BackendPool::default(),
+            metrics,
+            patience: Cell::new(PATIENCE_MIN),
+            was_silent: Cell::new(false),
+        }
     }
 
     async fn exchange(&self, request: &StoreRequest) -> Result<StoreReply, RowStoreError> {
@@ -69,8 +77,17 @@
         }
     }
 
+    /// Doubles the patience when calls in a row got no answer: a single lost answer says nothing
+    /// of the store's pace.
+    fn note_silence(&self, longest: Duration) {
+        if self.was_silent.replace(true) {
+            self.patience.set((self.patience.get() * 2).min(longest));
+        }
+    }
+
     /// Adapts the patience to the time that an answer took.
     fn note_answer(&self, taken: Duration) {
+        self.was_silent.set(false);
         let wanted = (taken * PATIENCE_FACTOR).max(PATIENCE_MIN);
         let patience = self.patience.get();
         let next = if wanted > patience {
@@ -98,7 +115,7 @@
         let began_at = Instant::now();
         let longest = request.wait + self.patience.get().min(request.timeout);
         let result = timeout(longest, self.exchange(&request)).await.unwrap_or_else(|_| {
-            self.patience.set((self.patience.get() * 2).min(request.timeout));
+            self.note_silence(request.timeout);
             let detail = format!("no answer within {} ms", longest.as_millis());
             Err(RowStoreError::AnswerLost { detail })
         });
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -28,8 +28,9 @@
 const LIMIT_RETRY_MAX_MS: u64 = 2_000;
 /// Part of the process's memory that cached turns may use.
 const TURN_CACHE_SHARE: u64 = 8;
-/// Pause before a turn's record is written once more.
-const KEEP_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Shortest and longest pause before a turn's record is written once more.
+const KEEP_RETRY_PAUSE_MIN: Duration = Duration::from_millis(50);
+const KEEP_RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
 /// Everything that the requests and tasks of a node share.
 pub struct FrontNode {
@@ -215,6 +216,7 @@
     /// The end of the answer waits for this: a caller that has it may rely on the turn, whatever
     /// fails afterwards.
     pub async fn keep_turn(&self, turn: &str, record: Rc<TurnRecord>, ends_at: Instant) -> bool {
+        let mut pause = KEEP_RETRY_PAUSE_MIN;
         loop {
             let work = self.turns.keep(turn, Rc::clone(&record));
             let cause = match tokio::time::timeout_at(ends_at.into(), work).await {
@@ -222,12 +224,13 @@
                 Ok(Err(error)) => error.to_string(),
                 Err(_) => "the deadline passed".to_owned(),
             };
-            let is_retried = Instant::now() + KEEP_RETRY_PAUSE < ends_at;
+            let is_retried = Instant::now() + pause < ends_at;
             log::warn!("event=turn_not_kept request={turn} cause=\"{cause}\" retried={is_retried}");
             if !is_retried {
                 return false;
             }
-            tokio::time::sleep(KEEP_RETRY_PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(KEEP_RETRY_PAUSE_MAX);
         }
     }
 }
