--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -183,6 +183,13 @@
                     is_current = true;
                     continue;
                 }
+                log::info!(
+                    "event=budget_spent program={program} row_version={} settled={} claims=\"{:?}\" \
+                     budget={budget_tokens}",
+                    cached.row_version,
+                    next.settled_tokens,
+                    next.claimed_tokens,
+                );
                 return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
             };
             let is_ample = unclaimed >= most_tokens.saturating_mul(AMPLE_TURNS);
@@ -192,6 +199,13 @@
             let is_first = cached.row_version == 0;
             is_current = true;
             if self.write(program, &mut cached, next).await? {
+                log::info!(
+                    "event=budget_claimed program={program} row_version={} settled={} claim={claim} \
+                     unclaimed={} budget={budget_tokens}",
+                    cached.row_version,
+                    cached.ledger.settled_tokens,
+                    unclaimed - ahead,
+                );
                 cached.running_tokens += most_tokens;
                 cached.is_tight = unclaimed < most_tokens.saturating_mul(TIGHT_TURNS);
                 return Ok(is_first);
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -78,6 +78,7 @@
         metrics: Rc<FrontMetrics>,
     ) -> Self {
         let claimant = format!("{:016x}", rand::random::<u64>());
+        log::info!("event=claimant vm={} claimant={claimant}", settings.vm_name);
         let rows: SharedRowStore = Rc::new(store.clone());
         let cache_max_bytes =
             usize::try_from(settings.memory_max_bytes / TURN_CACHE_SHARE).unwrap_or(usize::MAX);
