Let silence follow the pace of reports, test that a caller's leaving ends its run

Cause: reports of a fleet of n nodes come every 6 ms x n, while a node counted as silent after 700 ms: beyond 116 nodes every node would have counted as cut off, and each team would have had 1/n of its limit. Found by reading, not by a run.

--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -44,14 +44,16 @@
     Continues,
 }
 
-/// Silence after which a node counts as cut off; several times the pause between two reports.
-pub const SILENT_AFTER: Duration = Duration::from_millis(700);
+/// Shortest time between two reports to a node.
+pub const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Time that each member adds to the pause, so that reports of a large fleet stay affordable.
+const REPORT_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(6);
+/// Reports that a node misses before it counts as cut off.
+const MISSED_REPORTS_MAX: u32 = 7;
 /// Silence after which a node no longer counts as a member.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 /// Longest wait for a token; a quarter of the shortest deadline of the calls within programs.
 pub const WAIT_MAX: Duration = Duration::from_millis(300);
-/// Least time between two reports that counts for a rate, the pause between two reports.
-const REPORT_SPACING_MIN: Duration = Duration::from_millis(100);
 /// Weight of the newest interval in a node's rate.
 const RATE_WEIGHT: f64 = 0.4;
 /// Requests that a program needs until enough programs were seen.
@@ -95,6 +97,19 @@
     has_taken_over: bool,
 }
 
+/// Returns the time between two reports of a node in a fleet with `members` other nodes.
+#[must_use]
+pub fn report_interval(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    REPORT_INTERVAL_PER_MEMBER.saturating_mul(members).max(REPORT_INTERVAL_MIN)
+}
+
+/// Returns the silence after which a node counts as cut off, in a fleet with `members` others.
+#[must_use]
+pub fn silent_after(members: usize) -> Duration {
+    report_interval(members).saturating_mul(MISSED_REPORTS_MAX)
+}
+
 /// Returns the hash of a team's name.
 #[must_use]
 pub fn team_hash(team: &str) -> TeamHash {
@@ -196,7 +211,7 @@
         }
         let program_requests = self.program_requests();
         // Reports that were held up arrive together; their spacing says nothing of the rate.
-        let elapsed_s = now.saturating_sub(known.heard_at).max(REPORT_SPACING_MIN).as_secs_f64();
+        let elapsed_s = now.saturating_sub(known.heard_at).max(REPORT_INTERVAL_MIN).as_secs_f64();
         for (team, count) in &admitted {
             let before = known.admitted.get(team).copied().unwrap_or_default();
             // A refund may lower a count; the difference is given back.
@@ -247,7 +262,9 @@
     /// Returns the part of each limit that the nodes in contact with this one may spend.
     #[must_use]
     pub fn covered_share(&self, now: Duration) -> f64 {
-        let heard = self.members.values().filter(|member| member.is_heard(now)).count();
+        let silent_after = silent_after(self.members.len());
+        let is_heard = |member: &&Member| member.is_heard(now, silent_after);
+        let heard = self.members.values().filter(is_heard).count();
         #[expect(clippy::cast_precision_loss, reason = "a few hundred members")]
         let share = (heard + 1) as f64 / (self.members.len() + 1) as f64;
         share
@@ -255,7 +272,8 @@
 
     /// Returns the other nodes and whether each was heard lately.
     pub fn members(&self, now: Duration) -> impl Iterator<Item = (&MemberId, bool)> {
-        self.members.iter().map(move |(id, member)| (id, member.is_heard(now)))
+        let silent_after = silent_after(self.members.len());
+        self.members.iter().map(move |(id, member)| (id, member.is_heard(now, silent_after)))
     }
 
     /// Returns the requests that a program needs on average, over all teams: programs of a team
@@ -274,9 +292,10 @@
 
     /// Returns what other nodes have probably admitted since their last reports.
     fn unreported(&self, team: TeamHash, now: Duration) -> f64 {
+        let silent_after = silent_after(self.members.len());
         self.members
             .values()
-            .filter(|member| member.is_heard(now))
+            .filter(|member| member.is_heard(now, silent_after))
             .map(|member| {
                 let rate = member.rates_per_s.get(&team).copied().unwrap_or_default();
                 rate * now.saturating_sub(member.heard_at).as_secs_f64()
@@ -286,8 +305,8 @@
 }
 
 impl Member {
-    fn is_heard(&self, now: Duration) -> bool {
-        now < self.heard_at + SILENT_AFTER && self.heard_at > Duration::ZERO
+    fn is_heard(&self, now: Duration, silent_after: Duration) -> bool {
+        now < self.heard_at + silent_after && self.heard_at > Duration::ZERO
     }
 }
 
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use dandelionfront_coordination::limits::bucket::BucketLimits;
-use dandelionfront_coordination::limits::usage::{SILENT_AFTER, Step, UsageLimiter, team_hash};
+use dandelionfront_coordination::limits::usage::{
+    Step, UsageLimiter, report_interval, silent_after, team_hash,
+};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -140,7 +142,7 @@
     (0..200).for_each(|_| fleet.advance());
     assert!((fleet.nodes[0].covered_share(fleet.now) - 1.0).abs() < f64::EPSILON);
     fleet.cut = vec![3];
-    let silent_at = fleet.now + SILENT_AFTER + Duration::from_millis(200);
+    let silent_at = fleet.now + silent_after(3) + Duration::from_millis(200);
     while fleet.now < silent_at {
         fleet.advance();
     }
@@ -148,6 +150,24 @@
     assert!((fleet.nodes[3].covered_share(fleet.now) - 0.25).abs() < f64::EPSILON);
 }
 
+#[test]
+fn a_large_fleet_that_reports_at_its_own_pace_is_not_silent() {
+    for members in [1, 12, 86, 359] {
+        let mut limiter = UsageLimiter::default();
+        let mut now = Duration::from_secs(1);
+        for _ in 0..5 {
+            for member in 0..members {
+                limiter.note_report(&format!("n{member}"), 1, HashMap::new(), now);
+            }
+            now += report_interval(members);
+        }
+        // Two reports in a row may be lost.
+        now += 2 * report_interval(members);
+        let covered = limiter.covered_share(now);
+        assert!((covered - 1.0).abs() < f64::EPSILON, "{covered} with {members} members");
+    }
+}
+
 #[test]
 fn reports_that_arrive_together_do_not_count_as_a_flood() {
     let mut limiter = UsageLimiter::default();
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -9,17 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionfront_coordination::limits::usage::{Admitted, TeamHash};
+use dandelionfront_coordination::limits::usage::{
+    Admitted, TeamHash, report_interval, silent_after,
+};
 use dandelionfront_coordination::rows::{RowRead, RowStore as _, RowWrite};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::front::process::FrontNode;
 
-/// Shortest time between two reports to a node.
-const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(100);
-/// Time that each member adds to the pause, so that reports of a large fleet stay affordable.
-const REPORT_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(6);
 /// Largest datagram.
 const DATAGRAM_MAX_BYTES: usize = 8 * 1024;
 /// Table in which nodes list their addresses.
@@ -90,8 +88,7 @@
     pub async fn report(&self, node: &FrontNode) {
         loop {
             let members = self.send(node, false).await;
-            let pause = REPORT_INTERVAL_PER_MEMBER * u32::try_from(members).unwrap_or(u32::MAX);
-            tokio::time::sleep(pause.max(REPORT_INTERVAL_MIN)).await;
+            tokio::time::sleep(report_interval(members)).await;
         }
     }
 
@@ -189,12 +186,13 @@
     if report.is_leaving {
         log::info!("event=member_left member={member}");
         node.limiter.borrow_mut().forget(&member);
-        node.reach.note_helper(sender, false);
+        node.reach.note_helper(sender, false, Duration::ZERO);
         loads.remove(&sender);
     } else {
         let admitted = report.admitted.into_iter().collect();
         node.limiter.borrow_mut().note_report(&member, report.incarnation, admitted, now);
-        node.reach.note_helper(sender, report.has_store);
+        let members = node.limiter.borrow().members(now).count();
+        node.reach.note_helper(sender, report.has_store, silent_after(members));
         loads.insert(sender, report.in_flight);
     }
     let limiter = node.limiter.borrow();
--- a/crates/daemon/src/front/connection/reach.rs
+++ b/crates/daemon/src/front/connection/reach.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use dandelionfront_coordination::limits::usage::SILENT_AFTER;
 use dandelionfront_coordination::rows::RowStoreError;
 use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
 use http::Method;
@@ -33,7 +32,7 @@
     probed_at: Cell<Duration>,
     /// State in the last log line.
     is_logged_lost: Cell<bool>,
-    /// Nodes that reach the store, with the time of their last reports.
+    /// Nodes that reach the store, with the times up to which their reports count.
     helpers: RefCell<HashMap<SocketAddr, Duration>>,
 }
 
@@ -64,11 +63,11 @@
         self.is_lost() && self.helper().is_some()
     }
 
-    /// Records whether another node reaches the store.
-    pub fn note_helper(&self, member: SocketAddr, has_store: bool) {
+    /// Records whether another node reaches the store; its report counts for `valid_for`.
+    pub fn note_helper(&self, member: SocketAddr, has_store: bool, valid_for: Duration) {
         let mut helpers = self.helpers.borrow_mut();
         if has_store {
-            helpers.insert(member, self.clock.monotonic_now());
+            helpers.insert(member, self.clock.monotonic_now() + valid_for);
         } else {
             helpers.remove(&member);
         }
@@ -103,7 +102,7 @@
     fn helper(&self) -> Option<SocketAddr> {
         let now = self.clock.monotonic_now();
         let helpers = self.helpers.borrow();
-        let heard = helpers.iter().filter(|(_, heard_at)| now < **heard_at + SILENT_AFTER);
+        let heard = helpers.iter().filter(|(_, valid_until)| now < **valid_until);
         heard.map(|(member, _)| *member).choose(&mut rand::rng())
     }
 }
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -321,3 +321,29 @@
     })
     .await;
 }
+
+#[ntex::test]
+async fn a_caller_that_leaves_ends_its_run() {
+    let site = Site::start(1).await;
+    // The engines take a second for each event, so that the stream outlasts its caller.
+    let slow = site.start_slow_engine().await;
+    let call = Call { id: "t-1", path: "/stream/talk/a", ..Call::default() };
+    let (request, http) = (site.request(0, &call), site.http.clone());
+    let running = ntex::rt::spawn(async move { http.send(request, "in").await });
+    eventually("the stream runs", async || {
+        (!site.record(std::slice::from_ref(&slow)).await.is_empty()).then_some(())
+    })
+    .await;
+    running.cancel();
+    eventually("the node notices", async || {
+        let metrics = site.http.request("GET", &site.nodes[0].metrics, "/metrics");
+        let metrics = site.http.send(metrics, "").await.expect("an answer").expect(200).body;
+        metrics.contains("dandelionfront_callers_gone_total 1").then_some(())
+    })
+    .await;
+    eventually("the run ends", async || {
+        let cut = site.http.get_json(&slow.address, "/standin/streams").await;
+        (cut["open"] == 0).then_some(())
+    })
+    .await;
+}
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -210,6 +210,25 @@
         }
     }
 
+    /// Replaces the engines by one that takes a second for each event.
+    pub async fn start_slow_engine(&self) -> SiteRunner {
+        let any = "127.0.0.1:0".parse().expect("valid");
+        let id = "engine-slow".to_owned();
+        let settings = RunnerSettings { id: id.clone(), events: EVENTS, step_ms: 1_000 };
+        let address = Runner::spawn(any, settings).expect("starts").to_string();
+        for engine in &self.engines {
+            self.put_row("servers", &engine.id, None).await;
+        }
+        self.list(&id, &address, "geo", "ready").await;
+        eventually("the node sends to the slow engine", async || {
+            let metrics = self.http.request("GET", &self.nodes[0].metrics, "/metrics");
+            let metrics = self.http.send(metrics, "").await.expect("an answer").expect(200).body;
+            metrics.contains("dandelionfront_servers 3\n").then_some(())
+        })
+        .await;
+        SiteRunner { id, address }
+    }
+
     /// Builds a request to a node.
     pub fn request(&self, node: usize, call: &Call<'_>) -> ClientRequest {
         let address = &self.nodes[node].listen;
--- a/crates/standins/src/site/runner.rs
+++ b/crates/standins/src/site/runner.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use futures_util::StreamExt as _;
@@ -44,6 +45,7 @@
     settings: RunnerSettings,
     record: Mutex<Vec<RecordedRequest>>,
     faults: Mutex<RunnerFaults>,
+    open_streams: AtomicU64,
 }
 
 impl Runner {
@@ -53,7 +55,12 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn spawn(listen: SocketAddr, settings: RunnerSettings) -> io::Result<SocketAddr> {
-        let runner = Self { settings, record: Mutex::default(), faults: Mutex::default() };
+        let runner = Self {
+            settings,
+            record: Mutex::default(),
+            faults: Mutex::default(),
+            open_streams: AtomicU64::new(0),
+        };
         serve(listen, Arc::new(runner), routes)
     }
 
@@ -70,6 +77,7 @@
 fn routes(config: &mut web::ServiceConfig) {
     config
         .service(web::resource("/standin/record").route(web::get().to(get_record)))
+        .service(web::resource("/standin/streams").route(web::get().to(get_streams)))
         .service(web::resource("/standin/faults").route(web::put().to(put_faults)))
         .service(web::resource("/{path}*").route(web::route().to(execute)));
 }
@@ -80,6 +88,20 @@
     HttpResponse::Ok().json(&*lock(&runner.record))
 }
 
+async fn get_streams(runner: Shared) -> HttpResponse {
+    let open = runner.open_streams.load(Ordering::Relaxed);
+    HttpResponse::Ok().json(&json!({ "open": open }))
+}
+
+/// Counts a stream until it is dropped.
+struct OpenStream(Shared);
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.open_streams.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn put_faults(runner: Shared, faults: Json<RunnerFaults>) -> HttpResponse {
     *lock(&runner.faults) = faults.into_inner();
     HttpResponse::NoContent().finish()
@@ -132,9 +154,12 @@
 fn stream(runner: Shared, mut response: web::HttpResponseBuilder, first: u64) -> HttpResponse {
     let is_cut = runner.strikes(|faults| &mut faults.cut_streams);
     let last = if is_cut { first + 1 } else { runner.settings.events };
+    runner.open_streams.fetch_add(1, Ordering::Relaxed);
+    let open = Arc::new(OpenStream(runner.clone()));
     let events = futures_util::stream::unfold(first, move |id| {
-        let runner = runner.clone();
+        let (runner, open) = (runner.clone(), Arc::clone(&open));
         async move {
+            let _open = open;
             if id > last {
                 return None;
             }
