--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -60,6 +60,8 @@
 const PROGRAM_REQUESTS_DEFAULT: f64 = 12.0;
 /// Programs that must have been seen for their average to count.
 const PROGRAMS_SEEN_MIN: u64 = 8;
+/// Time between two estimates of the average, which takes a look at all members and teams.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Part of the burst below which new programs are counted against the second bucket.
 const PRESSURE: f64 = 0.85;
 /// Part of the burst that new programs leave to those that have begun.
@@ -95,6 +97,8 @@
     teams: HashMap<TeamHash, TeamBucket>,
     /// Whether the buckets were taken over from another node.
     has_taken_over: bool,
+    /// Requests that a program needs on average, and the time of the estimate.
+    program_requests: Option<(f64, Duration)>,
 }
 
 /// Returns the time between two reports of a node in a fleet with `members` other nodes.
@@ -133,7 +137,7 @@
     ) -> Result<Duration, Duration> {
         let covered = self.covered_share(now);
         let unreported = self.unreported(team, now);
-        let program_requests = self.program_requests();
+        let program_requests = self.program_requests(now);
         let bucket = self.teams.entry(team).or_insert_with(|| TeamBucket::starting(limits));
         bucket.accrue(limits, covered, now);
         let available = bucket.tokens - unreported;
@@ -209,7 +213,7 @@
         if is_restarted && !is_new {
             known.admitted.clear();
         }
-        let program_requests = self.program_requests();
+        let program_requests = self.program_requests(now);
         // Reports that were held up arrive together; their spacing says nothing of the rate.
         let elapsed_s = now.saturating_sub(known.heard_at).max(REPORT_INTERVAL_MIN).as_secs_f64();
         for (team, count) in &admitted {
@@ -278,7 +282,18 @@
 
     /// Returns the requests that a program needs on average, over all teams: programs of a team
     /// under pressure are cut short.
-    fn program_requests(&self) -> f64 {
+    fn program_requests(&mut self, now: Duration) -> f64 {
+        match self.program_requests {
+            Some((estimate, at)) if now < at + ESTIMATE_INTERVAL => estimate,
+            _ => {
+                let estimate = self.estimate_program_requests();
+                self.program_requests = Some((estimate, now));
+                estimate
+            }
+        }
+    }
+
+    fn estimate_program_requests(&self) -> f64 {
         let own = self.teams.values().map(|bucket| bucket.own_admitted);
         let others = self.members.values().flat_map(|member| member.admitted.values().copied());
         let (requests, programs) = others
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::BackendId;
+use crate::limits::usage::MemberId;
 use crate::servers::ServerEntry;
 
 /// Which property of a backend server decides.
@@ -46,7 +47,9 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     views: HashMap<BackendId, ServerView>,
-    /// Requests that other nodes last said to have under way.
+    /// Requests that each other node last said to have under way.
+    peer_loads: HashMap<MemberId, Vec<(ServerHash, u32)>>,
+    /// Sum of `peer_loads`, kept up with each report.
     peer_in_flight: HashMap<ServerHash, u32>,
 }
 
@@ -136,9 +139,21 @@
         views.map(|(id, view)| (server_hash(id), view.own_in_flight)).collect()
     }
 
-    /// Replaces what other nodes have under way.
-    pub fn set_peer_load(&mut self, load: HashMap<ServerHash, u32>) {
-        self.peer_in_flight = load;
+    /// Replaces what another node has under way; nothing when it is silent or gone.
+    pub fn set_peer_load(&mut self, member: &str, load: Vec<(ServerHash, u32)>) {
+        for (server, in_flight) in &load {
+            *self.peer_in_flight.entry(*server).or_default() += in_flight;
+        }
+        let previous = if load.is_empty() {
+            self.peer_loads.remove(member)
+        } else {
+            self.peer_loads.insert(member.to_owned(), load)
+        };
+        for (server, in_flight) in previous.into_iter().flatten() {
+            if let Some(sum) = self.peer_in_flight.get_mut(&server) {
+                *sum = sum.saturating_sub(in_flight);
+            }
+        }
     }
 
     /// Forgets a backend server that is gone.
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -110,6 +110,31 @@
     assert_ne!(choose(&placement), home);
 }
 
+#[test]
+fn the_load_of_other_nodes_counts_until_they_are_silent() {
+    let servers = [entry("a"), entry("b")];
+    let mut placement = Placement::default();
+    let choose = |placement: &Placement| {
+        let policy = PlacementPolicy::LeastLoaded;
+        let chosen = placement.choose(policy, "k", servers.iter(), &[], Duration::ZERO);
+        chosen.expect("some server").id.clone()
+    };
+    let first = choose(&placement);
+    // What a node with two requests at that server reports.
+    let mut peer = Placement::default();
+    peer.begin(&first);
+    peer.begin(&first);
+    let load = peer.own_load();
+    placement.set_peer_load("n1", load.clone());
+    placement.set_peer_load("n1", load.clone());
+    placement.set_peer_load("n2", load);
+    assert_ne!(choose(&placement), first);
+    placement.set_peer_load("n1", Vec::new());
+    assert_ne!(choose(&placement), first);
+    placement.set_peer_load("n2", Vec::new());
+    assert_eq!(choose(&placement), first);
+}
+
 #[test]
 fn a_failed_server_is_avoided_for_longer_each_time_and_trusted_after_an_answer() {
     let servers = [entry("a"), entry("b")];
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -3,7 +3,6 @@
 //! A report is small, replaces the one before and is worthless once late, so it is sent as a
 //! datagram instead of a call; a lost one is made up for by the next.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,7 +65,6 @@
     /// Receives reports until the process ends.
     pub async fn receive(&self, node: &FrontNode) {
         let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
-        let mut loads: HashMap<SocketAddr, Vec<(u32, u32)>> = HashMap::new();
         loop {
             let (length, sender) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
@@ -76,7 +74,7 @@
                 }
             };
             match postcard::from_bytes::<Report>(&buffer[..length]) {
-                Ok(report) => accept(node, sender, report, &mut loads),
+                Ok(report) => accept(node, sender, report),
                 Err(error) => {
                     log::info!("event=report_malformed sender={sender} cause=\"{error}\"");
                 }
@@ -102,6 +100,9 @@
         let now = node.clock.monotonic_now();
         let members: Vec<SocketAddr> = {
             let limiter = node.limiter.borrow();
+            for (member, _) in limiter.members(now).filter(|(_, is_heard)| !is_heard) {
+                node.placement.borrow_mut().set_peer_load(member, Vec::new());
+            }
             limiter.members(now).filter_map(|(member, _)| member.parse().ok()).collect()
         };
         let report = Report {
@@ -175,35 +176,24 @@
     }
 }
 
-fn accept(
-    node: &FrontNode,
-    sender: SocketAddr,
-    report: Report,
-    loads: &mut HashMap<SocketAddr, Vec<(u32, u32)>>,
-) {
+fn accept(node: &FrontNode, sender: SocketAddr, report: Report) {
     let member = sender.to_string();
     let now = node.clock.monotonic_now();
     if report.is_leaving {
         log::info!("event=member_left member={member}");
         node.limiter.borrow_mut().forget(&member);
         node.reach.note_helper(sender, false, Duration::ZERO);
-        loads.remove(&sender);
-    } else {
-        let admitted = report.admitted.into_iter().collect();
-        node.limiter.borrow_mut().note_report(&member, report.incarnation, admitted, now);
-        let members = node.limiter.borrow().members(now).count();
-        node.reach.note_helper(sender, report.has_store, silent_after(members));
-        loads.insert(sender, report.in_flight);
-    }
-    let limiter = node.limiter.borrow();
-    let heard: Vec<&String> =
-        limiter.members(now).filter(|(_, is_heard)| *is_heard).map(|(member, _)| member).collect();
-    loads.retain(|member, _| heard.iter().any(|heard| **heard == member.to_string()));
-    let mut sum: HashMap<u32, u32> = HashMap::new();
-    for (server, in_flight) in loads.values().flatten() {
-        *sum.entry(*server).or_default() += in_flight;
+        node.placement.borrow_mut().set_peer_load(&member, Vec::new());
+        return;
     }
-    node.placement.borrow_mut().set_peer_load(sum);
+    let admitted = report.admitted.into_iter().collect();
+    let members = {
+        let mut limiter = node.limiter.borrow_mut();
+        limiter.note_report(&member, report.incarnation, admitted, now);
+        limiter.members(now).count()
+    };
+    node.reach.note_helper(sender, report.has_store, silent_after(members));
+    node.placement.borrow_mut().set_peer_load(&member, report.in_flight);
 }
 
 /// Shares a socket between the tasks that use it.
--- a/crates/standins/src/site/runner.rs
+++ b/crates/standins/src/site/runner.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -155,9 +156,9 @@
     let is_cut = runner.strikes(|faults| &mut faults.cut_streams);
     let last = if is_cut { first + 1 } else { runner.settings.events };
     runner.open_streams.fetch_add(1, Ordering::Relaxed);
-    let open = Arc::new(OpenStream(runner.clone()));
+    let open = Rc::new(OpenStream(runner.clone()));
     let events = futures_util::stream::unfold(first, move |id| {
-        let (runner, open) = (runner.clone(), Arc::clone(&open));
+        let (runner, open) = (runner.clone(), Rc::clone(&open));
         async move {
             let _open = open;
             if id > last {
