--- a/crates/daemon/tests/help.rs
+++ b/crates/daemon/tests/help.rs
@@ -12,3 +12,12 @@
     let variables = text.matches("[env: DANDELIONFRONT_").count();
     assert_eq!(flags.count(), variables, "a setting lacks its variable");
 }
+
+#[test]
+fn help_of_the_platform_node_lists_its_settings() {
+    let output = Command::new(env!("CARGO_BIN_EXE_dandelionfront"))
+        .args(["front", "--help"])
+        .output()
+        .expect("the daemon starts");
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+}
