Claim budgets by halves, draw two servers for tools, spare a busy store

Two things feed on themselves: - 15 of 100 calls of tools are turned away by their servers although a third of the slots would do. Nodes hear of each other's load every 0.5 s, and all send to the server that was least loaded then. - The store's 1,500 writes a second are exceeded. A turn writes its program's row about once, a call turned away with 429 was at once made again through another node, and each further turn of a looping program asked the store.

Ruled out: engines (2 of 25,000 turns turned away), prefill (shared parts read again 4.2 of 40 million tokens).

Change: - `PlacementPolicy::TwoChoices` for calls without a turn: the less loaded of two servers drawn by the key. Least loaded stays as the baseline of the test. - A claim covers half of the unclaimed budget, four turns at most, and is kept until another node asks for it (a datagram; the row is the answer). Claims are no longer given back after a time. A program that a node forgot counts its old claim as used. - A budget whose delivered tokens leave no room is answered from memory. - A write turned away with 429 is repeated after a short pause; other nodes are asked for help only after three calls in a row without an answer.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -1,9 +1,9 @@
 //! Token budgets of programs, kept in one row a program.
 //!
 //! A node starts a turn only within tokens that it claimed in the row before, so the sum over all
-//! nodes stays within the budget whatever fails. A claim covers a few turns ahead: one write then
-//! serves several turns, and a program that has begun goes on while the store is away. What a
-//! node did not use is given back by its next write.
+//! nodes stays within the budget whatever fails. A claim covers several turns ahead: one write
+//! then serves most of a program, and a program that has begun goes on while the store is away.
+//! A node that finds the budget claimed by others asks them to give back what they do not use.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -24,15 +24,25 @@
 /// Conflicts after which a reservation is given up; each means that another node wrote.
 const CONFLICTS_MAX: u32 = 16;
 
+/// Writes turned away for calling too often after which a reservation is given up.
+const BUSY_MAX: u32 = 5;
+/// Shortest and longest pause after such a write.
+const BUSY_PAUSE_MS: std::ops::Range<u64> = 20..120;
+/// HTTP status of a call that is turned away for calling too often.
+const BUSY_STATUS: u16 = 429;
 /// Reads after which a row whose answers are lost counts as unreadable.
 const READ_TRIES: u32 = 4;
-/// Turns that a claim covers beside the one that asked for it, while the budget is ample.
-const TURNS_AHEAD: u64 = 2;
-/// Turns that the unclaimed budget must hold for a claim ahead: calls of one program reach many
-/// nodes, and each may keep a claim for a while.
-const AMPLE_TURNS: u64 = 10;
-/// Turns below which the unclaimed budget is tight, so that unused tokens are given back at once.
-const TIGHT_TURNS: u64 = 3;
+/// Most turns that a claim covers beside the one that asked for it: what a killed node leaves
+/// claimed is lost to its programs.
+const TURNS_AHEAD_MAX: u64 = 4;
+/// Part of the unclaimed budget that a claim covers ahead, so that another node finds some.
+const AHEAD_SHARE: u64 = 2;
+/// Times that other nodes are asked to give back what they do not use.
+const ASKS_MAX: u32 = 2;
+/// Time between two such rounds for one program: one that loops without end asks for ever.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time in which a node that was asked writes the row.
+const ASK_PAUSE: Duration = Duration::from_millis(25);
 
 /// Identifier of one run of a node, as in claims.
 pub type ClaimantId = String;
@@ -98,8 +108,10 @@
     /// Most tokens of the turns under way.
     running_tokens: u64,
     used_at: Duration,
-    /// Whether the budget was nearly claimed when this node last claimed.
-    is_tight: bool,
+    /// Time of the last request to other nodes to give back claims.
+    asked_at: Option<Duration>,
+    /// Whether this node has read or written the row since it last forgot it.
+    is_known: bool,
     /// A write whose answer was lost: it may take effect seconds later.
     pending: Option<PendingWrite>,
 }
@@ -125,15 +137,11 @@
     }
 }
 
-/// Times after which unused programs are written back and forgotten.
-#[derive(Debug, Clone, Copy)]
-pub struct FlushTimes {
-    /// Time after which an unused claim is given back.
-    pub release: Duration,
-    /// The same for a program whose budget is nearly claimed.
-    pub release_tight: Duration,
-    /// Time after which an unused program is forgotten; its row stays.
-    pub forget: Duration,
+/// Asks nodes to give back claims; nothing is answered, the row tells whether they did.
+pub trait ClaimHolders {
+    /// Asks `holders` to give back what they do not use of `program`; returns whether any of them
+    /// could be asked.
+    fn ask(&self, program: &str, holders: &[ClaimantId]) -> bool;
 }
 
 /// Ledgers of the programs that this node serves.
@@ -141,14 +149,20 @@
     store: SharedRowStore,
     clock: Rc<dyn Clock>,
     claimant: ClaimantId,
+    holders: Rc<dyn ClaimHolders>,
     programs: RefCell<HashMap<String, Rc<Mutex<Cached>>>>,
 }
 
 impl Ledgers {
     /// Creates an empty cache over `store`; `claimant` must differ for each run of a node.
     #[must_use]
-    pub fn new(store: SharedRowStore, clock: Rc<dyn Clock>, claimant: ClaimantId) -> Self {
-        Self { store, clock, claimant, programs: RefCell::default() }
+    pub fn new(
+        store: SharedRowStore,
+        clock: Rc<dyn Clock>,
+        claimant: ClaimantId,
+        holders: Rc<dyn ClaimHolders>,
+    ) -> Self {
+        Self { store, clock, claimant, holders, programs: RefCell::default() }
     }
 
     /// Reserves `most_tokens` for a turn of `program`; returns whether it is the program's first.
@@ -170,7 +184,19 @@
             cached.running_tokens += most_tokens;
             return Ok(false);
         }
+        let delivered_tokens = cached.ledger.settled_tokens + cached.used_tokens;
+        if delivered_tokens.saturating_add(most_tokens) > budget_tokens {
+            // What was delivered only grows, so no other node can give enough back.
+            let next = cached.settled(&self.claimant);
+            self.log_spent(program, &cached, &next, budget_tokens);
+            let committed_tokens = next.committed_tokens();
+            return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
+        }
         let mut is_current = false;
+        let is_ask_due =
+            cached.asked_at.is_none_or(|asked_at| cached.used_at >= asked_at + ASK_INTERVAL);
+        let mut asks_left = if is_ask_due { ASKS_MAX } else { 0 };
+        let mut turned_away = 0;
         for _ in 0..CONFLICTS_MAX {
             let mut next = cached.settled(&self.claimant);
             let committed_tokens = next.committed_tokens();
@@ -178,27 +204,40 @@
                 budget_tokens.checked_sub(committed_tokens.saturating_add(most_tokens))
             else {
                 // Another node may have given tokens back since the row was seen.
-                if !is_current {
-                    self.refresh(program, &mut cached).await?;
-                    is_current = true;
-                    continue;
+                if is_current {
+                    let own_tokens = next.settled_tokens + cached.running_tokens + most_tokens;
+                    let is_asked = own_tokens <= budget_tokens
+                        && asks_left > 0
+                        && self.ask_others(program, &next);
+                    if !is_asked {
+                        self.log_spent(program, &cached, &next, budget_tokens);
+                        return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
+                    }
+                    asks_left -= 1;
+                    cached.asked_at = Some(cached.used_at);
+                    self.clock.sleep(ASK_PAUSE).await;
                 }
-                log::info!(
-                    "event=budget_spent program={program} row_version={} settled={} claims=\"{:?}\" \
-                     budget={budget_tokens}",
-                    cached.row_version,
-                    next.settled_tokens,
-                    next.claimed_tokens,
-                );
-                return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
+                self.refresh(program, &mut cached).await?;
+                is_current = true;
+                continue;
             };
-            let is_ample = unclaimed >= most_tokens.saturating_mul(AMPLE_TURNS);
-            let ahead = if is_ample { most_tokens.saturating_mul(TURNS_AHEAD) } else { 0 };
+            let ahead = most_tokens.saturating_mul(TURNS_AHEAD_MAX).min(unclaimed / AHEAD_SHARE);
             let claim = cached.running_tokens + most_tokens + ahead;
             next.set_claim(&self.claimant, claim);
             let is_first = cached.row_version == 0;
             is_current = true;
-            if self.write(program, &mut cached, next).await? {
+            let written = match self.write(program, &mut cached, next).await {
+                Err(ReserveError::Store { source: RowStoreError::Refused { status } })
+                    if status == BUSY_STATUS && turned_away < BUSY_MAX =>
+                {
+                    turned_away += 1;
+                    let pause_ms = rand::random_range(BUSY_PAUSE_MS);
+                    self.clock.sleep(Duration::from_millis(pause_ms)).await;
+                    continue;
+                }
+                written => written?,
+            };
+            if written {
                 log::info!(
                     "event=budget_claimed program={program} row_version={} settled={} claim={claim} \
                      unclaimed={} budget={budget_tokens}",
@@ -207,13 +246,31 @@
                     unclaimed - ahead,
                 );
                 cached.running_tokens += most_tokens;
-                cached.is_tight = unclaimed < most_tokens.saturating_mul(TIGHT_TURNS);
                 return Ok(is_first);
             }
         }
         Err(ReserveError::Contended)
     }
 
+    /// Asks the nodes with claims other than this one; returns whether any could be asked.
+    fn ask_others(&self, program: &str, ledger: &Ledger) -> bool {
+        let claimants = ledger.claimed_tokens.keys();
+        let others: Vec<ClaimantId> =
+            claimants.filter(|claimant| **claimant != self.claimant).cloned().collect();
+        !others.is_empty() && self.holders.ask(program, &others)
+    }
+
+    fn log_spent(&self, program: &str, cached: &Cached, ledger: &Ledger, budget_tokens: u64) {
+        log::info!(
+            "event=budget_spent program={program} claimant={} row_version={} settled={} \
+             claims=\"{:?}\" budget={budget_tokens}",
+            self.claimant,
+            cached.row_version,
+            ledger.settled_tokens,
+            ledger.claimed_tokens,
+        );
+    }
+
     /// Records that a turn that reserved `most_tokens` ended after `delivered_tokens`.
     pub async fn settle(&self, program: &str, most_tokens: u64, delivered_tokens: u64) {
         let cached = self.cached(program);
@@ -221,48 +278,63 @@
         cached.used_at = self.clock.monotonic();
         cached.running_tokens = cached.running_tokens.saturating_sub(most_tokens);
         cached.used_tokens += delivered_tokens;
-        if cached.is_tight {
-            let next = cached.settled(&self.claimant);
-            if let Err(error) = self.write(program, &mut cached, next).await {
-                // The next round of flushes repeats it.
-                log::warn!("event=settle_failed program={program} cause=\"{error}\"");
+    }
+
+    /// Gives back what this node does not use of `program`, for a node that asked.
+    pub async fn give_back(&self, program: &str) {
+        let known = self.programs.borrow().get(program).cloned();
+        let Some(known) = known else { return };
+        let mut cached = known.lock().await;
+        self.settle_row(program, &mut cached).await;
+    }
+
+    /// Gives back what this node does not use of programs with a turn since `used_since`, a
+    /// monotonic time; returns the rows written.
+    pub async fn give_back_all(&self, used_since: Duration) -> usize {
+        let mut written = 0;
+        for (program, known) in self.known_programs() {
+            let mut cached = known.lock().await;
+            if cached.used_at >= used_since && self.settle_row(&program, &mut cached).await {
+                written += 1;
             }
         }
+        written
     }
 
-    /// Gives back claims of unused programs and forgets programs; returns the rows written.
-    pub async fn flush(&self, times: FlushTimes) -> usize {
-        let now = self.clock.monotonic();
-        let programs: Vec<(String, Rc<Mutex<Cached>>)> = {
-            let programs = self.programs.borrow();
-            programs.iter().map(|(id, cached)| (id.clone(), Rc::clone(cached))).collect()
-        };
-        let mut written = 0;
-        for (program, cached) in programs {
-            let Some(mut cached) = cached.try_lock() else { continue };
-            let unused = now.saturating_sub(cached.used_at);
-            let release = if cached.is_tight { times.release_tight } else { times.release };
+    /// Forgets programs without a turn since `used_before`, a monotonic time.
+    ///
+    /// Their claims stay in the rows and count as used if such a program comes back.
+    pub fn forget(&self, used_before: Duration) {
+        self.programs.borrow_mut().retain(|_, known| {
+            known
+                .try_lock()
+                .is_none_or(|cached| cached.running_tokens > 0 || cached.used_at >= used_before)
+        });
+    }
+
+    /// Writes the row with this node's claim reduced to what runs; returns whether it did.
+    async fn settle_row(&self, program: &str, cached: &mut Cached) -> bool {
+        for _ in 0..CONFLICTS_MAX {
             if cached.own_claim(&self.claimant) == cached.running_tokens {
-                if unused >= times.forget && cached.running_tokens == 0 {
-                    self.programs.borrow_mut().remove(&program);
-                }
-                continue;
-            }
-            if unused < release {
-                continue;
+                return false;
             }
             let next = cached.settled(&self.claimant);
-            match self.write(&program, &mut cached, next).await {
-                Ok(true) => written += 1,
-                // The row changed: the next round writes over the new one.
+            match self.write(program, cached, next).await {
+                Ok(true) => return true,
+                // Another node wrote; this one writes over the new row.
                 Ok(false) => {}
                 Err(error) => {
                     log::warn!("event=settle_failed program={program} cause=\"{error}\"");
-                    return written;
+                    return false;
                 }
             }
         }
-        written
+        false
+    }
+
+    fn known_programs(&self) -> Vec<(String, Rc<Mutex<Cached>>)> {
+        let programs = self.programs.borrow();
+        programs.iter().map(|(id, cached)| (id.clone(), Rc::clone(cached))).collect()
     }
 
     fn cached(&self, program: &str) -> Rc<Mutex<Cached>> {
@@ -288,6 +360,7 @@
         };
         match self.store.write(write).await {
             Ok(RowRead::Written(version)) => {
+                cached.is_known = true;
                 cached.row_version = version;
                 cached.ledger = next;
                 cached.used_tokens = 0;
@@ -295,7 +368,7 @@
                 Ok(true)
             }
             Ok(RowRead::Conflict(row)) => {
-                cached.adopt(row)?;
+                cached.adopt(row, &self.claimant)?;
                 Ok(cached.ledger == next)
             }
             Err(RowStoreError::AnswerLost { .. }) => {
@@ -316,7 +389,7 @@
         loop {
             tries_left -= 1;
             match self.store.get(LEDGER_TABLE, &part, program).await {
-                Ok(row) => return cached.adopt(row),
+                Ok(row) => return cached.adopt(row, &self.claimant),
                 Err(RowStoreError::AnswerLost { .. }) if tries_left > 0 => {}
                 Err(source) => return Err(ReserveError::Store { source }),
             }
@@ -326,7 +399,9 @@
 
 impl Cached {
     /// Takes over the current row.
-    fn adopt(&mut self, row: Option<VersionedRow>) -> Result<(), ReserveError> {
+    ///
+    /// A claim from before this node forgot the program counts as used.
+    fn adopt(&mut self, row: Option<VersionedRow>, claimant: &str) -> Result<(), ReserveError> {
         let (version, ledger) = match row {
             Some(row) => (
                 row.version,
@@ -334,11 +409,15 @@
             ),
             None => (0, Ledger::default()),
         };
-        if let Some(pending) = self.pending.take_if(|pending| pending.ledger == ledger) {
-            self.used_tokens = self.used_tokens.saturating_sub(pending.used_tokens);
-        }
+        let own_write = self.pending.take_if(|pending| pending.ledger == ledger);
         self.row_version = version;
         self.ledger = ledger;
+        if let Some(pending) = own_write {
+            self.used_tokens = self.used_tokens.saturating_sub(pending.used_tokens);
+        } else if !self.is_known {
+            self.used_tokens = self.own_claim(claimant);
+        }
+        self.is_known = true;
         Ok(())
     }
 }
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -18,10 +18,16 @@
 pub enum PlacementPolicy {
     /// Equal keys go to equal servers unless those are loaded.
     Affinity,
+    /// The less loaded of two servers drawn by the key. Loads that other nodes reported some time
+    /// ago would send all of them to the same least loaded server.
+    TwoChoices,
     /// The least loaded server; the baseline.
     LeastLoaded,
 }
 
+/// Servers that [`PlacementPolicy::TwoChoices`] compares.
+const DRAWN_SERVERS: usize = 2;
+
 /// Cost of another server than the first in rank, in fractions of a server's slots.
 const REREAD_COST: f64 = 0.4;
 /// Further cost of each rank, which makes moved lines meet on one server.
@@ -70,15 +76,30 @@
             .map(|server| (xxh3_64_with_seed(key.as_bytes(), hash(&server.id)), server))
             .collect();
         ranked.sort_unstable_by(|left, right| right.cmp_weight(left));
-        ranked
+        let compared = match policy {
+            PlacementPolicy::TwoChoices => DRAWN_SERVERS,
+            PlacementPolicy::Affinity | PlacementPolicy::LeastLoaded => usize::MAX,
+        };
+        let offered: Vec<(usize, &ServerEntry)> = ranked
             .into_iter()
             .enumerate()
-            .filter(|(_, (_, server))| !excluded.contains(&server.id))
-            .map(|(rank, (_, server))| (self.cost(policy, rank, server, now), server))
+            .map(|(rank, (_, server))| (rank, server))
+            .filter(|(_, server)| !excluded.contains(&server.id))
+            .collect();
+        let is_sound = |server: &ServerEntry| !self.is_avoided(server, now);
+        let sound = offered.iter().filter(|(_, server)| is_sound(server)).take(compared);
+        // Servers that failed lately serve only when there is no other.
+        sound
+            .chain(offered.iter().filter(|(_, server)| !is_sound(server)))
+            .map(|(rank, server)| (self.cost(policy, *rank, server, now), *server))
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, server)| server)
     }
 
+    fn is_avoided(&self, server: &ServerEntry, now: Duration) -> bool {
+        self.views.get(&server.id).is_some_and(|view| now < view.avoid_until)
+    }
+
     fn cost(
         &self,
         policy: PlacementPolicy,
@@ -90,10 +111,9 @@
         let peers = self.peer_in_flight.get(&server_hash(&server.id)).copied().unwrap_or_default();
         let in_flight = peers + view.map_or(0, |view| view.own_in_flight);
         let load = f64::from(in_flight) / f64::from(server.slots.max(1));
-        let is_avoided = view.is_some_and(|view| now < view.avoid_until);
-        let failed = if is_avoided { FAILED_COST } else { 0.0 };
+        let failed = if self.is_avoided(server, now) { FAILED_COST } else { 0.0 };
         let moved = match policy {
-            PlacementPolicy::LeastLoaded => 0.0,
+            PlacementPolicy::TwoChoices | PlacementPolicy::LeastLoaded => 0.0,
             PlacementPolicy::Affinity if rank == 0 => 0.0,
             PlacementPolicy::Affinity => {
                 let rank = u32::try_from(rank.min(RANKED_MAX)).unwrap_or(u32::MAX);
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -1,6 +1,6 @@
 //! Backend servers: the list, trust and placement, routes and freshness.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use dandelionfront_coordination::events::EventSplitter;
@@ -12,6 +12,8 @@
 use dandelionfront_coordination::servers::{
     LAPSE_GRACE, ServerChange, ServerEntry, ServerList, ServerState,
 };
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
 
 fn entry(id: &str) -> ServerEntry {
     ServerEntry {
@@ -135,6 +137,87 @@
     assert_eq!(choose(&placement), first);
 }
 
+/// Backend servers under calls of many nodes that learn of each other's load now and then.
+struct ToolLoad {
+    nodes: usize,
+    report_interval_ms: u64,
+    calls_per_s: u64,
+    servers: usize,
+}
+
+/// Calls that a backend server runs at once and that wait there; more are turned away.
+const SLOTS: usize = 6;
+const QUEUE: usize = 24;
+/// Mean time of a call on an idle server.
+const CALL_MS: f64 = 33.0;
+
+impl ToolLoad {
+    /// Plays ten seconds; returns how many of how many calls were turned away.
+    fn turned_away(&self, policy: PlacementPolicy) -> (u64, u64) {
+        let mut random = StdRng::seed_from_u64(20_261_204);
+        let servers: Vec<ServerEntry> =
+            (0..self.servers).map(|index| entry(&format!("s{index}"))).collect();
+        let mut nodes: Vec<Placement> = (0..self.nodes).map(|_| Placement::default()).collect();
+        // Calls at each server: the node that sent it and the work left.
+        let mut running: Vec<VecDeque<(usize, f64)>> = vec![VecDeque::new(); self.servers];
+        let (mut calls, mut turned_away) = (0, 0);
+        for now_ms in 0..10_000 {
+            for (server, queue) in servers.iter().zip(&mut running) {
+                queue.iter_mut().take(SLOTS).for_each(|(_, left_ms)| *left_ms -= 1.0);
+                for (node, _) in queue.iter().filter(|(_, left_ms)| *left_ms <= 0.0) {
+                    nodes[*node].end(&server.id);
+                }
+                queue.retain(|(_, left_ms)| *left_ms > 0.0);
+            }
+            if now_ms % self.report_interval_ms == 0 {
+                let loads: Vec<_> = nodes.iter().map(Placement::own_load).collect();
+                for (index, node) in nodes.iter_mut().enumerate() {
+                    for (peer, load) in loads.iter().enumerate().filter(|(peer, _)| *peer != index)
+                    {
+                        node.set_peer_load(&format!("n{peer}"), load.clone());
+                    }
+                }
+            }
+            while calls * 1_000 < self.calls_per_s * now_ms {
+                calls += 1;
+                let node = random.random_range(0..self.nodes);
+                let key = format!("{calls}");
+                let now = Duration::from_millis(now_ms);
+                let chosen = nodes[node].choose(policy, &key, servers.iter(), &[], now);
+                let chosen = chosen.expect("some server").id.clone();
+                let index = servers.iter().position(|server| server.id == chosen).expect("listed");
+                if running[index].len() >= SLOTS + QUEUE {
+                    turned_away += 1;
+                    continue;
+                }
+                let work_ms = -CALL_MS * (1.0 - random.random::<f64>()).ln();
+                nodes[node].begin(&chosen);
+                running[index].push_back((node, work_ms));
+            }
+        }
+        (turned_away, calls)
+    }
+}
+
+/// Pattern: herding on stale load. Many nodes that see the same old loads all send to the server
+/// that was the least loaded one; it turns calls away although a third of all slots suffices.
+#[test]
+fn stale_loads_of_a_large_fleet_do_not_send_all_nodes_to_one_server() {
+    let load = ToolLoad { nodes: 87, report_interval_ms: 520, calls_per_s: 2_000, servers: 26 };
+    let (herded, calls) = load.turned_away(PlacementPolicy::LeastLoaded);
+    let (turned_away, _) = load.turned_away(PlacementPolicy::TwoChoices);
+    println!("turned away of {calls}: {turned_away}, least loaded {herded}");
+    assert_eq!(turned_away, 0);
+    assert!(herded > 0, "the baseline herds");
+}
+
+/// A small fleet loses nothing by it.
+#[test]
+fn two_choices_suffice_in_a_small_fleet() {
+    let load = ToolLoad { nodes: 13, report_interval_ms: 100, calls_per_s: 250, servers: 9 };
+    assert_eq!(load.turned_away(PlacementPolicy::TwoChoices).0, 0);
+}
+
 #[test]
 fn a_failed_server_is_avoided_for_longer_each_time_and_trusted_after_an_answer() {
     let servers = [entry("a"), entry("b")];
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -1,13 +1,17 @@
-//! Reports between nodes.
+//! Datagrams between nodes.
 //!
 //! A report is small, replaces the one before and is worthless once late, so it is sent as a
-//! datagram instead of a call; a lost one is made up for by the next.
+//! datagram instead of a call; a lost one is made up for by the next. A request to give back a
+//! claim is answered by a write to the store, and repeated by the node that waits for it.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionfront_coordination::ledger::{ClaimHolders, ClaimantId};
 use dandelionfront_coordination::limits::usage::{
     Admitted, TeamHash, report_interval, silent_after,
 };
@@ -28,6 +32,18 @@
 /// Pause after a failed read or write of the list.
 const LIST_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// What a node sends to another.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// State of the sender.
+    Report(Report),
+    /// Asks for what the receiver does not use of its claim on a program's budget.
+    GiveBack {
+        /// Program.
+        program: String,
+    },
+}
+
 /// What a node tells the others.
 #[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Report {
@@ -49,6 +65,8 @@
     socket: UdpSocket,
     address: SocketAddr,
     incarnation: u64,
+    /// Incarnations last heard of.
+    incarnations: RefCell<HashMap<SocketAddr, u64>>,
 }
 
 impl Peers {
@@ -59,24 +77,39 @@
     /// Fails when the address is in use.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket, address, incarnation: rand::random() })
+        let incarnations = RefCell::default();
+        Ok(Self { socket, address, incarnation: rand::random(), incarnations })
     }
 
-    /// Receives reports until the process ends.
-    pub async fn receive(&self, node: &FrontNode) {
+    /// Returns the identifier of this node in claims.
+    #[must_use]
+    pub fn claimant(&self) -> ClaimantId {
+        claimant_of(self.incarnation)
+    }
+
+    /// Receives datagrams until the process ends.
+    pub async fn receive(&self, node: &Rc<FrontNode>) {
         let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
         loop {
             let (length, sender) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
-                    log::debug!("event=report_not_received cause=\"{error}\"");
+                    log::debug!("event=datagram_not_received cause=\"{error}\"");
                     continue;
                 }
             };
-            match postcard::from_bytes::<Report>(&buffer[..length]) {
-                Ok(report) => accept(node, sender, report),
+            match postcard::from_bytes::<Message>(&buffer[..length]) {
+                Ok(Message::Report(report)) => {
+                    self.incarnations.borrow_mut().insert(sender, report.incarnation);
+                    accept(node, sender, report);
+                }
+                Ok(Message::GiveBack { program }) => {
+                    log::info!("event=claim_asked program={program} by={sender}");
+                    let node = Rc::clone(node);
+                    tokio::task::spawn_local(async move { node.ledgers.give_back(&program).await });
+                }
                 Err(error) => {
-                    log::info!("event=report_malformed sender={sender} cause=\"{error}\"");
+                    log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
                 }
             }
         }
@@ -112,7 +145,7 @@
             is_leaving,
             has_store: !node.reach.is_lost() && node.table().version() > 0,
         };
-        match postcard::to_allocvec(&report) {
+        match postcard::to_allocvec(&Message::Report(report)) {
             Ok(bytes) => {
                 for member in &members {
                     if let Err(error) = self.socket.send_to(&bytes, member).await {
@@ -176,6 +209,35 @@
     }
 }
 
+impl ClaimHolders for Peers {
+    fn ask(&self, program: &str, holders: &[ClaimantId]) -> bool {
+        let message = Message::GiveBack { program: program.to_owned() };
+        let bytes = match postcard::to_allocvec(&message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=claim_not_asked program={program} cause=\"{error}\"");
+                return false;
+            }
+        };
+        let incarnations = self.incarnations.borrow();
+        let known = incarnations.iter().map(|(address, known)| (address, claimant_of(*known)));
+        let mut is_any_asked = false;
+        for (address, _) in known.filter(|(_, claimant)| holders.contains(claimant)) {
+            match self.socket.try_send_to(&bytes, *address) {
+                Ok(_) => is_any_asked = true,
+                Err(error) => {
+                    log::info!("event=claim_not_asked program={program} cause=\"{error}\"");
+                }
+            }
+        }
+        is_any_asked
+    }
+}
+
+fn claimant_of(incarnation: u64) -> ClaimantId {
+    format!("{incarnation:016x}")
+}
+
 fn accept(node: &FrontNode, sender: SocketAddr, report: Report) {
     let member = sender.to_string();
     let now = node.clock.monotonic_now();
@@ -195,6 +257,3 @@
     node.reach.note_helper(sender, report.has_store, silent_after(members));
     node.placement.borrow_mut().set_peer_load(&member, report.in_flight);
 }
-
-/// Shares a socket between the tasks that use it.
-pub type SharedPeers = Rc<Peers>;
--- a/crates/daemon/src/front/connection/reach.rs
+++ b/crates/daemon/src/front/connection/reach.rs
@@ -21,6 +21,9 @@
 
 /// Time without an answer after which the store counts as lost; a few failed calls.
 const LOST_AFTER: Duration = Duration::from_millis(500);
+/// Direct calls in a row without an answer after which others are made through another node: a
+/// single one may be turned away because all nodes together call too often.
+const HELP_AFTER_FAILURES: u32 = 3;
 /// Time between two direct calls while the store is lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -29,6 +32,7 @@
     clock: FrontClock,
     /// Time since which the store does not answer this node directly.
     lost_at: Cell<Option<Duration>>,
+    failures_in_row: Cell<u32>,
     probed_at: Cell<Duration>,
     /// State in the last log line.
     is_logged_lost: Cell<bool>,
@@ -43,6 +47,7 @@
         Self {
             clock,
             lost_at: Cell::new(None),
+            failures_in_row: Cell::new(0),
             probed_at: Cell::new(Duration::ZERO),
             is_logged_lost: Cell::new(false),
             helpers: RefCell::default(),
@@ -77,8 +82,12 @@
     fn note_direct(&self, is_answered: bool) {
         if is_answered {
             self.lost_at.set(None);
-        } else if self.lost_at.get().is_none() {
-            self.lost_at.set(Some(self.clock.monotonic_now()));
+            self.failures_in_row.set(0);
+        } else {
+            self.failures_in_row.set(self.failures_in_row.get().saturating_add(1));
+            if self.lost_at.get().is_none() {
+                self.lost_at.set(Some(self.clock.monotonic_now()));
+            }
         }
         let is_lost = self.is_lost();
         if self.is_logged_lost.replace(is_lost) != is_lost {
@@ -87,6 +96,11 @@
         }
     }
 
+    /// Returns whether a call that failed directly should be made through another node.
+    fn needs_help(&self) -> bool {
+        self.failures_in_row.get() >= HELP_AFTER_FAILURES
+    }
+
     /// Returns whether the next call goes directly.
     fn tries_direct(&self) -> bool {
         let now = self.clock.monotonic_now();
@@ -159,7 +173,7 @@
             // A write that may have taken effect must not be made once more from here.
             let is_lost_write = request.method != Method::GET
                 && matches!(result, Err(RowStoreError::AnswerLost { .. }));
-            if !is_turned_away || is_lost_write {
+            if !is_turned_away || is_lost_write || !self.reach.needs_help() {
                 return result;
             }
             let Some(helper) = self.reach.helper() else { return result };
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 use std::{io, path::Path};
 
-use dandelionfront_coordination::ledger::FlushTimes;
 use dandelionfront_platform::{NodeSettings, StoreClient};
 use log::LevelFilter;
 use ntex::rt::System;
@@ -30,16 +29,11 @@
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
-/// Times after which claims on budgets are given back: longer than the pauses within programs, and
-/// shorter than the time after which a turn's unused tokens should count again if they are needed.
-const LEDGER_TIMES: FlushTimes = FlushTimes {
-    release: Duration::from_secs(3),
-    release_tight: Duration::from_millis(500),
-    forget: Duration::from_secs(20),
-};
-/// Gives everything back, before the end of the process.
-const LEDGER_TIMES_AT_STOP: FlushTimes =
-    FlushTimes { release: Duration::ZERO, release_tight: Duration::ZERO, forget: Duration::ZERO };
+/// Time without a turn after which a program's budget is forgotten, longer than programs pause.
+const PROGRAM_FORGET_AFTER: Duration = Duration::from_secs(300);
+/// Time since the last turn of programs whose claims are given back at a planned stop: those that
+/// probably go on elsewhere.
+const STOP_GIVE_BACK: Duration = Duration::from_secs(10);
 /// Time after the stop signal for which idle connections of callers are kept.
 const STOP_IDLE_KEEP: Duration = Duration::from_millis(1_200);
 /// Time after the stop signal for which new connections still come: the balancer asks every
@@ -102,7 +96,7 @@
         settings.memory_max_bytes,
         env!("CARGO_PKG_VERSION"),
     );
-    let node = Rc::new(FrontNode::new(settings, clock, (store, reach), metrics));
+    let node = Rc::new(FrontNode::new(settings, clock, (store, reach), metrics, Rc::clone(&peers)));
     tokio::task::spawn_local(follow::follow_config(Rc::clone(&node)));
     tokio::task::spawn_local(follow::follow_servers(Rc::clone(&node)));
     tokio::task::spawn_local(caller::accept(Rc::clone(&node), callers));
@@ -135,7 +129,8 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         node.pool.prune();
-        node.ledgers.flush(LEDGER_TIMES).await;
+        let now = node.clock.monotonic_now();
+        node.ledgers.forget(now.saturating_sub(PROGRAM_FORGET_AFTER));
     }
 }
 
@@ -180,7 +175,8 @@
         }
         tokio::time::sleep(STOP_CHECK).await;
     }
-    node.ledgers.flush(LEDGER_TIMES_AT_STOP).await;
+    let now = node.clock.monotonic_now();
+    node.ledgers.give_back_all(now.saturating_sub(STOP_GIVE_BACK)).await;
     peers.say_goodbye(node).await;
     log::info!(
         "event=stopped elapsed_ms={} connections={} requests={}",
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -21,6 +21,7 @@
 use super::metrics::FrontMetrics;
 use super::stop::{Count, StopSignal};
 use crate::front::connection::BackendPool;
+use crate::front::connection::peers::Peers;
 use crate::front::connection::reach::StoreReach;
 
 /// Shortest and longest pause that a caller over its team's limit is asked to make.
@@ -76,8 +77,9 @@
         clock: FrontClock,
         (store, reach): (StoreClient, Rc<StoreReach>),
         metrics: Rc<FrontMetrics>,
+        peers: Rc<Peers>,
     ) -> Self {
-        let claimant = format!("{:016x}", rand::random::<u64>());
+        let claimant = peers.claimant();
         log::info!("event=claimant vm={} claimant={claimant}", settings.vm_name);
         let rows: SharedRowStore = Rc::new(store.clone());
         let cache_max_bytes =
@@ -89,7 +91,7 @@
             servers: RefCell::default(),
             placement: RefCell::default(),
             limiter: RefCell::default(),
-            ledgers: Ledgers::new(Rc::clone(&rows), clock.steady(), claimant),
+            ledgers: Ledgers::new(Rc::clone(&rows), clock.steady(), claimant, peers),
             turns: Turns::new(rows, cache_max_bytes),
             pool: BackendPool::default(),
             stop: StopSignal::default(),
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -197,7 +197,7 @@
         }
         let policy = match self.admitted.turn {
             Some(_) => PlacementPolicy::Affinity,
-            None => PlacementPolicy::LeastLoaded,
+            None => PlacementPolicy::TwoChoices,
         };
         self.node
             .placement
