Take a team's bucket over from reports; let begun programs wait for tokens

Three faults: - Nodes that start together read the list of nodes before any of them is in it and learn of each other only at the next look, 15 s later. Until then each counts a team's limit alone, and no claim can be asked back; at that look the part of the limit in reach fell to 0.36 for a moment. - A node that meets a team for the first time takes its bucket for full. With 87 nodes most first requests of a small team meet such a node, and too many programs begin. - A request within a begun program waits at most 300 ms for its token, although a turn has 3 s and a refusal may cost the whole program.

Change: a node writes its row and then reads the list; a bucket is created from the first report that names the team (reports carry what new programs may still claim); a request may wait a third of the time it has left, 750 ms at most. A gauge tells how many nodes are heard.

Tests: `nodes_that_start_together_know_each_other_once_they_are_ready` fails on the tree before (0 of 2 nodes heard); `a_limited_team_finishes_as_much_through_ many_nodes_as_through_few` (50 programs in time through 87 nodes, 53 through 11; 26 before, in the model from which the test was made); `requests_with_time_left_ wait_for_their_tokens` (97 programs, 91 in haste). The haste of the other tests is now said as time left, 0.9 s for the same 300 ms.

--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -33,6 +33,8 @@
     pub programs: u64,
     /// Tokens left in the team's bucket, from which a node that starts takes over.
     pub tokens_left: i64,
+    /// Requests that new programs may still claim, for the same.
+    pub program_tokens_left: i64,
 }
 
 /// Place of a request in its program.
@@ -41,7 +43,20 @@
     /// The first turn of a program.
     Begins,
     /// Any other request.
-    Continues,
+    Continues {
+        /// Time left until its deadline.
+        time_left: Duration,
+    },
+}
+
+impl Step {
+    /// Returns the longest wait for a token: none for a program that has not begun.
+    fn wait_max(self) -> Duration {
+        match self {
+            Self::Begins => Duration::ZERO,
+            Self::Continues { time_left } => (time_left / WAIT_SHARE).min(WAIT_MAX),
+        }
+    }
 }
 
 /// Shortest time between two reports to a node.
@@ -52,8 +67,10 @@
 const MISSED_REPORTS_MAX: u32 = 7;
 /// Silence after which a node no longer counts as a member.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
-/// Longest wait for a token; a quarter of the shortest deadline of the calls within programs.
-pub const WAIT_MAX: Duration = Duration::from_millis(300);
+/// Longest wait for a token, about the pause after which a caller would ask again.
+const WAIT_MAX: Duration = Duration::from_millis(750);
+/// Part of the time left to a request that it may wait for a token.
+const WAIT_SHARE: u32 = 3;
 /// Weight of the newest interval in a node's rate.
 const RATE_WEIGHT: f64 = 0.4;
 /// Requests that a program needs until enough programs were seen.
@@ -123,7 +140,7 @@
 
 impl UsageLimiter {
     /// Takes one request from the limit of `team` and returns the time after which it may be
-    /// sent; a request that continues a program may wait up to [`WAIT_MAX`] for its token.
+    /// sent; a request that continues a program may wait a part of its time for its token.
     ///
     /// # Errors
     ///
@@ -143,8 +160,7 @@
         let available = bucket.tokens - unreported;
         let rate_per_s = (limits.rate_per_s * covered).max(f64::MIN_POSITIVE);
         let wait = seconds((1.0 - available).max(0.0) / rate_per_s);
-        let wait_max = if step == Step::Begins { Duration::ZERO } else { WAIT_MAX };
-        if wait > wait_max {
+        if wait > step.wait_max() {
             return Err(wait);
         }
         if step == Step::Begins {
@@ -173,7 +189,8 @@
     /// Returns what this node has admitted since its start.
     #[must_use]
     pub fn own_admitted(&self) -> AdmittedCounts {
-        self.teams.iter().map(|(team, bucket)| (*team, bucket.report())).collect()
+        let served = self.teams.iter().filter(|(_, bucket)| bucket.own_admitted.requests > 0);
+        served.map(|(team, bucket)| (*team, bucket.report())).collect()
     }
 
     /// Takes the tokens of all teams over from the first report after the start.
@@ -181,12 +198,9 @@
         self.has_taken_over = true;
         for (team, count) in admitted {
             let bucket = self.teams.entry(*team).or_default();
-            let own_requests = signed_difference(bucket.own_admitted.requests, 0);
-            #[expect(clippy::cast_precision_loss, reason = "bursts are small")]
-            let tokens = count.tokens_left as f64 - own_requests;
-            bucket.tokens = tokens;
-            bucket.program_tokens = bucket.program_tokens.max(tokens);
-            bucket.updated_at = now;
+            let own_admitted = bucket.own_admitted;
+            *bucket = TeamBucket { own_admitted, ..TeamBucket::reported(count, now) };
+            bucket.tokens -= signed_difference(own_admitted.requests, 0);
         }
     }
 
@@ -221,9 +235,14 @@
             // A refund may lower a count; the difference is given back.
             let delta = signed_difference(count.requests, before.requests);
             let begun = signed_difference(count.programs, before.programs);
-            if let Some(bucket) = self.teams.get_mut(team).filter(|_| !is_new) {
-                bucket.tokens -= delta;
-                bucket.program_tokens -= begun * program_requests;
+            match self.teams.get_mut(team) {
+                Some(bucket) if !is_new => {
+                    bucket.tokens -= delta;
+                    bucket.program_tokens -= begun * program_requests;
+                }
+                Some(_) => {}
+                // A team that this node has not served yet; what others spent counts from now on.
+                None => drop(self.teams.insert(*team, TeamBucket::reported(count, now))),
             }
             let rate = known.rates_per_s.entry(*team).or_default();
             *rate += RATE_WEIGHT * ((delta / elapsed_s).max(0.0) - *rate);
@@ -332,10 +351,18 @@
         Self { tokens, program_tokens: tokens, ..Self::default() }
     }
 
+    /// Returns the bucket of a team as another node sees it.
+    fn reported(count: &Admitted, now: Duration) -> Self {
+        #[expect(clippy::cast_precision_loss, reason = "bursts are small")]
+        let (tokens, program_tokens) = (count.tokens_left as f64, count.program_tokens_left as f64);
+        Self { tokens, program_tokens, updated_at: now, ..Self::default() }
+    }
+
     fn report(&self) -> Admitted {
         #[expect(clippy::cast_possible_truncation, reason = "bursts are small")]
-        let tokens_left = self.tokens.floor() as i64;
-        Admitted { tokens_left, ..self.own_admitted }
+        let (tokens_left, program_tokens_left) =
+            (self.tokens.floor() as i64, self.program_tokens.floor() as i64);
+        Admitted { tokens_left, program_tokens_left, ..self.own_admitted }
     }
 
     fn accrue(&mut self, limits: BucketLimits, covered: f64, now: Duration) {
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -12,6 +12,8 @@
 
 const LIMITS: BucketLimits = BucketLimits { rate_per_s: 50.0, burst: 50.0 };
 const STEP: Duration = Duration::from_millis(10);
+/// A request that may wait 300 ms for its token.
+const CONTINUES: Step = Step::Continues { time_left: Duration::from_millis(900) };
 const REPORT_EVERY: u32 = 10;
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -91,7 +93,7 @@
         fleet.advance();
         for _ in 0..4 {
             let node = random.random_range(0..13);
-            fleet.take(node, Step::Continues);
+            fleet.take(node, CONTINUES);
         }
     }
     let sent = fleet.sent_at.len();
@@ -108,7 +110,7 @@
     for step in 0..2_000 {
         fleet.advance();
         // 40 a second, all through one node.
-        if step % 5 < 2 && !fleet.take(3, Step::Continues) {
+        if step % 5 < 2 && !fleet.take(3, CONTINUES) {
             refused += 1;
         }
     }
@@ -129,7 +131,7 @@
         fleet.advance();
         for _ in 0..4 {
             let node = random.random_range(0..12);
-            fleet.take(node, Step::Continues);
+            fleet.take(node, CONTINUES);
         }
     }
     let busiest = fleet.busiest_window();
@@ -178,10 +180,11 @@
             requests,
             programs: 0,
             tokens_left: 40,
+            program_tokens_left: 40,
         };
         HashMap::from([(team, admitted)])
     };
-    limiter.take(team, LIMITS, Step::Continues, now).expect("full");
+    limiter.take(team, LIMITS, CONTINUES, now).expect("full");
     limiter.note_report("n1", 1, counts(0), now);
     // Two reports were held up for 300 ms and are read within a tenth of a millisecond.
     now += Duration::from_millis(300);
@@ -197,7 +200,7 @@
     let mut fleet = Fleet::new(4);
     for _ in 0..1_000 {
         fleet.advance();
-        fleet.take(0, Step::Continues);
+        fleet.take(0, CONTINUES);
     }
     // The flood has emptied the bucket; a fresh node must not hold a burst of its own.
     let mut fresh = UsageLimiter::default();
@@ -206,7 +209,7 @@
     fresh.note_report("n0", 1, spent, fleet.now);
     fresh.note_report("n1", 1, report, fleet.now);
     let team = team_hash("alpha");
-    let admitted = (0..50).filter(|_| fresh.take(team, LIMITS, Step::Continues, fleet.now).is_ok());
+    let admitted = (0..50).filter(|_| fresh.take(team, LIMITS, CONTINUES, fleet.now).is_ok());
     // A wait of up to 300 ms holds 15 tokens.
     assert!(admitted.count() <= 16);
 }
@@ -223,7 +226,7 @@
 
 /// Pattern: a team whose limit was lowered far below what its programs need. Finishing few
 /// programs beats starting many.
-fn programs_finished(holds_new_back: bool) -> usize {
+fn programs_finished(holds_new_back: bool, time_left: Duration) -> usize {
     const REQUESTS: u32 = 15;
     let mut random = StdRng::seed_from_u64(3);
     let mut fleet = Fleet::new(13);
@@ -243,7 +246,7 @@
                 continue;
             }
             let is_first = done == 0 && holds_new_back;
-            let place = if is_first { Step::Begins } else { Step::Continues };
+            let place = if is_first { Step::Begins } else { Step::Continues { time_left } };
             let is_sent = fleet.take(random.random_range(0..13), place);
             match done + u32::from(is_sent) {
                 REQUESTS => finished += 1,
@@ -259,9 +262,154 @@
 
 #[test]
 fn holding_new_programs_back_finishes_more_of_them() {
-    let (with, without) = (programs_finished(true), programs_finished(false));
+    let time_left = Duration::from_millis(900);
+    let with = programs_finished(true, time_left);
+    let without = programs_finished(false, time_left);
     println!("finished {with} programs, {without} without holding back");
     // 30 s at 50 requests a second hold 100 programs of 15; the baseline treats all requests alike.
     assert!(with >= 80, "{with} finished");
     assert!(with > without, "{with} finished, {without} without holding back");
 }
+
+/// Pattern: a request in the middle of a program that waits for its token, within the time that
+/// it has, saves what the program has spent so far.
+#[test]
+fn requests_with_time_left_wait_for_their_tokens() {
+    let finished = |time_left_ms| programs_finished(true, Duration::from_millis(time_left_ms));
+    let (patient, hasty) = (finished(3_000), finished(300));
+    println!("finished {patient} programs with 3 s left, {hasty} with 0.3 s");
+    assert!(patient >= 90, "{patient} finished");
+    assert!(patient > hasty, "{patient} finished, {hasty} in haste");
+}
+
+/// A team over its limit whose programs go through many nodes.
+struct LimitedTeam {
+    nodes: usize,
+    rate_per_s: f64,
+    /// Longest program, in turns.
+    turns_max: u32,
+    /// What its programs need, in parts of the limit.
+    demand: f64,
+}
+
+/// Programs of 30 s.
+#[derive(Debug, Default)]
+struct Outcome {
+    in_time: u32,
+    late: u32,
+    cut: u32,
+}
+
+#[derive(Debug)]
+struct Program {
+    turns_left: u32,
+    /// Calls before the next turn.
+    calls_left: u32,
+    has_begun: bool,
+    tries: u32,
+    waited: Duration,
+    waited_max: Duration,
+    next_at: Duration,
+}
+
+impl Program {
+    fn new(turns: u32, now: Duration) -> Self {
+        Self {
+            turns_left: turns,
+            calls_left: 0,
+            has_begun: false,
+            tries: 0,
+            waited: Duration::ZERO,
+            // A turn with its calls takes 0.4 s; the aim leaves 0.7 of that, and 0.25 s.
+            waited_max: Duration::from_millis(u64::from(turns) * 280 + 250),
+            next_at: now,
+        }
+    }
+
+    fn step(&self) -> Step {
+        match (self.has_begun, self.calls_left) {
+            (false, _) => Step::Begins,
+            (true, 0) => Step::Continues { time_left: Duration::from_millis(3_000) },
+            (true, _) => Step::Continues { time_left: Duration::from_millis(1_200) },
+        }
+    }
+
+    /// Records a request that was sent after `wait`; returns whether the program has ended.
+    fn advance(&mut self, wait: Duration, now: Duration, calls: u32) -> bool {
+        self.waited += wait;
+        self.tries = 0;
+        self.has_begun = true;
+        if self.calls_left > 0 {
+            self.calls_left -= 1;
+            self.next_at = now + wait + Duration::from_millis(30);
+        } else {
+            self.turns_left -= 1;
+            self.calls_left = calls;
+            self.next_at = now + wait + Duration::from_millis(300);
+        }
+        self.turns_left == 0 && self.calls_left == 0
+    }
+
+    /// Records a refusal; returns whether the program is given up.
+    fn refuse(&mut self, pause: Duration) -> bool {
+        self.tries += 1;
+        self.waited += pause;
+        self.next_at += pause;
+        self.tries >= if self.calls_left > 0 { 2 } else { 6 }
+    }
+}
+
+impl LimitedTeam {
+    fn play(&self) -> Outcome {
+        let limits = BucketLimits { rate_per_s: self.rate_per_s, burst: self.rate_per_s };
+        let mut random = StdRng::seed_from_u64(9);
+        let mut fleet = Fleet::new(self.nodes);
+        let (mut outcome, mut programs) = (Outcome::default(), Vec::<Program>::new());
+        let requests_mean = f64::from(self.turns_max) * 1.5;
+        let begins_per_step = self.rate_per_s * self.demand / requests_mean * STEP.as_secs_f64();
+        for _ in 0..3_000 {
+            fleet.advance();
+            if random.random_bool(begins_per_step) {
+                programs.push(Program::new(random.random_range(1..=self.turns_max), fleet.now));
+            }
+            programs.retain_mut(|program| {
+                if program.next_at > fleet.now {
+                    return true;
+                }
+                let node = random.random_range(0..self.nodes);
+                let team = team_hash("alpha");
+                match fleet.nodes[node].take(team, limits, program.step(), fleet.now) {
+                    Ok(wait) => {
+                        let has_ended = program.advance(wait, fleet.now, random.random_range(0..4));
+                        let is_late = program.waited > program.waited_max;
+                        outcome.in_time += u32::from(has_ended && !is_late);
+                        outcome.late += u32::from(has_ended && is_late);
+                        !has_ended
+                    }
+                    Err(_) => {
+                        let pause = Duration::from_millis(random.random_range(100..400));
+                        let is_lost = program.refuse(pause);
+                        outcome.cut += u32::from(is_lost && program.has_begun);
+                        !is_lost
+                    }
+                }
+            });
+        }
+        outcome
+    }
+}
+
+/// Pattern: many small teams over many nodes. A node that meets a team for the first time must not
+/// take its bucket for full: too many programs would begin, and few would end in time.
+#[test]
+fn a_limited_team_finishes_as_much_through_many_nodes_as_through_few() {
+    let play = |nodes| {
+        let team = LimitedTeam { nodes, rate_per_s: 20.0, turns_max: 7, demand: 1.5 };
+        let outcome = team.play();
+        println!("{nodes} nodes: {outcome:?}");
+        outcome
+    };
+    let (few, many) = (play(11), play(87));
+    assert!(many.in_time * 10 >= few.in_time * 8, "{many:?} against {few:?}");
+    assert_eq!(many.cut, 0, "{many:?}");
+}
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -15,7 +15,7 @@
 use dandelionfront_coordination::limits::usage::{
     Admitted, TeamHash, report_interval, silent_after,
 };
-use dandelionfront_coordination::rows::{RowRead, RowStore as _, RowWrite};
+use dandelionfront_coordination::rows::{RowRead, RowStore as _, RowStoreError, RowWrite};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -136,6 +136,8 @@
             for (member, _) in limiter.members(now).filter(|(_, is_heard)| !is_heard) {
                 node.placement.borrow_mut().set_peer_load(member, Vec::new());
             }
+            let heard = limiter.members(now).filter(|(_, is_heard)| *is_heard).count();
+            node.metrics.members_heard.set(i64::try_from(heard).unwrap_or(i64::MAX));
             limiter.members(now).filter_map(|(member, _)| member.parse().ok()).collect()
         };
         let report = Report {
@@ -175,12 +177,14 @@
         }
     }
 
-    async fn list(
-        &self,
-        node: &FrontNode,
-    ) -> Result<(), dandelionfront_coordination::rows::RowStoreError> {
+    async fn list(&self, node: &FrontNode) -> Result<(), RowStoreError> {
         let own = self.address.to_string();
-        let (rows, _) = node.store.read_part(NODES_TABLE, "").await?;
+        let (mut rows, _) = node.store.read_part(NODES_TABLE, "").await?;
+        if !rows.iter().any(|row| row.key == own) {
+            self.write(node, &own, 0, Some(node.settings.zone.as_bytes())).await?;
+            // Of two nodes that start together, at least the one that wrote last finds the other.
+            (rows, _) = node.store.read_part(NODES_TABLE, "").await?;
+        }
         let now = node.clock.monotonic_now();
         let forgotten = node.limiter.borrow_mut().forget_silent(now);
         for row in rows.iter().filter(|row| row.key != own) {
@@ -191,9 +195,6 @@
                 node.limiter.borrow_mut().note_listed(&row.key);
             }
         }
-        if !rows.iter().any(|row| row.key == own) {
-            self.write(node, &own, 0, Some(node.settings.zone.as_bytes())).await?;
-        }
         Ok(())
     }
 
@@ -203,7 +204,7 @@
         key: &str,
         expected_version: u64,
         value: Option<&[u8]>,
-    ) -> Result<RowRead, dandelionfront_coordination::rows::RowStoreError> {
+    ) -> Result<RowRead, RowStoreError> {
         let write = RowWrite { table: NODES_TABLE, part: "", key, expected_version, value };
         node.store.write(write).await
     }
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -49,6 +49,8 @@
     pub config_version: IntGauge,
     /// Backend servers in the list.
     pub servers: IntGauge,
+    /// Other nodes heard lately.
+    pub members_heard: IntGauge,
 }
 
 impl FrontMetrics {
@@ -87,6 +89,7 @@
             ),
             config_version: gauge(&registry, "config_version", "Configuration in force"),
             servers: gauge(&registry, "servers", "Backend servers in the list"),
+            members_heard: gauge(&registry, "members_heard", "Other nodes heard lately"),
             registry,
         };
         for kind in RefusalKind::all() {
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -141,8 +141,10 @@
     let service_spec = table.service(&service);
     let opened =
         turn::open(node, &context, &route, service_spec, team_name, &request.body, ends_at).await?;
+    let time_left = ends_at.saturating_duration_since(Instant::now());
+    let step = if opened.begins { Step::Begins } else { Step::Continues { time_left } };
     let counted = match &team {
-        Some(team) => CountedRequest::take(node, &table, team, opened.step).await?,
+        Some(team) => CountedRequest::take(node, &table, team, step).await?,
         None => CountedRequest::default(),
     };
     let placement_key = opened.placement_key;
--- a/crates/daemon/src/front/request/turn.rs
+++ b/crates/daemon/src/front/request/turn.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::ledger::ReserveError;
-use dandelionfront_coordination::limits::usage::Step;
 use dandelionfront_coordination::request::RequestContext;
 use dandelionfront_coordination::routing::{Route, ServiceSpec};
 use dandelionfront_coordination::turns::{TextBytes, TurnError, TurnRecord, assemble};
@@ -40,7 +39,7 @@
     /// Key of its placement.
     pub placement_key: String,
     /// Whether the turn begins a program.
-    pub step: Step,
+    pub begins: bool,
 }
 
 /// Reads the history of a turn and reserves its tokens; other requests pass unchanged.
@@ -58,8 +57,8 @@
     let budget = program.and_then(|program| Some((program, program.budget_tokens?)));
     let is_turn = route.repeat.is_stream() && (budget.is_some() || route.keeps_turns);
     if !is_turn {
-        let (turn, body, step) = (None, body.clone(), Step::Continues);
-        return Ok(Opened { turn, body, placement_key, step });
+        let (turn, body, begins) = (None, body.clone(), false);
+        return Ok(Opened { turn, body, placement_key, begins });
     }
     let tokens_per_event =
         service.and_then(|spec| spec.engine.as_ref()).map_or(1, |engine| engine.tokens_per_event);
@@ -71,7 +70,7 @@
         delivered_events: 0,
         kept: None,
     };
-    let (mut prompt, mut step) = (body.clone(), Step::Continues);
+    let (mut prompt, mut begins) = (body.clone(), false);
     if route.keeps_turns {
         let work = read_history(node, context, team, body);
         let (kept, whole) = within(ends_at, work).await?;
@@ -83,12 +82,10 @@
         let most = context.output_tokens_max;
         let work = node.ledgers.reserve(&program.id, most, budget_tokens);
         let work = async { work.await.map_err(|error| refuse_reservation(&error)) };
-        if within(ends_at, work).await? {
-            step = Step::Begins;
-        }
+        begins = within(ends_at, work).await?;
         turn.reserved = Some((program.id.clone(), most));
     }
-    Ok(Opened { turn: Some(turn), body: prompt, placement_key, step })
+    Ok(Opened { turn: Some(turn), body: prompt, placement_key, begins })
 }
 
 /// Returns the key that requests with a common prompt share.
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -282,14 +282,28 @@
     insta::assert_debug_snapshot!(seen);
     let open = Call { path: "/open/x", method: "GET", key: "wrong", ..Call::default() };
     assert_eq!(site.send(0, &open).await.expect("an answer").status, 200);
-    let metrics = site.http.request("GET", &site.nodes[0].metrics, "/metrics");
-    let metrics = site.http.send(metrics, "").await.expect("an answer").expect(200).body;
+    let metrics = site.metrics(0).await;
     assert!(
         metrics.contains("dandelionfront_refusals_total{reason=\"key_unknown\"} 1"),
         "{metrics}"
     );
 }
 
+#[ntex::test]
+async fn nodes_that_start_together_know_each_other_once_they_are_ready() {
+    let mut site = Site::start(0).await;
+    // All of them read the list before any of them is in it.
+    site.set_faults(&site.store, &json!({ "delay_ms": 200 })).await;
+    for _ in 0..3 {
+        site.add_node();
+    }
+    site.wait_ready().await;
+    for node in 0..3 {
+        let metrics = site.metrics(node).await;
+        assert!(metrics.contains("dandelionfront_members_heard 2\n"), "node {node}: {metrics}");
+    }
+}
+
 #[ntex::test]
 async fn a_node_that_the_store_turns_away_reaches_it_through_another() {
     let mut site = Site::start(1).await;
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -210,6 +210,12 @@
         }
     }
 
+    /// Returns the metrics of a node.
+    pub async fn metrics(&self, node: usize) -> String {
+        let request = self.http.request("GET", &self.nodes[node].metrics, "/metrics");
+        self.http.send(request, "").await.expect("an answer").expect(200).body
+    }
+
     /// Replaces the engines by one that takes a second for each event.
     pub async fn start_slow_engine(&self) -> SiteRunner {
         let any = "127.0.0.1:0".parse().expect("valid");
@@ -221,9 +227,7 @@
         }
         self.list(&id, &address, "geo", "ready").await;
         eventually("the node sends to the slow engine", async || {
-            let metrics = self.http.request("GET", &self.nodes[0].metrics, "/metrics");
-            let metrics = self.http.send(metrics, "").await.expect("an answer").expect(200).body;
-            metrics.contains("dandelionfront_servers 3\n").then_some(())
+            self.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
         })
         .await;
         SiteRunner { id, address }
