Ask for claims ever less often; refuse over-long bodies at their head; tidy

A body whose declared length is over the limit got its 413 only after it had been sent whole.

Change: - A round of requests that did not help puts the next one for the program off for 0.25 s, doubling up to 4 s. - A declared length over the limit is refused at once; what the caller still sends is read for half a second, so that the closing connection does not reset the answer away. - One registration of metrics, one log format with its levels, and one read of a body against the deadline for both halves of the daemon. The line of a sent request tells for how long it was held.

Tests: `a_looping_program_asks_ever_less_often`, `an_over_long_body_is_refused_at_its_head` (without the check it waits for the body until it is stopped).

Ruled out: asking only holders with more than one turn claimed; it would refuse programs whose last tokens are spread over several nodes.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -39,8 +39,11 @@
 const AHEAD_SHARE: u64 = 2;
 /// Times that other nodes are asked to give back what they do not use.
 const ASKS_MAX: u32 = 2;
-/// Time between two such rounds for one program: one that loops without end asks for ever.
+/// Time after a round of requests that did not help before the next one for the program; doubles
+/// with each, because a program that loops without end asks for ever.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest such time.
+const ASK_INTERVAL_MAX: Duration = Duration::from_secs(4);
 /// Time in which a node that was asked writes the row.
 const ASK_PAUSE: Duration = Duration::from_millis(25);
 
@@ -108,8 +111,10 @@
     /// Most tokens of the turns under way.
     running_tokens: u64,
     used_at: Duration,
-    /// Time of the last request to other nodes to give back claims.
-    asked_at: Option<Duration>,
+    /// Time before which other nodes are not asked again to give back claims.
+    ask_after: Duration,
+    /// Rounds of such requests in a row that did not help.
+    vain_asks: u32,
     /// Whether this node has read or written the row since it last forgot it.
     is_known: bool,
     /// A write whose answer was lost: it may take effect seconds later.
@@ -132,6 +137,13 @@
         next
     }
 
+    /// Puts the next round of requests to other nodes off.
+    fn note_vain_ask(&mut self) {
+        let pause = ASK_INTERVAL * 2_u32.saturating_pow(self.vain_asks);
+        self.ask_after = self.used_at + pause.min(ASK_INTERVAL_MAX);
+        self.vain_asks += 1;
+    }
+
     fn own_claim(&self, claimant: &str) -> u64 {
         self.ledger.claimed_tokens.get(claimant).copied().unwrap_or_default()
     }
@@ -193,9 +205,7 @@
             return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
         }
         let mut is_current = false;
-        let is_ask_due =
-            cached.asked_at.is_none_or(|asked_at| cached.used_at >= asked_at + ASK_INTERVAL);
-        let mut asks_left = if is_ask_due { ASKS_MAX } else { 0 };
+        let mut asks_left = if cached.used_at >= cached.ask_after { ASKS_MAX } else { 0 };
         let mut turned_away = 0;
         for _ in 0..CONFLICTS_MAX {
             let mut next = cached.settled(&self.claimant);
@@ -214,7 +224,9 @@
                         return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
                     }
                     asks_left -= 1;
-                    cached.asked_at = Some(cached.used_at);
+                    if asks_left == 0 {
+                        cached.note_vain_ask();
+                    }
                     self.clock.sleep(ASK_PAUSE).await;
                 }
                 self.refresh(program, &mut cached).await?;
@@ -246,6 +258,7 @@
                     unclaimed - ahead,
                 );
                 cached.running_tokens += most_tokens;
+                cached.vain_asks = 0;
                 return Ok(is_first);
             }
         }
--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -150,6 +150,13 @@
         self.known.len()
     }
 
+    /// Returns the number of backend servers that take no new work.
+    #[must_use]
+    pub fn draining_count(&self) -> usize {
+        let draining = |known: &&Known| known.entry.state == ServerState::Draining;
+        self.known.values().filter(draining).count()
+    }
+
     /// Returns whether the list is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/coordination/tests/ledger.rs
+++ b/crates/coordination/tests/ledger.rs
@@ -197,6 +197,26 @@
     .await;
 }
 
+/// Load: a program loops without end on a spent budget whose claims are all in use.
+#[tokio::test(flavor = "current_thread")]
+async fn a_looping_program_asks_ever_less_often() {
+    with_tasks(async {
+        let rows = MemoryRows::default();
+        let (fleet, nodes) = Fleet::start(&rows, &["a", "b"]);
+        nodes[0].reserve("p", MOST, 2 * MOST).await.expect("fits");
+        nodes[0].reserve("p", MOST, 2 * MOST).await.expect("fits");
+        for _ in 0..100 {
+            let refused = nodes[1].reserve("p", MOST, 2 * MOST).await;
+            assert!(is_spent(&refused), "{refused:?}");
+            fleet.clock.advance(Duration::from_millis(100));
+        }
+        // Rounds of two at 0, 0.25, 0.75, 1.75, 3.75 and 7.75 s.
+        let asked = fleet.asked.borrow().len();
+        assert!(asked <= 12, "{asked} requests in 10 s");
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_killed_node_leaves_its_claim_and_no_more() {
     with_tasks(async {
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -329,7 +329,7 @@
     fn step(&self) -> Step {
         match (self.has_begun, self.calls_left) {
             (false, _) => Step::Begins,
-            (true, 0) => Step::Continues { time_left: Duration::from_millis(3_000) },
+            (true, 0) => Step::Continues { time_left: Duration::from_secs(3) },
             (true, _) => Step::Continues { time_left: Duration::from_millis(1_200) },
         }
     }
@@ -378,21 +378,18 @@
                 }
                 let node = random.random_range(0..self.nodes);
                 let team = team_hash("alpha");
-                match fleet.nodes[node].take(team, limits, program.step(), fleet.now) {
-                    Ok(wait) => {
-                        let has_ended = program.advance(wait, fleet.now, random.random_range(0..4));
-                        let is_late = program.waited > program.waited_max;
-                        outcome.in_time += u32::from(has_ended && !is_late);
-                        outcome.late += u32::from(has_ended && is_late);
-                        !has_ended
-                    }
-                    Err(_) => {
-                        let pause = Duration::from_millis(random.random_range(100..400));
-                        let is_lost = program.refuse(pause);
-                        outcome.cut += u32::from(is_lost && program.has_begun);
-                        !is_lost
-                    }
-                }
+                let taken = fleet.nodes[node].take(team, limits, program.step(), fleet.now);
+                let Ok(wait) = taken else {
+                    let pause = Duration::from_millis(random.random_range(100..400));
+                    let is_lost = program.refuse(pause);
+                    outcome.cut += u32::from(is_lost && program.has_begun);
+                    return !is_lost;
+                };
+                let has_ended = program.advance(wait, fleet.now, random.random_range(0..4));
+                let is_late = program.waited > program.waited_max;
+                outcome.in_time += u32::from(has_ended && !is_late);
+                outcome.late += u32::from(has_ended && is_late);
+                !has_ended
             });
         }
         outcome
--- a/crates/daemon/src/front/connection/backend.rs
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -172,6 +171,3 @@
         });
     }
 }
-
-/// A pool shared by the requests of a node.
-pub type SharedBackendPool = Rc<BackendPool>;
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -8,10 +8,10 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::{Refusal, RefusalKind};
-use http::header::EXPECT;
+use http::header::{CONTENT_LENGTH, EXPECT};
 use ntex::http::Request;
 use ntex::http::error::DecodeError;
-use ntex::http::h1::{Codec, PayloadType};
+use ntex::http::h1::{Codec, PayloadDecoder, PayloadType};
 use ntex::io::{Io, IoStatusUpdate};
 use ntex::util::Either;
 use tokio::net::{TcpListener, TcpStream};
@@ -109,10 +109,8 @@
     match payload {
         PayloadType::None => serve_whole(node, io, codec, head, Bytes::new(), arrived_at).await,
         PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
-            if head.headers().contains_key(EXPECT) {
-                io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n")?;
-            }
-            let refusal = match listener::read_body(io, &decoder, body_max_bytes).await {
+            let body = read_body(io, &decoder, &head, body_max_bytes).await;
+            let refusal = match body {
                 Ok(body) => return serve_whole(node, io, codec, head, body, arrived_at).await,
                 Err(BodyError::Connection(error)) => return Err(error),
                 Err(BodyError::TooLong) => Refusal::not_run(
@@ -125,11 +123,30 @@
                 ),
             };
             refuse_and_close(node, io, codec, &refusal).await?;
+            listener::discard_rest(io, &decoder).await;
             Ok(false)
         }
     }
 }
 
+/// Reads a body; one whose declared length is over the limit is not waited for.
+async fn read_body(
+    io: &Io,
+    decoder: &PayloadDecoder,
+    head: &Request,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let declared = head.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let declared_bytes: Option<usize> = declared.and_then(|value| value.parse().ok());
+    if declared_bytes.is_some_and(|bytes| bytes > max_bytes) {
+        return Err(BodyError::TooLong);
+    }
+    if head.headers().contains_key(EXPECT) {
+        io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").map_err(BodyError::Connection)?;
+    }
+    listener::read_body(io, decoder, max_bytes).await
+}
+
 /// Serves a request that was read whole; returns whether the connection may be used again.
 async fn serve_whole(
     node: &Rc<FrontNode>,
--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -17,6 +17,9 @@
 /// Pause after a failed accept, which is mostly a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time for which the rest of a refused body is read, about one round trip of a slow link.
+const DISCARD_MAX: Duration = Duration::from_millis(500);
+
 /// Accepts connections until the process ends, each served by a task of its own.
 pub async fn accept<S, F>(name: &'static str, listener: TcpListener, serve: S)
 where
@@ -91,6 +94,14 @@
     }
 }
 
+/// Reads and drops what a caller still sends after its refusal: a connection that is closed with
+/// unread bytes is reset, and the caller may lose the answer.
+pub async fn discard_rest(io: &Io, decoder: &PayloadDecoder) {
+    let rest = async { while let Ok(Some(PayloadItem::Chunk(_))) = io.recv(decoder).await {} };
+    // A caller that goes on sending beyond that gets the reset.
+    let _ = tokio::time::timeout(DISCARD_MAX, rest).await;
+}
+
 /// Sends a whole answer.
 ///
 /// # Errors
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -109,10 +109,17 @@
     }
 }
 
+/// Returns the operation that a path names, without its query.
+fn operation(path: &str) -> &str {
+    let path = path.split('?').next().unwrap_or_default();
+    path.rsplit('/').next().unwrap_or_default()
+}
+
 #[async_trait(?Send)]
 impl Transport for HttpTransport {
     async fn call(&self, request: StoreRequest) -> Result<StoreReply, RowStoreError> {
         let began_at = Instant::now();
+        self.metrics.store_calls.with_label_values(&[operation(&request.path)]).inc();
         let longest = request.wait + self.patience.get().min(request.timeout);
         let result = timeout(longest, self.exchange(&request)).await.unwrap_or_else(|_| {
             self.note_silence(request.timeout);
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -129,6 +129,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         node.pool.prune();
+        node.update_gauges();
         let now = node.clock.monotonic_now();
         node.ledgers.forget(now.saturating_sub(PROGRAM_FORGET_AFTER));
     }
--- a/crates/daemon/src/front/process/logs.rs
+++ b/crates/daemon/src/front/process/logs.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::UNIX_EPOCH;
 
 use log::{LevelFilter, SetLoggerError};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::logs::dispatch;
+
 /// Bytes of lines that wait for a slow reader before further lines are dropped.
 const BUFFER_MAX_BYTES: usize = 512 * 1024;
 /// Bytes that a pipe takes without blocking once it reports to be writable.
@@ -75,17 +76,7 @@
 /// Fails when a logger was set before.
 pub fn init(level: LevelFilter) -> Result<LogBuffer, SetLoggerError> {
     let buffer = LogBuffer::default();
-    fern::Dispatch::new()
-        .format(|out, message, record| {
-            let elapsed = UNIX_EPOCH.elapsed().unwrap_or_default();
-            let level = record.level().as_str().to_ascii_lowercase();
-            out.finish(format_args!("time={:.3} level={level} {message}", elapsed.as_secs_f64()));
-        })
-        .level(LevelFilter::Warn)
-        .level_for("dandelionfront", level)
-        .level_for("dandelionfront_coordination", level)
-        .level_for("dandelionfront_platform", level)
-        .chain(Box::new(buffer.clone()) as Box<dyn Write + Send>)
-        .apply()?;
+    let output = Box::new(buffer.clone()) as Box<dyn Write + Send>;
+    dispatch(level).chain(output).apply()?;
     Ok(buffer)
 }
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -1,10 +1,9 @@
 //! Metrics in the Prometheus text format.
 
 use dandelionfront_coordination::RefusalKind;
-use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+
+use crate::registry::MetricRegistry;
 
 /// Why a request was sent once more; also the label of the retry counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +29,7 @@
 /// Counters, gauges and histograms of one node.
 #[derive(Debug, Clone)]
 pub struct FrontMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     refusals: IntCounterVec,
     retries: IntCounterVec,
     /// Answers that were cut because the backend server broke off.
@@ -41,16 +40,32 @@
     pub backend_connections: IntCounter,
     /// Store calls made through another node.
     pub store_calls_relayed: IntCounter,
+    /// Store calls by operation.
+    pub store_calls: IntCounterVec,
     /// Store calls without an answer.
     pub store_failures: IntCounter,
     /// Duration of store calls, in seconds.
     pub store_seconds: Histogram,
+    /// Waits for a token of the team's limit, in seconds.
+    pub limit_wait_seconds: Histogram,
+    /// Time from a request's arrival to its first sending, in seconds.
+    pub added_seconds: Histogram,
+    /// Time from a turn's arrival to its first event, in seconds.
+    pub first_event_seconds: Histogram,
     /// Configuration version in force.
     pub config_version: IntGauge,
+    /// Time since the configuration was proved current, in milliseconds; -1 before the first time.
+    pub config_age_ms: IntGauge,
     /// Backend servers in the list.
     pub servers: IntGauge,
+    /// Backend servers that take no new work.
+    pub servers_draining: IntGauge,
     /// Other nodes heard lately.
     pub members_heard: IntGauge,
+    /// Requests under way.
+    pub requests: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
 }
 
 impl FrontMetrics {
@@ -61,35 +76,37 @@
     /// Panics when two metrics share a name, which is a fault of this module.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let refusals = Opts::new("dandelionfront_refusals_total", "Refusals by reason");
-        let retries = Opts::new("dandelionfront_retries_total", "Further attempts by reason");
+        let registry = MetricRegistry::default();
         let metrics = Self {
-            refusals: register(&registry, IntCounterVec::new(refusals, &["reason"])),
-            retries: register(&registry, IntCounterVec::new(retries, &["reason"])),
-            answers_broken_off: counter(&registry, "answers_broken_off_total", "Answers cut"),
-            callers_gone: counter(&registry, "callers_gone_total", "Callers that left early"),
-            backend_connections: counter(
-                &registry,
-                "backend_connections_total",
-                "Connections opened to backend servers",
-            ),
-            store_calls_relayed: counter(
-                &registry,
-                "store_calls_relayed_total",
-                "Store calls made through another node",
-            ),
-            store_failures: counter(&registry, "store_failures_total", "Store calls that failed"),
-            store_seconds: register(
-                &registry,
-                Histogram::with_opts(HistogramOpts::new(
-                    "dandelionfront_store_seconds",
-                    "Duration of store calls",
-                )),
+            refusals: registry.counters("refusals_total", "Refusals by reason", "reason"),
+            retries: registry.counters("retries_total", "Further attempts by reason", "reason"),
+            answers_broken_off: registry.counter("answers_broken_off_total", "Answers cut"),
+            callers_gone: registry.counter("callers_gone_total", "Callers that left early"),
+            backend_connections: registry
+                .counter("backend_connections_total", "Connections opened to backend servers"),
+            store_calls_relayed: registry
+                .counter("store_calls_relayed_total", "Store calls made through another node"),
+            store_calls: registry.counters(
+                "store_calls_total",
+                "Store calls by operation",
+                "operation",
             ),
-            config_version: gauge(&registry, "config_version", "Configuration in force"),
-            servers: gauge(&registry, "servers", "Backend servers in the list"),
-            members_heard: gauge(&registry, "members_heard", "Other nodes heard lately"),
+            store_failures: registry.counter("store_failures_total", "Store calls that failed"),
+            store_seconds: registry.histogram("store_seconds", "Duration of store calls"),
+            limit_wait_seconds: registry
+                .histogram("limit_wait_seconds", "Waits of requests for a token of their team"),
+            added_seconds: registry
+                .histogram("added_seconds", "Time from a request's arrival to its first sending"),
+            first_event_seconds: registry
+                .histogram("first_event_seconds", "Time from a turn's arrival to its first event"),
+            config_version: registry.gauge("config_version", "Configuration in force"),
+            config_age_ms: registry
+                .gauge("config_age_milliseconds", "Time since the configuration was proved new"),
+            servers: registry.gauge("servers", "Backend servers in the list"),
+            servers_draining: registry.gauge("servers_draining", "Those that take no new work"),
+            members_heard: registry.gauge("members_heard", "Other nodes heard lately"),
+            requests: registry.gauge("requests", "Requests under way"),
+            connections: registry.gauge("connections", "Open connections of callers"),
             registry,
         };
         for kind in RefusalKind::all() {
@@ -111,11 +128,7 @@
     /// Returns all metrics as text.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("event=metrics_failed cause=\"{error}\"");
-        }
-        text
+        self.registry.render()
     }
 }
 
@@ -124,20 +137,3 @@
         Self::new()
     }
 }
-
-fn register<T>(registry: &Registry, metric: prometheus::Result<T>) -> T
-where
-    T: prometheus::core::Collector + Clone + 'static,
-{
-    let metric = metric.expect("metric names are valid");
-    registry.register(Box::new(metric.clone())).expect("metric names are unique");
-    metric
-}
-
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    register(registry, IntCounter::new(format!("dandelionfront_{name}"), help))
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    register(registry, IntGauge::new(format!("dandelionfront_{name}"), help))
-}
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -137,8 +137,7 @@
         if freshness.is_fresh(now) {
             return Ok(());
         }
-        let age_ms =
-            freshness.age(now).map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1));
+        let age_ms = freshness.age(now).map_or(-1, millis_i64);
         Err(Refusal::not_run(
             RefusalKind::ConfigStale,
             format!("the configuration was last proved current {age_ms} ms ago; retry elsewhere"),
@@ -187,11 +186,20 @@
 
     /// Records that the list of backend servers was read.
     pub fn note_servers_read(&self) {
-        let count = self.servers.borrow().len();
-        self.metrics.servers.set(i64::try_from(count).unwrap_or(i64::MAX));
+        let servers = self.servers.borrow();
+        self.metrics.servers.set(gauge_value(servers.len()));
+        self.metrics.servers_draining.set(gauge_value(servers.draining_count()));
         self.has_servers.set(true);
     }
 
+    /// Shows in the metrics what changes with time and requests.
+    pub fn update_gauges(&self) {
+        let age = self.freshness.borrow().age(self.clock.boot_now());
+        self.metrics.config_age_ms.set(age.map_or(-1, millis_i64));
+        self.metrics.requests.set(gauge_value(self.caller_requests.get()));
+        self.metrics.connections.set(gauge_value(self.caller_connections.get()));
+    }
+
     /// Records that the other nodes are listed and had time to report.
     pub fn note_members_known(&self) {
         if !self.has_members.replace(true) {
@@ -237,3 +245,11 @@
         }
     }
 }
+
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn millis_i64(duration: Duration) -> i64 {
+    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
+}
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -64,6 +64,7 @@
     ) -> Result<Self, Refusal> {
         let Some(known) = table.team_of_key(&team.key) else { return Ok(Self::default()) };
         let wait = node.take_limit(known, step)?;
+        node.metrics.limit_wait_seconds.observe(wait.as_secs_f64());
         let counted = Self { unsent: Some((Rc::clone(node), team.name.clone())) };
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -61,6 +61,10 @@
     /// Last event handed to the caller.
     pub(super) last_event: Option<u64>,
     busy_until: Instant,
+    /// Whether the request was handed to any server.
+    is_sent: bool,
+    /// Whether the caller was handed an event.
+    pub(super) has_event: bool,
 }
 
 /// Counts a request under way at a backend server.
@@ -98,6 +102,8 @@
         ran_at: Vec::new(),
         last_event,
         busy_until,
+        is_sent: false,
+        has_event: false,
     };
     loop {
         if let Some(result) = attempts.step(responder).await? {
@@ -132,7 +138,7 @@
             .map_err(|error| self.invalid(&error))?;
         let ends_at = self.admitted.ends_at.into();
         let sent_at = Instant::now();
-        self.log_sent(&server, time_left, connection.is_reused);
+        self.note_sending(&server, time_left, connection.is_reused);
         let Ok(outcome) = timeout_at(ends_at, connection.send(request)).await else {
             self.mark_run(&server.id);
             return Err(self.out_of_time());
@@ -336,10 +342,14 @@
         );
     }
 
-    fn log_sent(&self, server: &ServerEntry, time_left: Duration, is_reused: bool) {
+    fn note_sending(&mut self, server: &ServerEntry, time_left: Duration, is_reused: bool) {
+        let added = self.admitted.arrived_at.elapsed();
+        if !std::mem::replace(&mut self.is_sent, true) {
+            self.node.metrics.added_seconds.observe(added.as_secs_f64());
+        }
         log::info!(
             "event=sent request={} program={} route={} version={} team={} server={} time_left_ms={} \
-             reused={is_reused}",
+             reused={is_reused} added_ms={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
             self.admitted.route.name,
@@ -347,6 +357,7 @@
             self.admitted.team.as_ref().map_or("-", |team| team.name.as_str()),
             server.id,
             time_left.as_millis(),
+            added.as_millis(),
         );
     }
 
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempt;
+mod frames;
 mod outbound;
 mod relay;
 mod stream;
--- a/crates/daemon/src/front/request/relay.rs
+++ b/crates/daemon/src/front/request/relay.rs
@@ -4,9 +4,9 @@
 use http::{Method, Response};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
-use tokio::time::timeout_at;
 
 use super::attempt::{Attempts, Failure, Relayed};
+use super::frames::next_data;
 use crate::front::connection::responder::{BodyLength, Responder};
 
 /// Bytes up to which an answer is read whole before its first byte is passed on, so that a cut
@@ -37,13 +37,11 @@
     let mut buffered = BytesMut::new();
     let mut is_passing = false;
     loop {
-        let frame = match timeout_at(attempts.admitted.ends_at.into(), body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => return Ok(Relayed::BrokenOff(error.to_string())),
+        let data = match next_data(&mut body, attempts.admitted.ends_at).await {
+            Ok(Some(data)) => data,
             Ok(None) => break,
-            Err(_) => return Ok(Relayed::BrokenOff("the deadline passed".to_owned())),
+            Err(cause) => return Ok(Relayed::BrokenOff(cause)),
         };
-        let Ok(data) = frame.into_data() else { continue };
         buffered.extend_from_slice(&data);
         if buffered.len() > BUFFERED_MAX_BYTES {
             if !is_passing {
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -4,11 +4,10 @@
 use dandelionfront_coordination::events::{EventSplitter, StreamEvent};
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::Response;
-use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
 
 use super::attempt::{Attempts, Failure, Relayed};
+use super::frames::next_data;
 use crate::front::connection::responder::{BodyLength, Responder};
 
 /// Passes a stream on; only whole events in their order reach the caller.
@@ -25,13 +24,11 @@
     }
     let mut splitter = EventSplitter::default();
     loop {
-        let frame = match timeout_at(attempts.admitted.ends_at.into(), body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => return Ok(Relayed::BrokenOff(error.to_string())),
+        let data = match next_data(&mut body, attempts.admitted.ends_at).await {
+            Ok(Some(data)) => data,
             Ok(None) => break,
-            Err(_) => return Ok(Relayed::BrokenOff("the deadline passed".to_owned())),
+            Err(cause) => return Ok(Relayed::BrokenOff(cause)),
         };
-        let Ok(data) = frame.into_data() else { continue };
         if !splitter.push(&data) {
             return Ok(Relayed::BrokenOff("an event is too long".to_owned()));
         }
@@ -70,6 +67,10 @@
         }
         attempts.last_event = Some(id);
     }
+    if !std::mem::replace(&mut attempts.has_event, true) {
+        let elapsed = attempts.admitted.arrived_at.elapsed();
+        attempts.node.metrics.first_event_seconds.observe(elapsed.as_secs_f64());
+    }
     if let Some(turn) = &mut attempts.admitted.turn {
         turn.note_event(&event.data);
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logs;
 pub mod operator;
 pub mod process;
+pub mod registry;
 pub mod request;
 pub mod settings;
 #[cfg(feature = "trial")]
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -10,6 +10,13 @@
 ///
 /// Fails when a logger was set before.
 pub fn init(level: LevelFilter) -> Result<(), SetLoggerError> {
+    dispatch(level).chain(std::io::stderr()).apply()
+}
+
+/// Returns the format and the levels of all log lines, without an output.
+///
+/// Libraries log from `warn` on, the project's own crates from `level` on.
+pub fn dispatch(level: LevelFilter) -> fern::Dispatch {
     fern::Dispatch::new()
         .format(|out, message, record| {
             let elapsed = UNIX_EPOCH.elapsed().unwrap_or_default();
@@ -19,6 +26,5 @@
         .level(LevelFilter::Warn)
         .level_for("dandelionfront", level)
         .level_for("dandelionfront_coordination", level)
-        .chain(std::io::stderr())
-        .apply()
+        .level_for("dandelionfront_platform", level)
 }
--- a/crates/daemon/src/process/metrics.rs
+++ b/crates/daemon/src/process/metrics.rs
@@ -1,10 +1,9 @@
 //! Metrics in the Prometheus text format.
 
 use dandelionfront_coordination::RefusalKind;
-use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+
+use crate::registry::MetricRegistry;
 
 /// Why something was tried again; also the label of the retry counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +37,7 @@
 /// Counters, gauges and histograms of one node.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    registry: Registry,
+    registry: MetricRegistry,
     refusals: IntCounterVec,
     retries: IntCounterVec,
     /// Calls that callers are waiting for.
@@ -71,9 +70,6 @@
     pub programs: IntGauge,
 }
 
-const LATENCY_BUCKETS_S: &[f64] =
-    &[0.001, 0.0025, 0.005, 0.01, 0.027, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0, 30.0];
-
 impl Metrics {
     /// Creates and registers all metrics.
     ///
@@ -82,41 +78,31 @@
     /// Panics when two metrics share a name, which is a fault of this module.
     #[must_use]
     pub fn new() -> Self {
-        let registry = Registry::new();
+        let registry = MetricRegistry::default();
         let metrics = Self {
-            refusals: counters(&registry, "refusals_total", "Requests refused, by reason.", "kind"),
-            retries: counters(&registry, "retries_total", "Tries repeated, by reason.", "reason"),
-            calls_in_flight: gauge(&registry, "calls_in_flight", "Calls that callers wait for."),
-            calls_answered: counter(&registry, "calls_answered_total", "Calls answered."),
-            call_seconds: histogram(&registry, "call_seconds", "Arrival to complete answer."),
-            program_seconds: histogram(&registry, "program_seconds", "Opening to end of programs."),
-            first_token_seconds: histogram(
-                &registry,
-                "first_token_seconds",
-                "Arrival to first token.",
-            ),
-            between_tokens_seconds: histogram(
-                &registry,
-                "between_tokens_seconds",
-                "Time between tokens.",
-            ),
-            commit_seconds: histogram(&registry, "journal_commit_seconds", "Journal commits."),
-            config_version: gauge(&registry, "config_version", "Configuration in force."),
-            peer_sent_bytes: counter(&registry, "peer_sent_bytes_total", "Control bytes sent."),
-            peer_received_bytes: counter(
-                &registry,
-                "peer_received_bytes_total",
-                "Control bytes received.",
-            ),
-            peer_messages: counter(&registry, "peer_messages_total", "Control messages answered."),
-            platform_requests: counters(
-                &registry,
+            refusals: registry.counters("refusals_total", "Requests refused, by reason.", "kind"),
+            retries: registry.counters("retries_total", "Tries repeated, by reason.", "reason"),
+            calls_in_flight: registry.gauge("calls_in_flight", "Calls that callers wait for."),
+            calls_answered: registry.counter("calls_answered_total", "Calls answered."),
+            call_seconds: registry.histogram("call_seconds", "Arrival to complete answer."),
+            program_seconds: registry.histogram("program_seconds", "Opening to end of programs."),
+            first_token_seconds: registry
+                .histogram("first_token_seconds", "Arrival to first token."),
+            between_tokens_seconds: registry
+                .histogram("between_tokens_seconds", "Time between tokens."),
+            commit_seconds: registry.histogram("journal_commit_seconds", "Journal commits."),
+            config_version: registry.gauge("config_version", "Configuration in force."),
+            peer_sent_bytes: registry.counter("peer_sent_bytes_total", "Control bytes sent."),
+            peer_received_bytes: registry
+                .counter("peer_received_bytes_total", "Control bytes received."),
+            peer_messages: registry.counter("peer_messages_total", "Control messages answered."),
+            platform_requests: registry.counters(
                 "platform_requests_total",
                 "Platform requests, by kind.",
                 "kind",
             ),
-            shards: gauge(&registry, "shards", "Shards held."),
-            programs: gauge(&registry, "programs", "Programs held."),
+            shards: registry.gauge("shards", "Shards held."),
+            programs: registry.gauge("programs", "Programs held."),
             registry,
         };
         metrics.touch_labels();
@@ -136,9 +122,7 @@
     /// Returns all metrics as text.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        encoded.map(|()| String::from_utf8_lossy(&text).into_owned()).unwrap_or_default()
+        String::from_utf8_lossy(&self.registry.render()).into_owned()
     }
 
     /// Creates every label, so that a counter exists before its first event.
@@ -161,33 +145,3 @@
 fn retry_label(reason: RetryReason) -> &'static str {
     RETRY_LABELS.iter().find(|(known, _)| *known == reason).map_or("other", |(_, label)| label)
 }
-
-fn name(name: &str) -> String {
-    format!("dandelionfront_{name}")
-}
-
-fn register<M: prometheus::core::Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: prometheus::Result<M>,
-) -> M {
-    let metric = metric.expect("metric names and labels are constants");
-    registry.register(Box::new(metric.clone())).expect("metric names are unique");
-    metric
-}
-
-fn counters(registry: &Registry, metric: &str, help: &str, label: &str) -> IntCounterVec {
-    register(registry, IntCounterVec::new(Opts::new(name(metric), help), &[label]))
-}
-
-fn counter(registry: &Registry, metric: &str, help: &str) -> IntCounter {
-    register(registry, IntCounter::new(name(metric), help))
-}
-
-fn gauge(registry: &Registry, metric: &str, help: &str) -> IntGauge {
-    register(registry, IntGauge::new(name(metric), help))
-}
-
-fn histogram(registry: &Registry, metric: &str, help: &str) -> Histogram {
-    let opts = HistogramOpts::new(name(metric), help).buckets(LATENCY_BUCKETS_S.to_vec());
-    register(registry, Histogram::with_opts(opts))
-}
--- /dev/null
+++ b/crates/daemon/src/registry.rs
@@ -0,0 +1,63 @@
+//! Registration of metrics and their text format.
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder as _, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the buckets of durations, in seconds; they include the users' targets.
+const LATENCY_BUCKETS_S: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.027, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 2.5, 5.0, 10.0, 30.0];
+
+/// Metrics of one process, all named with the prefix `dandelionfront_`.
+#[derive(Debug, Clone, Default)]
+pub struct MetricRegistry(Registry);
+
+impl MetricRegistry {
+    /// Registers counters told apart by `label`.
+    #[must_use]
+    pub fn counters(&self, metric: &str, help: &str, label: &str) -> IntCounterVec {
+        self.register(IntCounterVec::new(Opts::new(name(metric), help), &[label]))
+    }
+
+    /// Registers a counter.
+    #[must_use]
+    pub fn counter(&self, metric: &str, help: &str) -> IntCounter {
+        self.register(IntCounter::new(name(metric), help))
+    }
+
+    /// Registers a gauge.
+    #[must_use]
+    pub fn gauge(&self, metric: &str, help: &str) -> IntGauge {
+        self.register(IntGauge::new(name(metric), help))
+    }
+
+    /// Registers a histogram of durations in seconds.
+    #[must_use]
+    pub fn histogram(&self, metric: &str, help: &str) -> Histogram {
+        let opts = HistogramOpts::new(name(metric), help).buckets(LATENCY_BUCKETS_S.to_vec());
+        self.register(Histogram::with_opts(opts))
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.0.gather(), &mut text) {
+            log::warn!("event=metrics_failed cause=\"{error}\"");
+        }
+        text
+    }
+
+    /// Registers a metric; names and labels are constants, so that a fault shows in any test.
+    fn register<M: Collector + Clone + 'static>(&self, metric: prometheus::Result<M>) -> M {
+        let metric = metric.expect("metric names and labels are valid");
+        self.0.register(Box::new(metric.clone())).expect("metric names are unique");
+        metric
+    }
+}
+
+fn name(metric: &str) -> String {
+    format!("dandelionfront_{metric}")
+}
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -289,6 +289,30 @@
     );
 }
 
+#[ntex::test]
+async fn an_over_long_body_is_refused_at_its_head() {
+    use std::io::{Read as _, Write as _};
+
+    let site = Site::start(1).await;
+    let address = site.nodes[0].listen.clone();
+    let reply = ntex::rt::spawn_blocking(move || {
+        let mut stream = std::net::TcpStream::connect(address).expect("connects");
+        let head = format!(
+            "POST /plain/x HTTP/1.1\r\nhost: h\r\nrequest-id: r\r\nkey: {ALPHA_KEY}\r\n\
+             content-length: 100000000\r\n\r\nfirst bytes"
+        );
+        stream.write_all(head.as_bytes()).expect("written");
+        // Nothing further is sent: the answer must not wait for it.
+        let mut reply = Vec::new();
+        stream.read_to_end(&mut reply).expect("the answer and the end of the connection");
+        String::from_utf8(reply).expect("text")
+    });
+    let reply = reply.await.expect("the task ends");
+    assert!(reply.starts_with("HTTP/1.1 413 "), "{reply}");
+    assert!(reply.contains("connection: close"), "{reply}");
+    assert!(reply.contains("send a smaller one"), "{reply}");
+}
+
 #[ntex::test]
 async fn nodes_that_start_together_know_each_other_once_they_are_ready() {
     let mut site = Site::start(0).await;
