Let lines overflow to the next server only; bound lost runs; share distrust

Logs of two nodes: 2,493 of 2,506 failed attempts are resets by four servers that look healthy, up to 100 a second of one request, which had used up its servers and stayed at the last one until its deadline. A line that leaves a loaded engine went to whichever looked least loaded half a second ago, as did all others, and had its prompt read again there, which is load in turn.

Ruled out: the store (9,000 of 17,000 claims fewer changed nothing there), the limits (647 answers 429), the tools (146 of 54,922 turned away).

Change: - Lines are compared between the first two servers in rank; all servers as alternatives stay as the baseline of the test. - A request that may run again is given up after four runs without a whole answer, also when all of them were at one server. - Nodes report the servers that they avoid; one that two others avoid is avoided.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -34,7 +34,7 @@
 const READ_TRIES: u32 = 4;
 /// Most turns that a claim covers beside the one that asked for it: what a killed node leaves
 /// claimed is lost to its programs.
-const TURNS_AHEAD_MAX: u64 = 4;
+const TURNS_AHEAD_MAX: u64 = 2;
 /// Part of the unclaimed budget that a claim covers ahead, so that another node finds some.
 const AHEAD_SHARE: u64 = 2;
 /// Times that other nodes are asked to give back what they do not use.
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -16,8 +16,10 @@
 /// Which property of a backend server decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlacementPolicy {
-    /// Equal keys go to equal servers unless those are loaded.
+    /// Equal keys go to equal servers, or to the next in rank while those are loaded.
     Affinity,
+    /// The same with all servers as alternatives; the baseline.
+    AffinityAnywhere,
     /// The less loaded of two servers drawn by the key. Loads that other nodes reported some time
     /// ago would send all of them to the same least loaded server.
     TwoChoices,
@@ -25,8 +27,27 @@
     LeastLoaded,
 }
 
-/// Servers that [`PlacementPolicy::TwoChoices`] compares.
-const DRAWN_SERVERS: usize = 2;
+/// What a request asks of its backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// What decides among sound servers.
+    pub policy: PlacementPolicy,
+    /// Key of the placement; requests with equal keys share prompts.
+    pub key: &'a str,
+    /// Whether the request may run again after a failure, so that it may try out a server that
+    /// failed lately.
+    pub may_repeat: bool,
+    /// Servers that must not be chosen.
+    pub excluded: &'a [BackendId],
+}
+
+/// Nodes that must distrust a server for this node to avoid it too: a single one may have lost
+/// its own way there.
+const DISTRUST_QUORUM: u32 = 2;
+/// Servers that are compared. With more, all lines that leave loaded servers would meet on the
+/// one that was the least loaded when the other nodes last reported, and have their prompts read
+/// again there.
+const COMPARED_SERVERS: usize = 2;
 
 /// Cost of another server than the first in rank, in fractions of a server's slots.
 const REREAD_COST: f64 = 0.4;
@@ -57,28 +78,31 @@
     peer_loads: HashMap<MemberId, Vec<(ServerHash, u32)>>,
     /// Sum of `peer_loads`, kept up with each report.
     peer_in_flight: HashMap<ServerHash, u32>,
+    /// Servers that each other node last said to avoid.
+    peer_distrust: HashMap<MemberId, Vec<ServerHash>>,
+    /// Number of nodes that avoid a server, kept up with each report.
+    distrusted_by: HashMap<ServerHash, u32>,
 }
 
 /// Hash of a backend server's identifier, as in reports between nodes.
 pub type ServerHash = u32;
 
 impl Placement {
-    /// Chooses among `servers`, leaving out `excluded`.
+    /// Chooses a server for a request.
     pub fn choose<'a>(
         &self,
-        policy: PlacementPolicy,
-        key: &str,
+        demand: Demand<'_>,
         servers: impl Iterator<Item = &'a ServerEntry>,
-        excluded: &[BackendId],
         now: Duration,
     ) -> Option<&'a ServerEntry> {
+        let Demand { policy, key, may_repeat, excluded } = demand;
         let mut ranked: Vec<(u64, &ServerEntry)> = servers
             .map(|server| (xxh3_64_with_seed(key.as_bytes(), hash(&server.id)), server))
             .collect();
         ranked.sort_unstable_by(|left, right| right.cmp_weight(left));
         let compared = match policy {
-            PlacementPolicy::TwoChoices => DRAWN_SERVERS,
-            PlacementPolicy::Affinity | PlacementPolicy::LeastLoaded => usize::MAX,
+            PlacementPolicy::Affinity | PlacementPolicy::TwoChoices => COMPARED_SERVERS,
+            PlacementPolicy::AffinityAnywhere | PlacementPolicy::LeastLoaded => usize::MAX,
         };
         let offered: Vec<(usize, &ServerEntry)> = ranked
             .into_iter()
@@ -86,7 +110,9 @@
             .map(|(rank, (_, server))| (rank, server))
             .filter(|(_, server)| !excluded.contains(&server.id))
             .collect();
-        let is_sound = |server: &ServerEntry| !self.is_avoided(server, now);
+        let is_sound = |server: &ServerEntry| {
+            !self.is_avoided(server, now) && (may_repeat || !self.is_on_probation(server))
+        };
         let sound = offered.iter().filter(|(_, server)| is_sound(server)).take(compared);
         // Servers that failed lately serve only when there is no other.
         sound
@@ -97,7 +123,14 @@
     }
 
     fn is_avoided(&self, server: &ServerEntry, now: Duration) -> bool {
-        self.views.get(&server.id).is_some_and(|view| now < view.avoid_until)
+        let distrusted_by = self.distrusted_by.get(&server_hash(&server.id)).copied();
+        distrusted_by.unwrap_or_default() >= DISTRUST_QUORUM
+            || self.views.get(&server.id).is_some_and(|view| now < view.avoid_until)
+    }
+
+    /// Returns whether the last request of this node to `server` failed.
+    fn is_on_probation(&self, server: &ServerEntry) -> bool {
+        self.views.get(&server.id).is_some_and(|view| view.failures_in_row > 0)
     }
 
     fn cost(
@@ -114,8 +147,8 @@
         let failed = if self.is_avoided(server, now) { FAILED_COST } else { 0.0 };
         let moved = match policy {
             PlacementPolicy::TwoChoices | PlacementPolicy::LeastLoaded => 0.0,
-            PlacementPolicy::Affinity if rank == 0 => 0.0,
-            PlacementPolicy::Affinity => {
+            _ if rank == 0 => 0.0,
+            PlacementPolicy::Affinity | PlacementPolicy::AffinityAnywhere => {
                 let rank = u32::try_from(rank.min(RANKED_MAX)).unwrap_or(u32::MAX);
                 REREAD_COST + RANK_COST * f64::from(rank)
             }
@@ -159,6 +192,36 @@
         views.map(|(id, view)| (server_hash(id), view.own_in_flight)).collect()
     }
 
+    /// Returns the servers that this node avoids for what it saw itself.
+    #[must_use]
+    pub fn own_distrust(&self, now: Duration) -> Vec<ServerHash> {
+        let avoided = self.views.iter().filter(|(_, view)| now < view.avoid_until);
+        avoided.map(|(id, _)| server_hash(id)).collect()
+    }
+
+    /// Replaces the servers that another node avoids; nothing when it is silent or gone.
+    pub fn set_peer_distrust(&mut self, member: &str, avoided: Vec<ServerHash>) {
+        for server in &avoided {
+            *self.distrusted_by.entry(*server).or_default() += 1;
+        }
+        let previous = if avoided.is_empty() {
+            self.peer_distrust.remove(member)
+        } else {
+            self.peer_distrust.insert(member.to_owned(), avoided)
+        };
+        for server in previous.into_iter().flatten() {
+            if let Some(count) = self.distrusted_by.get_mut(&server) {
+                *count = count.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Forgets what another node said; for one that is silent or gone.
+    pub fn forget_peer(&mut self, member: &str) {
+        self.set_peer_load(member, Vec::new());
+        self.set_peer_distrust(member, Vec::new());
+    }
+
     /// Replaces what another node has under way; nothing when it is silent or gone.
     pub fn set_peer_load(&mut self, member: &str, load: Vec<(ServerHash, u32)>) {
         for (server, in_flight) in &load {
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -53,6 +53,8 @@
     admitted: Vec<(TeamHash, Admitted)>,
     /// Requests under way, by hash of the backend server's identifier.
     in_flight: Vec<(u32, u32)>,
+    /// Hashes of the backend servers that the node avoids because they failed.
+    avoided: Vec<u32>,
     /// Whether the node leaves as planned.
     is_leaving: bool,
     /// Whether the node reaches the platform's store.
@@ -134,7 +136,7 @@
         let members: Vec<SocketAddr> = {
             let limiter = node.limiter.borrow();
             for (member, _) in limiter.members(now).filter(|(_, is_heard)| !is_heard) {
-                node.placement.borrow_mut().set_peer_load(member, Vec::new());
+                node.placement.borrow_mut().forget_peer(member);
             }
             let heard = limiter.members(now).filter(|(_, is_heard)| *is_heard).count();
             node.metrics.members_heard.set(i64::try_from(heard).unwrap_or(i64::MAX));
@@ -144,6 +146,7 @@
             incarnation: self.incarnation,
             admitted: node.limiter.borrow().own_admitted().into_iter().collect(),
             in_flight: node.placement.borrow().own_load(),
+            avoided: node.placement.borrow().own_distrust(now),
             is_leaving,
             has_store: !node.reach.is_lost() && node.table().version() > 0,
         };
@@ -246,7 +249,7 @@
         log::info!("event=member_left member={member}");
         node.limiter.borrow_mut().forget(&member);
         node.reach.note_helper(sender, false, Duration::ZERO);
-        node.placement.borrow_mut().set_peer_load(&member, Vec::new());
+        node.placement.borrow_mut().forget_peer(&member);
         return;
     }
     let admitted = report.admitted.into_iter().collect();
@@ -256,5 +259,7 @@
         limiter.members(now).count()
     };
     node.reach.note_helper(sender, report.has_store, silent_after(members));
-    node.placement.borrow_mut().set_peer_load(&member, report.in_flight);
+    let mut placement = node.placement.borrow_mut();
+    placement.set_peer_load(&member, report.in_flight);
+    placement.set_peer_distrust(&member, report.avoided);
 }
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use dandelionfront_coordination::ids::BackendId;
-use dandelionfront_coordination::placement::PlacementPolicy;
+use dandelionfront_coordination::placement::{Demand, PlacementPolicy};
 use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::{Response, StatusCode};
@@ -58,6 +58,8 @@
     refused_by: Vec<BackendId>,
     /// Servers that may have run the request.
     ran_at: Vec<BackendId>,
+    /// Runs without a whole answer.
+    losses: u32,
     /// Last event handed to the caller.
     pub(super) last_event: Option<u64>,
     busy_until: Instant,
@@ -100,6 +102,7 @@
         admitted,
         refused_by: Vec::new(),
         ran_at: Vec::new(),
+        losses: 0,
         last_event,
         busy_until,
         is_sent: false,
@@ -205,17 +208,15 @@
             Some(_) => PlacementPolicy::Affinity,
             None => PlacementPolicy::TwoChoices,
         };
-        self.node
-            .placement
-            .borrow()
-            .choose(
-                policy,
-                &self.admitted.placement_key,
-                servers.ready(&self.admitted.service),
-                &self.refused_by,
-                self.node.clock.monotonic_now(),
-            )
-            .cloned()
+        let demand = Demand {
+            policy,
+            key: &self.admitted.placement_key,
+            may_repeat: self.admitted.route.repeat.may_repeat(),
+            excluded: &self.refused_by,
+        };
+        let ready = servers.ready(&self.admitted.service);
+        let now = self.node.clock.monotonic_now();
+        self.node.placement.borrow().choose(demand, ready, now).cloned()
     }
 
     /// Returns the server that a further run must use, because no more servers may run it.
@@ -312,7 +313,8 @@
         let runs = u32::try_from(self.ran_at.len()).unwrap_or(u32::MAX);
         let may_go_on = runs < self.admitted.route.attempts_max
             || self.node.servers.borrow().ready_by_id(&server.id).is_some();
-        let tries_left = self.ran_at.len() + self.refused_by.len() < LOST_MAX;
+        self.losses += 1;
+        let tries_left = self.losses < LOST_MAX;
         if self.admitted.route.repeat.may_repeat() && may_go_on && tries_left {
             self.node.metrics.count_retry(RetryReason::AttemptLost);
             self.refused_by.clear();
@@ -375,5 +377,5 @@
 
 /// Pause that a caller is asked to make when every server is busy, in milliseconds.
 const RETRY_BUSY_MS: u64 = 150;
-/// Attempts after which a repeatable request is given up.
-const LOST_MAX: usize = 4;
+/// Runs without a whole answer after which a repeatable request is given up.
+const LOST_MAX: u32 = 4;
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -289,6 +289,19 @@
     );
 }
 
+#[ntex::test]
+async fn a_request_whose_runs_are_all_lost_is_given_up_soon() {
+    let site = Site::start(1).await;
+    for service in &site.services {
+        site.set_faults(&service.address, &json!({ "lose_answers": 1_000 })).await;
+    }
+    let call = Call { id: "r-lost", method: "GET", path: "/lookup/x", ..Call::default() };
+    let reply = site.send(0, &call).await.expect("an answer");
+    assert_eq!(reply.status, 502, "{}", reply.body);
+    let runs = site.record(&site.services).await.len();
+    assert!((2..=4).contains(&runs), "{runs} runs");
+}
+
 #[ntex::test]
 async fn an_over_long_body_is_refused_at_its_head() {
     use std::io::{Read as _, Write as _};
