Follow the three ways from an id to its cause in a test; free ports in tests

Cause: the pages show how an engineer gets from a request id to the cause of three kinds of failure, and no test followed them.

Change: `explain` makes each of the three failures happen and finds its cause with the request's id and the nodes' logs alone: the team's limit and what it sent, the server and the step of a lost call, the killed node that holds a claim of the budget. The site of the front tests waits for each node's first line and starts it again with other ports if they were taken.

Conclusion: the product code is unchanged.

--- /dev/null
+++ b/crates/daemon/tests/explain.rs
@@ -0,0 +1,125 @@
+//! The ways of docs/OPERATIONS.md from a request id to the cause of its failure.
+//!
+//! Each test makes a request fail and then follows the page: it knows the request's id and the logs
+//! of all nodes, and nothing else.
+
+mod support;
+
+use serde_json::json;
+use support::http::eventually;
+use support::site::{Call, SMALL_KEY, Site};
+
+/// Returns the log lines of all nodes that contain every one of `words`.
+fn grep(site: &Site, words: &[&str]) -> Vec<String> {
+    let lines = site.nodes.iter().flat_map(|node| node.process.lines());
+    lines.filter(|line| words.iter().all(|word| line.contains(word))).collect()
+}
+
+/// Waits for the first such line; lines are written some hundred milliseconds late.
+async fn first_line(site: &Site, words: &[&str]) -> String {
+    eventually("the line is written", async || grep(site, words).into_iter().next()).await
+}
+
+/// Returns the value of `key` in a line of key=value pairs, without quotes.
+fn field(line: &str, key: &str) -> String {
+    let marker = format!("{key}=");
+    let begin = line.find(&marker).unwrap_or_else(|| panic!("no {key} in {line}")) + marker.len();
+    let rest = &line[begin..];
+    let end = match rest.strip_prefix('"') {
+        Some(quoted) => return quoted.split("\" ").next().unwrap_or(quoted).to_owned(),
+        None => rest.find(' ').unwrap_or(rest.len()),
+    };
+    rest[..end].to_owned()
+}
+
+#[ntex::test]
+async fn a_turn_refused_during_overload_leads_to_the_teams_limit() {
+    let site = Site::start(2).await;
+    let mut refused = None;
+    for index in 0..8 {
+        let id = format!("burst-{index}");
+        let call = Call { id: &id, key: SMALL_KEY, ..Call::default() };
+        let reply = site.send(index % 2, &call).await.expect("an answer");
+        if reply.status == 429 {
+            refused.get_or_insert(id);
+        }
+    }
+    let id = refused.expect("the burst is two requests");
+
+    let line = first_line(&site, &["event=refused", &format!("request={id} ")]).await;
+    assert_eq!(field(&line, "kind"), "rate_limited");
+    let message = field(&line, "message");
+    assert!(message.contains("share in reach 1.00"), "no node is silent: {message}");
+    let team = message.split(' ').nth(1).expect("the message names the team").to_owned();
+    // The team sent what its limit holds, so the refusal was right.
+    let sent = grep(&site, &["event=sent", &format!("team={team} ")]).len();
+    assert!(sent >= 2, "{sent} requests of {team} were sent before");
+}
+
+#[ntex::test]
+async fn a_call_that_ended_in_502_leads_to_the_server_and_the_step() {
+    let site = Site::start(2).await;
+    for service in &site.services {
+        site.set_faults(&service.address, &json!({ "lose_answers": 1 })).await;
+    }
+    let call = Call { id: "call-lost", ..Call::default() };
+    let reply = site.send(1, &call).await.expect("an answer");
+    assert_eq!(reply.status, 502, "{}", reply.body);
+
+    let refused = first_line(&site, &["event=refused", "request=call-lost "]).await;
+    assert_eq!(field(&refused, "kind"), "backend_failed");
+    let sent = grep(&site, &["event=sent", "request=call-lost "]);
+    assert_eq!(sent.len(), 1, "its route does not allow a second run: {sent:?}");
+    let failed = first_line(&site, &["event=attempt_failed", "request=call-lost "]).await;
+    assert_eq!(field(&failed, "step"), "answer", "the call may have run");
+    let server = field(&sent[0], "server");
+    assert_eq!(field(&failed, "server"), server);
+    let ran = site.record(&site.services).await;
+    assert!(ran.iter().any(|run| Site::header(run, "request-id") == "call-lost"), "{ran:?}");
+    assert!(grep(&site, &["event=server_gone", &server]).is_empty(), "it was not leaving");
+}
+
+#[ntex::test]
+async fn a_budget_that_was_not_spent_leads_to_the_node_that_was_killed() {
+    let mut site = Site::start(2).await;
+    let turn = async |site: &Site, node: usize, id: &str| {
+        let headers = [
+            ("program-id", "p-lost"),
+            ("session-id", "p-lost"),
+            ("finish-ms", "9000"),
+            ("token-usage", "100,50"),
+            ("token-budget", "200"),
+        ];
+        let call = Call { id, path: "/stream/talk/a", headers: &headers, ..Call::default() };
+        site.send(node, &call).await.expect("an answer")
+    };
+    assert_eq!(turn(&site, 0, "turn-0").await.status, 200);
+    site.nodes[0].process.kill();
+    let mut refused = None;
+    for index in 1..10 {
+        let id = format!("turn-{index}");
+        if turn(&site, 1, &id).await.status == 402 {
+            refused = Some(id);
+            break;
+        }
+    }
+    let id = refused.expect("the budget ends");
+
+    let line = first_line(&site, &["event=refused", &format!("request={id} ")]).await;
+    assert_eq!(field(&line, "kind"), "budget_exhausted");
+    let program = field(&line, "program");
+    let spent = first_line(&site, &["event=budget_spent", &format!("program={program} ")]).await;
+    let settled: u64 = field(&spent, "settled").parse().expect("a number");
+    let budget: u64 = field(&spent, "budget").parse().expect("a number");
+    assert!(settled < budget, "the row alone does not hold the whole budget: {spent}");
+    let claims = field(&spent, "claims");
+    let claimant = claims.split('"').nth(1).expect("a claim is left").to_owned();
+    assert_ne!(claimant, field(&spent, "claimant"), "it is another node's: {spent}");
+    let holder = site.nodes.iter().position(|node| {
+        let marker = format!("event=claimant vm=node claimant={claimant}");
+        node.process.lines().iter().any(|line| line.contains(&marker))
+    });
+    assert_eq!(holder, Some(0), "the claim names the node that was killed");
+    let stopped = site.nodes[0].process.lines().iter().any(|line| line.contains("event=stopped"));
+    assert!(!stopped, "it did not stop as planned");
+}
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -331,9 +331,7 @@
     let mut site = Site::start(0).await;
     // All of them read the list before any of them is in it.
     site.set_faults(&site.store, &json!({ "delay_ms": 200 })).await;
-    for _ in 0..3 {
-        site.add_node();
-    }
+    site.add_nodes(3);
     site.wait_ready().await;
     for node in 0..3 {
         let metrics = site.metrics(node).await;
@@ -347,7 +345,7 @@
     let any = "127.0.0.1:0".parse().expect("valid");
     let target = site.store.parse().expect("an address");
     let (proxy, control) = FaultProxy::spawn(any, any, target).expect("starts");
-    site.add_node_with_store(&proxy.to_string());
+    site.add_nodes_with_store(1, &proxy.to_string());
     site.wait_ready().await;
     let refuse = json!({ "refuse": true, "close_open": true });
     site.http.put_json(&control.to_string(), "/v1/faults", &refuse).await;
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 use dandelionfront_standins::site::{Runner, RunnerSettings, SiteStore};
 use ntex::client::ClientRequest;
@@ -18,6 +19,10 @@
 pub const SMALL_KEY: &str = "key-of-small";
 /// Host of all routes.
 const HOST: &str = "calls.example";
+/// Longest wait for a node's first line.
+const START_WAIT: Duration = Duration::from_secs(20);
+/// Pause between two looks for it.
+const START_CHECK: Duration = Duration::from_millis(5);
 /// Events of a whole stream.
 pub const EVENTS: u64 = 4;
 /// Tokens that each event counts.
@@ -32,6 +37,26 @@
     settings: PathBuf,
 }
 
+impl SiteNode {
+    /// Waits until the node has bound its addresses; returns whether they were free.
+    fn has_started(&self) -> bool {
+        let deadline = Instant::now() + START_WAIT;
+        while Instant::now() < deadline {
+            let lines = self.process.lines();
+            if lines.iter().any(|line| line.contains("event=started")) {
+                return true;
+            }
+            let failure = lines.iter().find(|line| line.contains("event=start_failed"));
+            if let Some(failure) = failure {
+                assert!(failure.contains("Address already in use"), "{failure}");
+                return false;
+            }
+            std::thread::sleep(START_CHECK);
+        }
+        panic!("the node did not start: {:#?}", self.process.lines());
+    }
+}
+
 impl Drop for SiteNode {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.settings);
@@ -134,9 +159,7 @@
                 .await;
         }
         site.publish(site.config.clone()).await;
-        for _ in 0..nodes {
-            site.add_node();
-        }
+        site.add_nodes(nodes);
         site.wait_ready().await;
         site
     }
@@ -168,11 +191,29 @@
 
     /// Starts one more node.
     pub fn add_node(&mut self) {
-        self.add_node_with_store(&self.store.clone());
+        self.add_nodes(1);
+    }
+
+    /// Starts more nodes at the same time.
+    pub fn add_nodes(&mut self, count: usize) {
+        self.add_nodes_with_store(count, &self.store.clone());
+    }
+
+    /// Starts more nodes that reach the store at `store`.
+    ///
+    /// A free port may be taken by a test that runs beside this one before a node binds it; such a
+    /// node starts again with others.
+    pub fn add_nodes_with_store(&mut self, count: usize, store: &str) {
+        let nodes: Vec<SiteNode> = (0..count).map(|_| Self::start_node(store)).collect();
+        for mut node in nodes {
+            while !node.has_started() {
+                node = Self::start_node(store);
+            }
+            self.nodes.push(node);
+        }
     }
 
-    /// Starts one more node that reaches the store at `store`.
-    pub fn add_node_with_store(&mut self, store: &str) {
+    fn start_node(store: &str) -> SiteNode {
         let (listen, ready, metrics) = (free_address(), free_address(), free_address());
         let peer_port = free_address().port();
         let settings = format!(
@@ -189,13 +230,13 @@
         let mut args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
         args.push(metrics.port().to_string());
         let process = ChildProcess::daemon(&args, &[]);
-        self.nodes.push(SiteNode {
+        SiteNode {
             process,
             listen: listen.to_string(),
             ready: ready.to_string(),
             metrics: metrics.to_string(),
             settings: path,
-        });
+        }
     }
 
     /// Waits until every node is ready.
