Split two long files; one gate for the faults of both store stand-ins

The claims and notices that look alike in metrics and tests are lists of data, and stay.

Change: moves only. `limits/escrow/moves.rs` has how shares move between holders, `owner/finish.rs` how attempts end; `standins/faults.rs` has `StoreFaults` and the gate that both stand-ins call, and the countdown that the rows in memory had again. No behaviour changes; no test changes.

--- /dev/null
+++ b/crates/coordination/src/limits/escrow/moves.rs
@@ -0,0 +1,120 @@
+//! Shares that move between holders: surplus ones, those of lost members, and at a planned stop.
+
+use std::time::Duration;
+
+use log::{debug, info};
+
+use super::{Escrow, KnownRow, parse_row};
+use crate::config::ConfigSnapshot;
+use crate::ids::{IncarnationId, TeamId};
+use crate::limits::shares::{holder_count, preferred_holders};
+use crate::members::Member;
+use crate::platform::{PlatformResult, Table, scan_all};
+
+impl Escrow {
+    /// Gives this node's surplus shares to other holders, after a burst was lowered.
+    pub(super) async fn merge_shares(
+        &self,
+        config: &ConfigSnapshot,
+        members: &[Member],
+    ) -> PlatformResult<()> {
+        for (team, known, heir) in self.surplus_shares(config) {
+            // Nothing is spent from here on, before the heir may spend the share.
+            self.buckets.borrow_mut().remove(&team);
+            self.transfer(&team, known, self.incarnation.id(), &heir).await?;
+            self.notify_heir(&heir, &team, members).await;
+        }
+        Ok(())
+    }
+
+    /// Tells `heir` that it was given a share; a loss is made up for by the next request to it.
+    async fn notify_heir(&self, heir: &str, team: &TeamId, members: &[Member]) {
+        let version = self.rows.borrow().get(team).map_or(0, |known| known.version);
+        if let Some(member) = members.iter().find(|member| member.id == heir)
+            && let Err(error) = self.peers.limit_moved(&member.peer_address, team, version).await
+        {
+            debug!("event=limit_notice_lost team={team} cause={error:?}");
+        }
+    }
+
+    /// Returns this node's shares that are too small to keep, each with its heir.
+    pub(super) fn surplus_shares(
+        &self,
+        config: &ConfigSnapshot,
+    ) -> Vec<(TeamId, KnownRow, IncarnationId)> {
+        let own_id = self.incarnation.id();
+        let rows = self.rows.borrow();
+        let surplus = rows.iter().filter_map(|(team, known)| {
+            let heir = known.row.surplus_heir(own_id, holder_count(config.team_limit(team)?))?;
+            Some((team.clone(), known.clone(), heir.clone()))
+        });
+        surplus.collect()
+    }
+
+    /// Takes over the shares of members that can spend nothing any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be read or written; the next call continues.
+    pub async fn reclaim(&self, members: &[Member]) -> PlatformResult<()> {
+        let now = self.clock.monotonic();
+        self.gone.note(members, now);
+        let own_id = self.incarnation.id();
+        let due = self.gone.due(own_id, members, &self.heartbeats, now);
+        if due.is_empty() {
+            return Ok(());
+        }
+        let mut complete = true;
+        for row in scan_all(&*self.table, Table::Limits, "", "").await? {
+            let (team, known) = parse_row(row)?;
+            let mut lost = due.iter().filter(|holder| known.row.share(holder).is_some());
+            let Some(holder) = lost.next() else { continue };
+            // One transfer a row; what is left is found by the next call.
+            complete &= lost.next().is_none();
+            info!("event=limit_reclaimed team={team} from={holder}");
+            complete &= self.transfer(&team, known.clone(), holder, own_id).await?;
+        }
+        if complete {
+            self.gone.settle(due);
+        }
+        Ok(())
+    }
+
+    /// Returns fenced members that are gone for longer than `age`.
+    #[must_use]
+    pub fn gone_for(&self, age: Duration, members: &[Member]) -> Vec<IncarnationId> {
+        self.gone.gone_for(age, members, self.clock.monotonic())
+    }
+
+    /// Hands all shares over before a planned stop; nothing is spent from here on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform cannot be written; the next call continues.
+    pub async fn hand_over(&self, members: &[Member]) -> PlatformResult<()> {
+        self.handed_over.set(true);
+        self.buckets.borrow_mut().clear();
+        let own_id = self.incarnation.id().to_owned();
+        for row in scan_all(&*self.table, Table::Limits, "", "").await? {
+            let (team, known) = parse_row(row)?;
+            let heir = preferred_holders(members, &team).into_iter().find(|id| *id != own_id);
+            if let (Some(_), Some(heir)) = (known.row.share(&own_id), heir) {
+                self.transfer(&team, known, &own_id, &heir).await?;
+                self.notify_heir(&heir, &team, members).await;
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) async fn transfer(
+        &self,
+        team: &TeamId,
+        known: KnownRow,
+        from: &str,
+        to: &str,
+    ) -> PlatformResult<bool> {
+        let mut row = known.row;
+        row.transfer(from, to);
+        self.write(team, known.version, row).await
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/owner/finish.rs
@@ -0,0 +1,101 @@
+//! Ends of attempts: what is recorded of them and what their callers get.
+
+use futures_util::future::{Either, select};
+
+use super::refusals::unrecorded_end;
+use super::{AttemptEnd, CallTicket, Owner};
+use crate::call::{Answer, CallRequest};
+use crate::journal::unix_ms;
+use crate::payload::Body;
+use crate::record::{CloseReason, Record, StoredAnswer};
+use crate::refusal::Refusal;
+
+impl Owner {
+    /// Records the end of an attempt and closes its feed; `recorded` runs in between.
+    pub async fn finish(
+        &self,
+        ticket: &CallTicket,
+        request: &CallRequest,
+        end: AttemptEnd,
+        recorded: impl FnOnce(),
+    ) {
+        let (record, outcome) = Self::end_records(ticket, request, end);
+        if outcome.is_err() {
+            self.mark_scattered(&ticket.program);
+        }
+        if let Some(record) = record {
+            let mut records = vec![record];
+            records.extend(self.single_call_closing(request, &outcome));
+            self.record_end(ticket, records, outcome, recorded).await;
+        } else {
+            ticket.feed.close(outcome);
+        }
+        self.clear_live(&ticket.program);
+    }
+
+    /// Commits the end of an attempt and closes its feed, at the latest when the wait is over.
+    async fn record_end(
+        &self,
+        ticket: &CallTicket,
+        records: Vec<Record>,
+        outcome: Result<Answer, Refusal>,
+        recorded: impl FnOnce(),
+    ) {
+        let commit = std::pin::pin!(self.commit(self.append(&ticket.program, records)));
+        let timeout = self.clock.sleep(self.settings.end_commit_wait);
+        match select(commit, timeout).await {
+            Either::Left((committed, _)) => {
+                recorded();
+                ticket.feed.close(committed.and(outcome));
+            }
+            Either::Right(((), commit)) => {
+                // The call stays live until the commit, so that a repeat gets this answer at once
+                // and the recorded one later.
+                ticket.feed.close(Err(unrecorded_end(outcome)));
+                let _ = commit.await;
+            }
+        }
+    }
+
+    fn end_records(
+        ticket: &CallTicket,
+        request: &CallRequest,
+        end: AttemptEnd,
+    ) -> (Option<Record>, Result<Answer, Refusal>) {
+        let call = ticket.key.clone();
+        let recorded = ticket.dispatch_before.is_some();
+        match end {
+            AttemptEnd::Answered { answer, usage, backend } => {
+                let stored = StoredAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type.clone(),
+                    body: Body::Inline(answer.body.clone()),
+                };
+                let request = Body::Inline(request.body.clone());
+                let record = Record::Finished { call, request, answer: stored, usage, backend };
+                (Some(record), Ok(answer))
+            }
+            AttemptEnd::NotSent(refusal) => {
+                (recorded.then_some(Record::Cancelled { call }), Err(refusal))
+            }
+            AttemptEnd::Lost(refusal) if call.repeatable => {
+                let charged_tokens = ticket.reserved_tokens;
+                (recorded.then_some(Record::Failed { call, charged_tokens }), Err(refusal))
+            }
+            AttemptEnd::Lost(_) => {
+                (Some(Record::InDoubt { call }), Err(Refusal::outcome_unknown()))
+            }
+        }
+    }
+
+    fn single_call_closing(
+        &self,
+        request: &CallRequest,
+        outcome: &Result<Answer, Refusal>,
+    ) -> Option<Record> {
+        (request.single && outcome.is_ok()).then(|| Record::Closed {
+            reason: CloseReason::Ended,
+            closed_unix_ms: unix_ms(&*self.clock),
+        })
+    }
+}
--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Owner side of programs: admits calls in order, records them, and settles their outcomes.
 
+mod finish;
 mod refusals;
 mod table;
 mod types;
@@ -11,15 +12,14 @@
 use futures_util::future::{Either, select};
 use tokio::sync::Notify;
 
-use crate::call::{Answer, CallFeed, CallRequest};
+use crate::call::{CallFeed, CallRequest};
 use crate::clock::Clock;
 use crate::ids::{ProgramId, ShardId, shard_of_program};
 use crate::journal::{Commit, CommitApplier, CommitTicket, Journal, JournalError, unix_ms};
-use crate::payload::Body;
 use crate::program::{CallPhase, Decision, Program, program_closed};
 use crate::record::{CallKey, CloseReason, Entry, Record, StoredAnswer};
 use crate::refusal::{Refusal, RefusalKind};
-use refusals::{budget_exhausted, platform_unavailable, unrecorded_end};
+use refusals::{budget_exhausted, platform_unavailable};
 use table::{Live, ProgramTable, Slot};
 
 pub use table::Unreleased;
@@ -160,52 +160,6 @@
         }
     }
 
-    /// Records the end of an attempt and closes its feed; `recorded` runs in between.
-    pub async fn finish(
-        &self,
-        ticket: &CallTicket,
-        request: &CallRequest,
-        end: AttemptEnd,
-        recorded: impl FnOnce(),
-    ) {
-        let (record, outcome) = Self::end_records(ticket, request, end);
-        if outcome.is_err() {
-            self.mark_scattered(&ticket.program);
-        }
-        if let Some(record) = record {
-            let mut records = vec![record];
-            records.extend(self.single_call_closing(request, &outcome));
-            self.record_end(ticket, records, outcome, recorded).await;
-        } else {
-            ticket.feed.close(outcome);
-        }
-        self.clear_live(&ticket.program);
-    }
-
-    /// Commits the end of an attempt and closes its feed, at the latest when the wait is over.
-    async fn record_end(
-        &self,
-        ticket: &CallTicket,
-        records: Vec<Record>,
-        outcome: Result<Answer, Refusal>,
-        recorded: impl FnOnce(),
-    ) {
-        let commit = std::pin::pin!(self.commit(self.append(&ticket.program, records)));
-        let timeout = self.clock.sleep(self.settings.end_commit_wait);
-        match select(commit, timeout).await {
-            Either::Left((committed, _)) => {
-                recorded();
-                ticket.feed.close(committed.and(outcome));
-            }
-            Either::Right(((), commit)) => {
-                // The call stays live until the commit, so that a repeat gets this answer at once
-                // and the recorded one later.
-                ticket.feed.close(Err(unrecorded_end(outcome)));
-                let _ = commit.await;
-            }
-        }
-    }
-
     /// Returns the programs of a shard, for a checkpoint or a release.
     #[must_use]
     pub fn programs_of(&self, shard: ShardId) -> Vec<Program> {
@@ -353,48 +307,6 @@
         Err(refusal)
     }
 
-    fn end_records(
-        ticket: &CallTicket,
-        request: &CallRequest,
-        end: AttemptEnd,
-    ) -> (Option<Record>, Result<Answer, Refusal>) {
-        let call = ticket.key.clone();
-        let recorded = ticket.dispatch_before.is_some();
-        match end {
-            AttemptEnd::Answered { answer, usage, backend } => {
-                let stored = StoredAnswer {
-                    status: answer.status,
-                    content_type: answer.content_type.clone(),
-                    body: Body::Inline(answer.body.clone()),
-                };
-                let request = Body::Inline(request.body.clone());
-                let record = Record::Finished { call, request, answer: stored, usage, backend };
-                (Some(record), Ok(answer))
-            }
-            AttemptEnd::NotSent(refusal) => {
-                (recorded.then_some(Record::Cancelled { call }), Err(refusal))
-            }
-            AttemptEnd::Lost(refusal) if call.repeatable => {
-                let charged_tokens = ticket.reserved_tokens;
-                (recorded.then_some(Record::Failed { call, charged_tokens }), Err(refusal))
-            }
-            AttemptEnd::Lost(_) => {
-                (Some(Record::InDoubt { call }), Err(Refusal::outcome_unknown()))
-            }
-        }
-    }
-
-    fn single_call_closing(
-        &self,
-        request: &CallRequest,
-        outcome: &Result<Answer, Refusal>,
-    ) -> Option<Record> {
-        (request.single && outcome.is_ok()).then(|| Record::Closed {
-            reason: CloseReason::Ended,
-            closed_unix_ms: unix_ms(&*self.clock),
-        })
-    }
-
     /// Creates the implicit program of a single call, to be recorded with the call's first record.
     fn ensure_single(&self, request: &CallRequest) {
         if !request.single || self.table.contains(&request.program) {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod engine;
+pub mod faults;
 pub mod http;
 pub mod platform;
 pub mod proxy;
@@ -16,7 +17,8 @@
 
 pub use clock::StepClock;
 pub use engine::{Engine, EngineSettings};
-pub use platform::{Platform, PlatformFaults};
+pub use faults::StoreFaults;
+pub use platform::Platform;
 pub use proxy::{FaultProxy, ProxyFaults};
 pub use rows::MemoryRows;
 pub use service::{Service, ServiceSettings};
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -2,30 +2,18 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 
 use dandelionfront_coordination::platform::{KeyQuery, ScanQuery, Transaction, Vm};
-use ntex::time::{Millis, sleep};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, types::Json, types::Query, types::State};
 use serde::{Deserialize, Serialize};
 
-use crate::http::{lock, serve};
+use crate::faults::{FaultGate, StoreFaults};
+use crate::http::serve;
 use crate::table::MemoryTable;
 
-/// Faults that the stand-in shows.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct PlatformFaults {
-    /// Answers every request with 503.
-    pub outage: bool,
-    /// Delays every answer.
-    pub delay_ms: u32,
-    /// Closes the connection instead of answering this many transactions that took effect.
-    pub lose_answers: u32,
-}
-
 /// Requests served.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct PlatformStats {
@@ -41,7 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Platform {
     memory: Arc<MemoryTable>,
-    faults: Mutex<PlatformFaults>,
+    faults: FaultGate,
     stats: PlatformStats,
 }
 
@@ -54,21 +42,6 @@
     pub fn spawn(listen: SocketAddr) -> io::Result<SocketAddr> {
         serve(listen, Arc::new(Self::default()), routes)
     }
-
-    async fn pass(&self) -> Option<HttpResponse> {
-        let faults = lock(&self.faults).clone();
-        if faults.delay_ms > 0 {
-            sleep(Millis(faults.delay_ms)).await;
-        }
-        faults.outage.then(|| HttpResponse::ServiceUnavailable().finish())
-    }
-
-    fn loses_answer(&self) -> bool {
-        let mut faults = lock(&self.faults);
-        let loses = faults.lose_answers > 0;
-        faults.lose_answers = faults.lose_answers.saturating_sub(1);
-        loses
-    }
 }
 
 fn routes(config: &mut web::ServiceConfig) {
@@ -92,7 +65,7 @@
 type Shared = State<Arc<Platform>>;
 
 async fn get_row(platform: Shared, query: Query<KeyQuery>) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     platform.stats.reads.fetch_add(1, Ordering::Relaxed);
@@ -100,7 +73,7 @@
 }
 
 async fn get_rows(platform: Shared, query: Query<ScanQuery>) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     platform.stats.reads.fetch_add(1, Ordering::Relaxed);
@@ -109,12 +82,12 @@
 }
 
 async fn transact(platform: Shared, transaction: Json<Transaction>) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     platform.stats.writes.fetch_add(1, Ordering::Relaxed);
     let outcome = platform.memory.apply(&transaction);
-    if platform.loses_answer() {
+    if platform.faults.loses_answer() {
         return HttpResponse::GatewayTimeout().force_close().finish();
     }
     HttpResponse::Ok().json(&outcome)
@@ -125,7 +98,7 @@
 }
 
 async fn get_object(platform: Shared, request: HttpRequest) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     platform.stats.objects.fetch_add(1, Ordering::Relaxed);
@@ -136,7 +109,7 @@
 }
 
 async fn put_object(platform: Shared, request: HttpRequest, body: Bytes) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     platform.stats.objects.fetch_add(1, Ordering::Relaxed);
@@ -145,7 +118,7 @@
 }
 
 async fn delete_object(platform: Shared, request: HttpRequest) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     platform.memory.delete_object(&object_key(&request));
@@ -153,7 +126,7 @@
 }
 
 async fn get_vms(platform: Shared) -> HttpResponse {
-    if let Some(fault) = platform.pass().await {
+    if let Some(fault) = platform.faults.pass().await {
         return fault;
     }
     HttpResponse::Ok().json(&platform.memory.list_vms())
@@ -164,8 +137,8 @@
     HttpResponse::NoContent().finish()
 }
 
-async fn put_faults(platform: Shared, faults: Json<PlatformFaults>) -> HttpResponse {
-    *lock(&platform.faults) = faults.into_inner();
+async fn put_faults(platform: Shared, faults: Json<StoreFaults>) -> HttpResponse {
+    platform.faults.set(faults.into_inner());
     HttpResponse::NoContent().finish()
 }
 
--- a/crates/standins/src/rows.rs
+++ b/crates/standins/src/rows.rs
@@ -8,6 +8,7 @@
     RowChange, RowRead, RowStore, RowStoreError, RowWrite, VersionedRow,
 };
 
+use crate::faults::take;
 use crate::http::lock;
 
 /// Table, part and key of a row.
@@ -146,12 +147,6 @@
     }
 }
 
-fn take(count: &mut u32) -> bool {
-    let is_left = *count > 0;
-    *count = count.saturating_sub(1);
-    is_left
-}
-
 #[async_trait(?Send)]
 impl RowStore for MemoryRows {
     async fn get(
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -4,4 +4,4 @@
 pub mod store;
 
 pub use runner::{Runner, RunnerFaults, RunnerSettings};
-pub use store::{SiteStore, StoreFaults};
+pub use store::SiteStore;
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -9,29 +9,18 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use ntex::time::{Millis, sleep};
 use ntex::web::{self, HttpResponse, types::Json, types::Query, types::State};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::{Value, json};
 
+use crate::faults::{FaultGate, StoreFaults};
 use crate::http::{lock, serve};
 use crate::rows::{RowName, RowTable, RowUpdates};
 
-/// Faults that the store shows.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct StoreFaults {
-    /// Answers every call with 503.
-    pub outage: bool,
-    /// Delays every answer.
-    pub delay_ms: u32,
-    /// Closes the connection instead of answering this many transactions that took effect.
-    pub lose_answers: u32,
-}
-
 /// The store stand-in.
 #[derive(Debug, Default)]
 pub struct SiteStore {
     rows: Mutex<RowTable>,
-    faults: Mutex<StoreFaults>,
+    faults: FaultGate,
     transactions: Mutex<u64>,
 }
 
@@ -111,21 +100,6 @@
         serve(listen, Arc::new(Self::default()), routes)
     }
 
-    async fn pass(&self) -> Option<HttpResponse> {
-        let faults = lock(&self.faults).clone();
-        if faults.delay_ms > 0 {
-            sleep(Millis(faults.delay_ms)).await;
-        }
-        faults.outage.then(|| HttpResponse::ServiceUnavailable().finish())
-    }
-
-    fn loses_answer(&self) -> bool {
-        let mut faults = lock(&self.faults);
-        let loses = faults.lose_answers > 0;
-        faults.lose_answers = faults.lose_answers.saturating_sub(1);
-        loses
-    }
-
     fn stamp(&self, mut answer: Value) -> Value {
         answer["ver"] = lock(&self.rows).version().into();
         answer["nowMs"] = crate::http::unix_ms().into();
@@ -147,7 +121,7 @@
 type Shared = State<Arc<SiteStore>>;
 
 async fn transact(store: Shared, transaction: Json<Transaction>) -> HttpResponse {
-    if let Some(fault) = store.pass().await {
+    if let Some(fault) = store.faults.pass().await {
         return fault;
     }
     *lock(&store.transactions) += 1;
@@ -163,7 +137,7 @@
     }
     updates.extend(remove.into_iter().map(|row| (row.name(), None)));
     let outcome = lock(&store.rows).transact(&expected, updates);
-    if store.loses_answer() {
+    if store.faults.loses_answer() {
         return HttpResponse::GatewayTimeout().force_close().finish();
     }
     match outcome {
@@ -191,7 +165,7 @@
 }
 
 async fn get_rows(store: Shared, query: Query<RangeQuery>) -> HttpResponse {
-    if let Some(fault) = store.pass().await {
+    if let Some(fault) = store.faults.pass().await {
         return fault;
     }
     let (page, has_more) = {
@@ -210,7 +184,7 @@
 async fn feed(store: Shared, query: Query<FeedQuery>) -> HttpResponse {
     let ends_at = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
-        if let Some(fault) = store.pass().await {
+        if let Some(fault) = store.faults.pass().await {
             return fault;
         }
         let Some(changes) = lock(&store.rows).changes(&query.table, query.after) else {
@@ -234,7 +208,7 @@
 }
 
 async fn put_faults(store: Shared, faults: Json<StoreFaults>) -> HttpResponse {
-    *lock(&store.faults) = faults.into_inner();
+    store.faults.set(faults.into_inner());
     HttpResponse::NoContent().finish()
 }
 
