Claim budget ahead only for programs that stay with a node

Ruled out: smaller claims for all, which costs a write for each turn of programs that stay with a node; a larger divisor, which on paper still spends such a budget on twelve nodes.

Change: a node claims for later turns only if no other node has a claim or it served the program before; it asks the holders of the largest claims, as few as cover a turn (three at least). A program whose first turn is refused can release its claim and counts as new when it returns.

Tests: two, both fail on the code before (a program spread over twelve killed nodes; a program refused at its first turn).

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -43,6 +43,8 @@
 const AHEAD_DIVISOR: u64 = 2;
 /// Maximum rounds of release requests per reservation.
 const RELEASE_ROUNDS_MAX: u32 = 2;
+/// Minimum number of nodes asked to release tokens, because some may have failed.
+const HOLDERS_ASKED_MIN: usize = 3;
 /// Initial backoff after a reservation that used all its rounds of release requests. It doubles
 /// with each further one until a claim succeeds, because a program that retries in an endless loop
 /// would otherwise cause a steady stream of requests.
@@ -50,7 +52,7 @@
 /// Maximum backoff between release requests.
 const RELEASE_BACKOFF_MAX: Duration = Duration::from_secs(4);
 /// Time that other nodes get to release tokens before the row is read again.
-const RELEASE_WAIT: Duration = Duration::from_millis(25);
+const RELEASE_WAIT: Duration = Duration::from_millis(35);
 
 /// Identifier of one process of a node, used in claims.
 pub type ClaimantId = String;
@@ -150,6 +152,15 @@
         self.failed_release_attempts += 1;
     }
 
+    /// Returns whether a claim may also cover later turns.
+    ///
+    /// A program that was started at another node may be spread over many nodes, each of which
+    /// would keep tokens for turns that run elsewhere. Once it returns to a node, it probably stays.
+    fn may_claim_ahead(&self, claimant: &str) -> bool {
+        let claims = &self.ledger.claimed_tokens;
+        claims.is_empty() || claims.contains_key(claimant)
+    }
+
     fn own_claim(&self, claimant: &str) -> u64 {
         self.ledger.claimed_tokens.get(claimant).copied().unwrap_or_default()
     }
@@ -228,7 +239,7 @@
                     let own_tokens = next.settled_tokens + cached.running_tokens + tokens_max;
                     let is_requested = own_tokens <= budget_tokens
                         && release_rounds_left > 0
-                        && self.request_release(program, &next);
+                        && self.request_release(program, &next, tokens_max);
                     if !is_requested {
                         self.log_spent(program, &cached, &next, budget_tokens);
                         return Err(ReserveError::BudgetSpent { committed_tokens, budget_tokens });
@@ -244,10 +255,15 @@
                 is_current = true;
                 continue;
             };
-            let ahead = tokens_max.saturating_mul(TURNS_AHEAD_MAX).min(unclaimed / AHEAD_DIVISOR);
+            let ahead = if cached.may_claim_ahead(&self.claimant) {
+                tokens_max.saturating_mul(TURNS_AHEAD_MAX).min(unclaimed / AHEAD_DIVISOR)
+            } else {
+                0
+            };
             let claim = cached.running_tokens + tokens_max + ahead;
             next.set_claim(&self.claimant, claim);
-            let is_first = cached.row_version == 0;
+            // The row of a program that was refused at its first turn is empty again.
+            let is_first = cached.ledger == Ledger::default();
             is_current = true;
             let written = match self.write(program, &mut cached, next).await {
                 Err(ReserveError::Store { source: RowStoreError::Refused { status } })
@@ -277,12 +293,30 @@
         Err(ReserveError::Contended)
     }
 
-    /// Sends release requests to the other nodes with claims; returns whether any was sent.
-    fn request_release(&self, program: &str, ledger: &Ledger) -> bool {
-        let claimants = ledger.claimed_tokens.keys();
-        let others: Vec<ClaimantId> =
-            claimants.filter(|claimant| **claimant != self.claimant).cloned().collect();
-        !others.is_empty() && self.release_requester.request_release(program, &others)
+    /// Sends release requests to the nodes with the largest claims, as far as needed to cover
+    /// `missing_tokens`; returns whether any was sent.
+    ///
+    /// Each of these nodes writes the row, so the writes of more nodes would only conflict.
+    fn request_release(&self, program: &str, ledger: &Ledger, missing_tokens: u64) -> bool {
+        let mut others: Vec<(&ClaimantId, u64)> = ledger
+            .claimed_tokens
+            .iter()
+            .filter(|(claimant, _)| **claimant != self.claimant)
+            .map(|(claimant, tokens)| (claimant, *tokens))
+            .collect();
+        others.sort_unstable_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
+        let mut covered_tokens = 0;
+        let holders: Vec<ClaimantId> = others
+            .into_iter()
+            .enumerate()
+            .take_while(|(index, (_, tokens))| {
+                let is_needed = *index < HOLDERS_ASKED_MIN || covered_tokens < missing_tokens;
+                covered_tokens += tokens;
+                is_needed
+            })
+            .map(|(_, (claimant, _))| claimant.clone())
+            .collect();
+        !holders.is_empty() && self.release_requester.request_release(program, &holders)
     }
 
     fn log_spent(&self, program: &str, cached: &CachedLedger, ledger: &Ledger, budget_tokens: u64) {
--- a/crates/coordination/tests/ledger.rs
+++ b/crates/coordination/tests/ledger.rs
@@ -242,6 +242,42 @@
     .await;
 }
 
+/// Guards against a program that is told that its budget is spent although most of its turns are
+/// still to come: its turns are spread over many nodes, all of which are killed.
+#[tokio::test(flavor = "current_thread")]
+async fn a_program_spread_over_many_killed_nodes_keeps_most_of_its_budget() {
+    with_tasks(async {
+        let rows = MemoryRows::default();
+        let names: Vec<String> = (0..12).map(|index| format!("n{index}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let (fleet, nodes) = Fleet::start(&rows, &names);
+        for (node, name) in nodes.iter().zip(&names) {
+            node.reserve("p", TOKENS_MAX, 30 * TOKENS_MAX).await.expect("fits");
+            node.end_turn("p", TOKENS_MAX, 45).await;
+            fleet.disconnect(name);
+        }
+        let last = fleet.add(&rows, "last");
+        for _ in 0..14 {
+            last.reserve("p", TOKENS_MAX, 30 * TOKENS_MAX).await.expect("16 turns are unclaimed");
+            last.end_turn("p", TOKENS_MAX, 45).await;
+        }
+    })
+    .await;
+}
+
+/// Pattern: a burst of new programs is refused, and each returns through another node.
+#[tokio::test(flavor = "current_thread")]
+async fn a_program_refused_at_its_first_turn_is_new_when_it_returns() {
+    let rows = MemoryRows::default();
+    let (first, second) = (node(&rows, "a"), node(&rows, "b"));
+    assert!(first.reserve("p", TOKENS_MAX, 1_200).await.expect("fits"), "a new program");
+    first.end_turn("p", TOKENS_MAX, 0).await;
+    first.release_unused("p").await;
+    assert!(second.reserve("p", TOKENS_MAX, 1_200).await.expect("fits"), "still a new program");
+    second.end_turn("p", TOKENS_MAX, 10).await;
+    assert!(!first.reserve("p", TOKENS_MAX, 1_200).await.expect("fits"), "a started program");
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_graceful_shutdown_releases_unused_claims() {
     let rows = MemoryRows::default();
