--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -40,6 +40,9 @@
     pub tokens_left: i64,
     /// Tokens left in the program bucket; used like `tokens_left`.
     pub program_tokens_left: i64,
+    /// Time since the first admission, in milliseconds. A node that heard of the process only
+    /// later does not know which of the requests are recent.
+    pub first_admitted_ago_ms: u64,
 }
 
 /// Class of a request, which decides how long it may wait and from which buckets it takes tokens.
@@ -76,8 +79,14 @@
 const WAIT_MAX: Duration = Duration::from_millis(750);
 /// A request may wait for a token for its remaining time divided by this.
 const WAIT_DIVISOR: u32 = 3;
+/// Number of rounds in which a change is reported, because reports may be lost.
+const REPORTED_ROUNDS: u64 = 3;
+/// Each team is also reported once in this number of rounds, for nodes that missed its changes.
+const REFRESH_ROUNDS: u64 = 16;
 /// Weight of the latest interval in the moving average of a node's rate.
 const RATE_WEIGHT: f64 = 0.4;
+/// Rate below which a node's use of a team's limit is not extrapolated.
+const RATE_MIN_PER_S: f64 = 0.01;
 /// Requests per program assumed until [`PROGRAMS_SEEN_MIN`] programs have started.
 const REQUESTS_PER_PROGRAM_DEFAULT: f64 = 12.0;
 /// Number of programs that must have started before the measured average is used.
@@ -99,6 +108,8 @@
 struct Member {
     incarnation: u64,
     last_report_at: Duration,
+    /// Time of the first report.
+    heard_since: Duration,
     admitted: AdmittedCounts,
     rates_per_s: HashMap<TeamHash, f64>,
 }
@@ -111,6 +122,10 @@
     program_tokens: f64,
     updated_at: Duration,
     own_admitted: Admitted,
+    /// Time of this node's first admission.
+    first_admitted_at: Option<Duration>,
+    /// Round of reports in which `own_admitted` changed last.
+    changed_in_round: u64,
 }
 
 /// Token buckets of all teams, and the members that share them.
@@ -120,6 +135,8 @@
     teams: HashMap<TeamHash, TeamBucket>,
     /// Whether the buckets were initialized from the report of another node.
     is_seeded: bool,
+    /// Number of the current round of reports; each node gets one report in a round.
+    round: u64,
     /// Estimated average number of requests per program, and the time of the estimate.
     cached_estimate: Option<(f64, Duration)>,
 }
@@ -164,6 +181,7 @@
         let reachable_share = self.reachable_share(now);
         let estimated_unreported = self.estimated_unreported(team, now);
         let requests_per_program = self.requests_per_program(now);
+        let round = self.round;
         let bucket = self.teams.entry(team).or_insert_with(|| TeamBucket::initial(limits));
         bucket.accrue(limits, reachable_share, now);
         let available = bucket.tokens - estimated_unreported;
@@ -186,6 +204,8 @@
         }
         bucket.tokens -= 1.0;
         bucket.own_admitted.requests += 1;
+        bucket.first_admitted_at.get_or_insert(now);
+        bucket.changed_in_round = round;
         Ok(wait)
     }
 
@@ -195,14 +215,35 @@
         if let Some(bucket) = self.teams.get_mut(&team) {
             bucket.tokens += 1.0;
             bucket.own_admitted.requests = bucket.own_admitted.requests.saturating_sub(1);
+            bucket.changed_in_round = self.round;
         }
     }
 
     /// Returns the admissions of this node since its start.
     #[must_use]
-    pub fn own_admitted(&self) -> AdmittedCounts {
-        let admitted = self.teams.iter().filter(|(_, bucket)| bucket.own_admitted.requests > 0);
-        admitted.map(|(team, bucket)| (*team, bucket.report())).collect()
+    pub fn own_admitted(&self, now: Duration) -> AdmittedCounts {
+        let admitted = self.teams.iter().filter(|(_, bucket)| bucket.first_admitted_at.is_some());
+        admitted.map(|(team, bucket)| (*team, bucket.report(now))).collect()
+    }
+
+    /// Begins a round of reports, in which each other node gets one.
+    pub fn begin_report_round(&mut self) {
+        self.round += 1;
+    }
+
+    /// Returns the admissions to report: those of teams whose requests were admitted in the last
+    /// few rounds, and some of the others in turn.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> AdmittedCounts {
+        let is_due = |team: TeamHash, bucket: &TeamBucket| {
+            self.round < bucket.changed_in_round + REPORTED_ROUNDS
+                || (u64::from(team) + self.round).is_multiple_of(REFRESH_ROUNDS)
+        };
+        let admitted = self.teams.iter().filter(|(_, bucket)| bucket.first_admitted_at.is_some());
+        admitted
+            .filter(|(team, bucket)| is_due(**team, bucket))
+            .map(|(team, bucket)| (*team, bucket.report(now)))
+            .collect()
     }
 
     /// Initializes the buckets of the reported teams from the first report received after the
@@ -211,13 +252,18 @@
         self.is_seeded = true;
         for (team, count) in admitted {
             let bucket = self.teams.entry(*team).or_default();
-            let own_admitted = bucket.own_admitted;
-            *bucket = TeamBucket { own_admitted, ..TeamBucket::from_report(count, now) };
-            bucket.tokens -= signed_difference(own_admitted.requests, 0);
+            let own_requests = bucket.own_admitted.requests;
+            *bucket = TeamBucket {
+                own_admitted: bucket.own_admitted,
+                first_admitted_at: bucket.first_admitted_at,
+                changed_in_round: bucket.changed_in_round,
+                ..TeamBucket::from_report(count, now)
+            };
+            bucket.tokens -= signed_difference(own_requests, 0);
         }
     }
 
-    /// Records the report of another node.
+    /// Records the report of another node. The counts of teams that it does not name are unchanged.
     pub fn note_report(
         &mut self,
         member: &str,
@@ -234,10 +280,14 @@
         let mut known = known.unwrap_or_else(|| Member {
             incarnation,
             last_report_at: now,
-            admitted: admitted.clone(),
+            heard_since: now,
+            admitted: AdmittedCounts::new(),
             rates_per_s: HashMap::new(),
         });
-        if is_restarted && !is_new {
+        if is_new {
+            known.heard_since = now;
+        }
+        if is_restarted {
             known.admitted.clear();
         }
         let requests_per_program = self.requests_per_program(now);
@@ -245,28 +295,38 @@
         // overestimated.
         let elapsed_s =
             now.saturating_sub(known.last_report_at).max(REPORT_INTERVAL_MIN).as_secs_f64();
-        for (team, count) in &admitted {
-            let before = known.admitted.get(team).copied().unwrap_or_default();
+        let mut rates_per_s = std::mem::take(&mut known.rates_per_s);
+        for rate in rates_per_s.values_mut() {
+            *rate *= 1.0 - RATE_WEIGHT;
+        }
+        rates_per_s.retain(|_, rate| *rate >= RATE_MIN_PER_S);
+        for (team, count) in admitted {
+            let before = known.admitted.insert(team, count);
+            // The first counts may include requests from before the member was heard.
+            let before = before.unwrap_or_else(|| {
+                let first_admitted_ago = Duration::from_millis(count.first_admitted_ago_ms);
+                let is_recent = now > known.heard_since + first_admitted_ago;
+                if is_recent { Admitted::default() } else { count }
+            });
             // A refund may lower a count; a negative difference returns tokens to the bucket.
             let delta = signed_difference(count.requests, before.requests);
             let started = signed_difference(count.programs, before.programs);
-            match self.teams.get_mut(team) {
-                Some(bucket) if !is_new => {
+            match self.teams.get_mut(&team) {
+                Some(bucket) => {
                     bucket.tokens -= delta;
                     bucket.program_tokens -= started * requests_per_program;
                 }
-                // The first counts of a member include requests from before it was known.
-                Some(_) => {}
                 // This node has not served the team yet; the reported bucket already reflects
                 // earlier usage.
-                None => drop(self.teams.insert(*team, TeamBucket::from_report(count, now))),
+                None => drop(self.teams.insert(team, TeamBucket::from_report(&count, now))),
+            }
+            if delta > 0.0 {
+                *rates_per_s.entry(team).or_default() += RATE_WEIGHT * delta / elapsed_s;
             }
-            let rate = known.rates_per_s.entry(*team).or_default();
-            *rate += RATE_WEIGHT * ((delta / elapsed_s).max(0.0) - *rate);
         }
+        known.rates_per_s = rates_per_s;
         known.incarnation = incarnation;
         known.last_report_at = now;
-        known.admitted = admitted;
         self.members.insert(member.to_owned(), known);
     }
 
@@ -275,6 +335,7 @@
         self.members.entry(member.to_owned()).or_insert_with(|| Member {
             incarnation: 0,
             last_report_at: Duration::ZERO,
+            heard_since: Duration::ZERO,
             admitted: AdmittedCounts::new(),
             rates_per_s: HashMap::new(),
         });
@@ -379,11 +440,19 @@
         Self { tokens, program_tokens, updated_at: now, ..Self::default() }
     }
 
-    fn report(&self) -> Admitted {
+    fn report(&self, now: Duration) -> Admitted {
         #[expect(clippy::cast_possible_truncation, reason = "bursts are small")]
         let (tokens_left, program_tokens_left) =
             (self.tokens.floor() as i64, self.program_tokens.floor() as i64);
-        Admitted { tokens_left, program_tokens_left, ..self.own_admitted }
+        let first_admitted_at = self.first_admitted_at.unwrap_or(now);
+        let first_admitted_ago = now.saturating_sub(first_admitted_at);
+        let first_admitted_ago_ms = u64::try_from(first_admitted_ago.as_millis());
+        Admitted {
+            tokens_left,
+            program_tokens_left,
+            first_admitted_ago_ms: first_admitted_ago_ms.unwrap_or(u64::MAX),
+            ..self.own_admitted
+        }
     }
 
     fn accrue(&mut self, limits: BucketLimits, reachable_share: f64, now: Duration) {
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -7,14 +7,20 @@
 //! failed. Each has a cost: its load, a penalty while it is avoided and, with affinity, the cost of
 //! prefilling the prompt again on a server other than the first in rank. The cheapest candidate is
 //! chosen.
+//!
+//! A request whose prompt begins with a shared part ranks the servers that cache this part, its
+//! hosts, above all others (see [`crate::prompts`]). The best of the other servers is a third
+//! candidate, at the additional cost of prefilling the shared part.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::BackendId;
-use crate::limits::usage::MemberId;
+use crate::load::{NodeLoad, OthersLoad, ServerHash};
+use crate::prompts::SharedPart;
 use crate::servers::ServerEntry;
 
 /// Policy for choosing among backend servers.
@@ -39,6 +45,8 @@
     pub policy: PlacementPolicy,
     /// Placement key; requests with equal keys share parts of their prompts.
     pub key: &'a str,
+    /// Part of the prompt that requests with different keys share, if any.
+    pub shared_part: Option<SharedPart>,
     /// Whether the request may run again after a failure. If not, a server whose last request
     /// failed is not considered healthy and loses ties with healthy candidates.
     pub may_repeat: bool,
@@ -57,12 +65,17 @@
 /// Cost of prefilling the prompt on a server other than the first in rank, in fractions of a
 /// server's slots.
 const PREFILL_COST: f64 = 0.4;
+/// Additional cost of prefilling the shared part on a server that is not one of its hosts.
+const SHARED_PREFILL_COST: f64 = 0.4;
 /// Additional cost per rank, so that sessions with equal keys also move to the same server.
 const RANK_COST: f64 = 0.02;
 /// Rank from which the cost stays constant.
 const COSTED_RANK_MAX: usize = 8;
 /// Cost of a server that is being avoided after failures; exceeds any load.
 const FAILED_COST: f64 = 100.0;
+/// Age from which the load by other nodes' requests is considered unknown; most requests that it
+/// counts have ended by then.
+const OTHERS_LOAD_MAX_AGE: Duration = Duration::from_millis(500);
 /// Time for which a server is avoided after its first failure; doubles with each consecutive one.
 const AVOID_MIN: Duration = Duration::from_millis(500);
 /// Maximum time for which a server is avoided. If the failure persists, each expiry costs at least
@@ -81,20 +94,23 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     views: HashMap<BackendId, ServerView>,
-    /// Requests in flight at each server, as last reported by each other node.
-    peer_loads: HashMap<MemberId, Vec<(ServerHash, u32)>>,
-    /// Sum of `peer_loads` by server, updated with each report.
-    peer_in_flight: HashMap<ServerHash, u32>,
-    /// Servers avoided by each other node, as last reported.
-    peer_avoided: HashMap<MemberId, Vec<ServerHash>>,
-    /// Number of other nodes that avoid a server, updated with each report.
-    avoiding_peers: HashMap<ServerHash, u32>,
+    /// Load by other nodes' requests, with the time at which it became known.
+    others: HashMap<ServerHash, (OthersLoad, Duration)>,
 }
 
-/// Hash of a backend server's identifier, used in reports between nodes.
-pub type ServerHash = u32;
-
 impl Placement {
+    /// Returns the servers among which [`Self::choose`] would choose, except for those that are not
+    /// healthy; their loads should be known first.
+    pub fn compared<'a>(
+        &self,
+        request: PlacementRequest<'_>,
+        servers: impl Iterator<Item = &'a ServerEntry>,
+        now: Duration,
+    ) -> Vec<&'a ServerEntry> {
+        let (compared, _) = self.candidates(request, servers, now);
+        compared.into_iter().map(|candidate| candidate.server).collect()
+    }
+
     /// Chooses a server for a request; returns `None` if all are excluded.
     pub fn choose<'a>(
         &self,
@@ -102,37 +118,45 @@
         servers: impl Iterator<Item = &'a ServerEntry>,
         now: Duration,
     ) -> Option<&'a ServerEntry> {
-        let PlacementRequest { policy, key, may_repeat, excluded } = request;
-        let mut ranked: Vec<(u64, &ServerEntry)> = servers
-            .map(|server| (xxh3_64_with_seed(key.as_bytes(), hash64(&server.id)), server))
-            .collect();
-        ranked.sort_unstable_by(|left, right| right.cmp_weight(left));
-        let compared_max = match policy {
-            PlacementPolicy::Affinity | PlacementPolicy::TwoChoices => COMPARED_SERVERS,
-            PlacementPolicy::AffinityAllServers | PlacementPolicy::LeastLoaded => usize::MAX,
-        };
-        let candidates: Vec<(usize, &ServerEntry)> = ranked
-            .into_iter()
-            .enumerate()
-            .map(|(rank, (_, server))| (rank, server))
-            .filter(|(_, server)| !excluded.contains(&server.id))
-            .collect();
-        let is_healthy = |server: &ServerEntry| {
-            !self.is_avoided(server, now) && (may_repeat || !self.failed_last(server))
-        };
-        let healthy = candidates.iter().filter(|(_, server)| is_healthy(server)).take(compared_max);
+        let (compared, unhealthy) = self.candidates(request, servers, now);
         // Servers that are not healthy come last and so lose ties; while avoided, they also cost
         // more than any load.
-        healthy
-            .chain(candidates.iter().filter(|(_, server)| !is_healthy(server)))
-            .map(|(rank, server)| (self.cost(policy, *rank, server, now), *server))
+        compared
+            .into_iter()
+            .chain(unhealthy)
+            .map(|candidate| (self.cost(request.policy, &candidate, now), candidate.server))
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, server)| server)
     }
 
+    /// Returns the healthy servers to compare and all servers that are not healthy.
+    fn candidates<'a>(
+        &self,
+        request: PlacementRequest<'_>,
+        servers: impl Iterator<Item = &'a ServerEntry>,
+        now: Duration,
+    ) -> (Vec<Candidate<'a>>, Vec<Candidate<'a>>) {
+        let compared_max = match request.policy {
+            PlacementPolicy::Affinity | PlacementPolicy::TwoChoices => COMPARED_SERVERS,
+            PlacementPolicy::AffinityAllServers | PlacementPolicy::LeastLoaded => usize::MAX,
+        };
+        let mut candidates = rank(&request, servers);
+        candidates.retain(|candidate| !request.excluded.contains(&candidate.server.id));
+        let (healthy, unhealthy): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|candidate| {
+                !self.is_avoided(candidate.server, now)
+                    && (request.may_repeat || !self.failed_last(candidate.server))
+            });
+        let (mut compared, mut others): (Vec<_>, Vec<_>) =
+            healthy.into_iter().partition(|candidate| candidate.is_host);
+        compared.truncate(compared_max);
+        others.truncate(if compared.is_empty() { compared_max } else { 1 });
+        compared.append(&mut others);
+        (compared, unhealthy)
+    }
+
     fn is_avoided(&self, server: &ServerEntry, now: Duration) -> bool {
-        let avoiding_peers = self.avoiding_peers.get(&server_hash(&server.id)).copied();
-        avoiding_peers.unwrap_or_default() >= AVOID_QUORUM
+        self.others_load(server, now).avoiding >= AVOID_QUORUM
             || self.views.get(&server.id).is_some_and(|view| now < view.avoid_until)
     }
 
@@ -141,24 +165,17 @@
         self.views.get(&server.id).is_some_and(|view| view.consecutive_failures > 0)
     }
 
-    fn cost(
-        &self,
-        policy: PlacementPolicy,
-        rank: usize,
-        server: &ServerEntry,
-        now: Duration,
-    ) -> f64 {
-        let view = self.views.get(&server.id);
-        let peers = self.peer_in_flight.get(&server_hash(&server.id)).copied().unwrap_or_default();
-        let in_flight = peers + view.map_or(0, |view| view.own_in_flight);
-        let load = f64::from(in_flight) / f64::from(server.slots.max(1));
+    fn cost(&self, policy: PlacementPolicy, candidate: &Candidate<'_>, now: Duration) -> f64 {
+        let Candidate { server, rank, is_host } = *candidate;
+        let load = self.load(server, now);
         let failure_cost = if self.is_avoided(server, now) { FAILED_COST } else { 0.0 };
         let move_cost = match policy {
             PlacementPolicy::TwoChoices | PlacementPolicy::LeastLoaded => 0.0,
             _ if rank == 0 => 0.0,
             PlacementPolicy::Affinity | PlacementPolicy::AffinityAllServers => {
                 let rank = u32::try_from(rank.min(COSTED_RANK_MAX)).unwrap_or(u32::MAX);
-                PREFILL_COST + RANK_COST * f64::from(rank)
+                let shared_cost = if is_host { 0.0 } else { SHARED_PREFILL_COST };
+                PREFILL_COST + RANK_COST * f64::from(rank) + shared_cost
             }
         };
         load + failure_cost + move_cost
@@ -193,63 +210,45 @@
         pause
     }
 
-    /// Returns this node's requests in flight, by hash of the backend server's id.
+    /// Returns the load of `server` by this node's requests.
     #[must_use]
-    pub fn own_load(&self) -> Vec<(ServerHash, u32)> {
-        let views = self.views.iter().filter(|(_, view)| view.own_in_flight > 0);
-        views.map(|(id, view)| (server_hash(id), view.own_in_flight)).collect()
+    pub fn own_load(&self, server: &str, now: Duration) -> NodeLoad {
+        let Some(view) = self.views.get(server) else { return NodeLoad::default() };
+        let avoided_for = view.avoid_until.saturating_sub(now);
+        NodeLoad { in_flight: view.own_in_flight, avoided_for }
     }
 
-    /// Returns the servers that this node avoids because of failures that it observed itself.
-    #[must_use]
-    pub fn own_avoided(&self, now: Duration) -> Vec<ServerHash> {
-        let avoided = self.views.iter().filter(|(_, view)| now < view.avoid_until);
-        avoided.map(|(id, _)| server_hash(id)).collect()
+    /// Records the load of a server by the requests of other nodes.
+    pub fn set_others_load(&mut self, server: ServerHash, load: OthersLoad, now: Duration) {
+        self.others.insert(server, (load, now));
     }
 
-    /// Replaces the list of servers that another node avoids.
-    pub fn set_peer_avoided(&mut self, member: &str, avoided: Vec<ServerHash>) {
-        for server in &avoided {
-            *self.avoiding_peers.entry(*server).or_default() += 1;
-        }
-        let previous = if avoided.is_empty() {
-            self.peer_avoided.remove(member)
-        } else {
-            self.peer_avoided.insert(member.to_owned(), avoided)
-        };
-        for server in previous.into_iter().flatten() {
-            if let Some(count) = self.avoiding_peers.get_mut(&server) {
-                *count = count.saturating_sub(1);
-            }
-        }
+    /// Returns the requests in flight per slot of `server`.
+    #[must_use]
+    pub fn load(&self, server: &ServerEntry, now: Duration) -> f64 {
+        let own = self.views.get(&server.id).map_or(0, |view| view.own_in_flight);
+        let in_flight = self.others_load(server, now).in_flight + own;
+        f64::from(in_flight) / f64::from(server.slots.max(1))
     }
 
-    /// Discards the reports of another node that is unreachable or has left.
-    pub fn forget_peer(&mut self, member: &str) {
-        self.set_peer_load(member, Vec::new());
-        self.set_peer_avoided(member, Vec::new());
+    /// Returns whether the load of a server by other nodes' requests became known at or after
+    /// `since`.
+    #[must_use]
+    pub fn knows_load(&self, server: ServerHash, since: Duration) -> bool {
+        self.others.get(&server).is_some_and(|(_, known_at)| *known_at >= since)
     }
 
-    /// Replaces the numbers of requests in flight from another node.
-    pub fn set_peer_load(&mut self, member: &str, load: Vec<(ServerHash, u32)>) {
-        for (server, in_flight) in &load {
-            *self.peer_in_flight.entry(*server).or_default() += in_flight;
-        }
-        let previous = if load.is_empty() {
-            self.peer_loads.remove(member)
-        } else {
-            self.peer_loads.insert(member.to_owned(), load)
-        };
-        for (server, in_flight) in previous.into_iter().flatten() {
-            if let Some(sum) = self.peer_in_flight.get_mut(&server) {
-                *sum = sum.saturating_sub(in_flight);
-            }
+    fn others_load(&self, server: &ServerEntry, now: Duration) -> OthersLoad {
+        match self.others.get(&server_hash(&server.id)) {
+            Some((load, known_at)) if now < *known_at + OTHERS_LOAD_MAX_AGE => *load,
+            _ => OthersLoad::default(),
         }
     }
 
     /// Discards the state of a backend server that has left.
     pub fn forget(&mut self, server: &str) {
         self.views.remove(server);
+        self.others.remove(&server_hash(server));
     }
 
     fn view(&mut self, server: &str) -> &mut ServerView {
@@ -260,21 +259,55 @@
     }
 }
 
-/// Compares ranked servers by weight, then by identifier.
-trait CompareWeight {
-    fn cmp_weight(&self, other: &Self) -> std::cmp::Ordering;
+/// A server with its rank for a request.
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    server: &'a ServerEntry,
+    rank: usize,
+    /// Whether the server caches the shared part of the prompt; `true` if there is none.
+    is_host: bool,
 }
 
-impl CompareWeight for (u64, &ServerEntry) {
-    fn cmp_weight(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.cmp(&other.0).then_with(|| self.1.id.cmp(&other.1.id))
+/// Ranks the servers by rendezvous hashing of the key, with the hosts of the shared part first.
+///
+/// The servers that follow the hosts in the ranking of the part come next, so that a part whose
+/// hosts are overloaded spreads to the same few servers from all nodes.
+fn rank<'a>(
+    request: &PlacementRequest<'_>,
+    servers: impl Iterator<Item = &'a ServerEntry>,
+) -> Vec<Candidate<'a>> {
+    let mut ranked: Vec<&ServerEntry> = servers.collect();
+    let mut hosts = ranked.len();
+    if let Some(part) = request.shared_part
+        && part.hosts < hosts
+    {
+        hosts = part.hosts.max(1);
+        sort_by_weight(&mut ranked, &part.id.to_le_bytes());
+        let next_end = (2 * hosts).min(ranked.len());
+        sort_by_weight(&mut ranked[hosts..next_end], request.key.as_bytes());
     }
+    sort_by_weight(&mut ranked[..hosts], request.key.as_bytes());
+    ranked
+        .into_iter()
+        .enumerate()
+        .map(|(rank, server)| Candidate { server, rank, is_host: rank < hosts })
+        .collect()
+}
+
+/// Sorts servers by the rendezvous weight of `key`, highest first, then by identifier.
+fn sort_by_weight<'a>(servers: &mut [&'a ServerEntry], key: &[u8]) {
+    servers.sort_by_cached_key(|server| {
+        let server: &'a ServerEntry = server;
+        (Reverse(xxh3_64_with_seed(key, hash64(&server.id))), server.id.as_str())
+    });
 }
 
 fn hash64(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
 
-fn server_hash(id: &str) -> ServerHash {
+/// Returns the hash of a backend server's identifier.
+#[must_use]
+pub fn server_hash(id: &str) -> ServerHash {
     ServerHash::try_from(hash64(id) & u64::from(ServerHash::MAX)).unwrap_or_default()
 }
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -6,7 +6,10 @@
 
 use dandelionfront_coordination::events::EventSplitter;
 use dandelionfront_coordination::freshness::Freshness;
-use dandelionfront_coordination::placement::{Placement, PlacementPolicy, PlacementRequest};
+use dandelionfront_coordination::load::{LoadKeeper, NodeLoad, OthersLoad};
+use dandelionfront_coordination::placement::{
+    Placement, PlacementPolicy, PlacementRequest, server_hash,
+};
 use dandelionfront_coordination::routing::{
     CallerLimits, RepeatPolicy, Route, RoutingTable, Target, Team,
 };
@@ -34,7 +37,7 @@
     key: &'a str,
     excluded: &'a [String],
 ) -> PlacementRequest<'a> {
-    PlacementRequest { policy, key, may_repeat: true, excluded }
+    PlacementRequest { policy, key, shared_part: None, may_repeat: true, excluded }
 }
 
 fn ready(list: &ServerList) -> usize {
@@ -131,31 +134,36 @@
 fn the_load_of_another_node_counts_until_it_reports_none() {
     let servers = [entry("a"), entry("b")];
     let mut placement = Placement::default();
-    let choose = |placement: &Placement| {
+    let mut keeper = LoadKeeper::default();
+    let choose = |placement: &mut Placement, keeper: &LoadKeeper| {
+        for server in &servers {
+            let hash = server_hash(&server.id);
+            placement.set_others_load(hash, keeper.others_load(hash, "n0", MS), MS);
+        }
         let policy = PlacementPolicy::LeastLoaded;
-        let chosen =
-            placement.choose(placement_request(policy, "k", &[]), servers.iter(), Duration::ZERO);
+        let chosen = placement.choose(placement_request(policy, "k", &[]), servers.iter(), MS);
         chosen.expect("some server").id.clone()
     };
-    let first = choose(&placement);
-    // Another node reports two requests in flight at that server.
+    let first = choose(&mut placement, &keeper);
+    // Another node has two requests in flight at that server.
     let mut peer = Placement::default();
     peer.begin(&first);
     peer.begin(&first);
-    let load = peer.own_load();
-    placement.set_peer_load("n1", load.clone());
-    placement.set_peer_load("n1", load.clone());
-    placement.set_peer_load("n2", load);
-    assert_ne!(choose(&placement), first);
-    // A newer report of a node replaces its previous one.
-    placement.set_peer_load("n1", Vec::new());
-    assert_ne!(choose(&placement), first);
-    placement.set_peer_load("n2", Vec::new());
-    assert_eq!(choose(&placement), first);
+    let load = peer.own_load(&first, MS);
+    let hash = server_hash(&first);
+    keeper.update(hash, "n1", load, MS);
+    keeper.update(hash, "n1", load, MS);
+    assert_eq!(keeper.others_load(hash, "n0", MS).in_flight, 2, "counts replace each other");
+    keeper.update(hash, "n2", load, MS);
+    assert_ne!(choose(&mut placement, &keeper), first);
+    keeper.update(hash, "n1", NodeLoad::default(), MS);
+    assert_ne!(choose(&mut placement, &keeper), first);
+    keeper.update(hash, "n2", NodeLoad::default(), MS);
+    assert_eq!(choose(&mut placement, &keeper), first);
 }
 
-/// Simulated load on backend servers, sent by nodes that periodically report their load to each
-/// other.
+/// Simulated load on backend servers, sent by nodes that periodically learn the load by the other
+/// nodes' requests.
 struct SimulatedLoad {
     nodes: usize,
     report_interval_ms: u64,
@@ -200,11 +208,13 @@
                 queue.retain(|(_, left_ms)| *left_ms > 0.0);
             }
             if now_ms % self.report_interval_ms == 0 {
-                let loads: Vec<_> = nodes.iter().map(Placement::own_load).collect();
-                for (index, node) in nodes.iter_mut().enumerate() {
-                    for (peer, load) in loads.iter().enumerate().filter(|(peer, _)| *peer != index)
-                    {
-                        node.set_peer_load(&format!("n{peer}"), load.clone());
+                let now = Duration::from_millis(now_ms);
+                for (server, queue) in servers.iter().zip(&running) {
+                    for (index, node) in nodes.iter_mut().enumerate() {
+                        let others = queue.iter().filter(|(sender, _)| *sender != index).count();
+                        let in_flight = u32::try_from(others).expect("a few");
+                        let load = OthersLoad { in_flight, avoiding: 0 };
+                        node.set_others_load(server_hash(&server.id), load, now);
                     }
                 }
             }
@@ -240,7 +250,7 @@
 fn stale_loads_of_a_large_fleet_do_not_send_all_nodes_to_one_server() {
     let load = SimulatedLoad {
         nodes: 87,
-        report_interval_ms: 520,
+        report_interval_ms: 490,
         calls_per_s: 2_000,
         servers: 26,
         sessions: 1_000_000,
@@ -331,22 +341,32 @@
 fn a_server_that_two_other_nodes_avoid_is_avoided() {
     let servers = [entry("a"), entry("b")];
     let mut placement = Placement::default();
-    let choose = |placement: &Placement| {
+    let mut keeper = LoadKeeper::default();
+    let choose = |placement: &mut Placement, keeper: &LoadKeeper, now| {
+        for server in &servers {
+            let hash = server_hash(&server.id);
+            placement.set_others_load(hash, keeper.others_load(hash, "n0", now), now);
+        }
         let request = placement_request(PlacementPolicy::TwoChoices, "k", &[]);
-        placement.choose(request, servers.iter(), Duration::ZERO).expect("some").id.clone()
+        placement.choose(request, servers.iter(), now).expect("some").id.clone()
     };
-    let first = choose(&placement);
+    let first = choose(&mut placement, &keeper, MS);
     let mut peer = Placement::default();
-    peer.note_failure(&first, Duration::ZERO);
-    let avoided = peer.own_avoided(Duration::ZERO);
-    placement.set_peer_avoided("n1", avoided.clone());
-    placement.set_peer_avoided("n1", avoided.clone());
-    assert_eq!(choose(&placement), first, "a single node may have lost its network path");
-    placement.set_peer_avoided("n2", avoided);
-    assert_ne!(choose(&placement), first);
-    placement.forget_peer("n1");
-    assert_eq!(choose(&placement), first);
-    assert!(peer.own_avoided(Duration::from_secs(1)).is_empty(), "the avoidance has expired");
+    peer.note_failure(&first, MS);
+    let load = peer.own_load(&first, MS);
+    let hash = server_hash(&first);
+    keeper.update(hash, "n1", load, MS);
+    keeper.update(hash, "n1", load, MS);
+    let chosen = choose(&mut placement, &keeper, MS);
+    assert_eq!(chosen, first, "a single node may have lost its network path");
+    keeper.update(hash, "n2", load, MS);
+    assert_ne!(choose(&mut placement, &keeper, MS), first);
+    keeper.forget("n1");
+    assert_eq!(choose(&mut placement, &keeper, MS), first);
+    keeper.update(hash, "n1", load, MS);
+    let later = Duration::from_secs(1);
+    assert_eq!(peer.own_load(&first, later), NodeLoad::default(), "the avoidance has expired");
+    assert_eq!(choose(&mut placement, &keeper, later), first);
 }
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -26,6 +26,9 @@
     now: Duration,
     steps: u32,
     partitioned: Vec<usize>,
+    /// Fraction of the reports that are lost.
+    loss: f64,
+    random: StdRng,
     sent_at: Vec<Duration>,
 }
 
@@ -38,7 +41,9 @@
             });
         }
         let now = Duration::from_secs(1);
-        Self { nodes, now, steps: 0, partitioned: Vec::new(), sent_at: Vec::new() }
+        let random = StdRng::seed_from_u64(5);
+        let (partitioned, sent_at) = (Vec::new(), Vec::new());
+        Self { nodes, now, steps: 0, partitioned, loss: 0.0, random, sent_at }
     }
 
     fn advance(&mut self) {
@@ -48,11 +53,13 @@
             return;
         }
         for sender in 0..self.nodes.len() {
-            let admitted = self.nodes[sender].own_admitted();
+            self.nodes[sender].begin_report_round();
+            let admitted = self.nodes[sender].report(self.now);
             for receiver in 0..self.nodes.len() {
                 let is_partitioned =
                     self.partitioned.contains(&sender) != self.partitioned.contains(&receiver);
-                if sender != receiver && !is_partitioned {
+                let is_lost = self.loss > 0.0 && self.random.random::<f64>() < self.loss;
+                if sender != receiver && !is_partitioned && !is_lost {
                     let name = format!("n{sender}");
                     self.nodes[receiver].note_report(&name, 1, admitted.clone(), self.now);
                 }
@@ -186,6 +193,7 @@
             programs: 0,
             tokens_left: 40,
             program_tokens_left: 40,
+            first_admitted_ago_ms: 0,
         };
         HashMap::from([(team, admitted)])
     };
@@ -209,8 +217,8 @@
     }
     // The bucket is empty, so a new node must not start with a burst of its own.
     let mut fresh = UsageLimiter::default();
-    let report = fleet.nodes[1].own_admitted();
-    let spent = fleet.nodes[0].own_admitted();
+    let report = fleet.nodes[1].own_admitted(fleet.now);
+    let spent = fleet.nodes[0].own_admitted(fleet.now);
     fresh.note_report("n0", 1, spent, fleet.now);
     fresh.note_report("n1", 1, report, fleet.now);
     let team = team_hash("alpha");
@@ -229,6 +237,74 @@
     }
 }
 
+/// Pattern: a node of a large fleet has served many teams, few of them lately. Its reports must not
+/// grow with the teams that it has ever served.
+#[test]
+fn a_report_names_the_teams_with_recent_requests_and_a_few_others() {
+    let mut limiter = UsageLimiter::default();
+    let mut now = Duration::from_secs(1);
+    let teams: Vec<_> = (0..320).map(|team| team_hash(&format!("team-{team}"))).collect();
+    for team in &teams {
+        limiter.take(*team, LIMITS, LATER_REQUEST, now).expect("full");
+    }
+    (0..3).for_each(|_| limiter.begin_report_round());
+    let mut reported: HashMap<u32, u32> = HashMap::new();
+    for round in 0..16 {
+        now += Duration::from_secs(1);
+        limiter.begin_report_round();
+        limiter.take(teams[round], LIMITS, LATER_REQUEST, now).expect("full");
+        let report = limiter.report(now);
+        assert!(report.len() <= 45, "{} teams in a report", report.len());
+        assert_eq!(report[&teams[round]].requests, 2);
+        for team in report.keys() {
+            *reported.entry(*team).or_default() += 1;
+        }
+    }
+    assert_eq!(reported.len(), teams.len(), "each team is reported in turn");
+}
+
+/// Pattern: reports are datagrams, a fifth of which are lost.
+#[test]
+fn lost_reports_do_not_exceed_the_limit() {
+    let mut random = StdRng::seed_from_u64(4);
+    let mut fleet = Fleet::new(30);
+    fleet.loss = 0.2;
+    for _ in 0..3_000 {
+        fleet.advance();
+        for _ in 0..4 {
+            let node = random.random_range(0..30);
+            fleet.take(node, LATER_REQUEST);
+        }
+    }
+    let busiest = fleet.busiest_window();
+    assert!(busiest <= WINDOW_MAX, "{busiest} in a window");
+}
+
+/// A node that joins late must not charge requests from before it heard of the others.
+#[test]
+fn earlier_requests_of_a_newly_heard_node_are_not_charged() {
+    let team = team_hash("alpha");
+    let mut busy = UsageLimiter::default();
+    let mut now = Duration::from_secs(1);
+    for _ in 0..400 {
+        now += Duration::from_millis(100);
+        let _ = busy.take(team, LIMITS, LATER_REQUEST, now);
+    }
+    let mut fresh = UsageLimiter::default();
+    fresh.take(team, LIMITS, LATER_REQUEST, now).expect("full");
+    // The first report is lost or does not name the team.
+    fresh.note_report("n1", 1, HashMap::new(), now);
+    now += Duration::from_millis(100);
+    fresh.note_report("n1", 1, busy.own_admitted(now), now);
+    assert_eq!(fresh.take(team, LIMITS, LATER_REQUEST, now), Ok(Duration::ZERO));
+    // Later requests are charged.
+    for _ in 0..49 {
+        busy.take(team, LIMITS, LATER_REQUEST, now).expect("full");
+    }
+    fresh.note_report("n1", 1, busy.own_admitted(now), now);
+    assert_ne!(fresh.take(team, LIMITS, LATER_REQUEST, now), Ok(Duration::ZERO));
+}
+
 /// Simulates a team whose limit was lowered far below the demand of its programs, and returns the
 /// number of finished programs. If `marks_first_requests` is false, first requests are treated like
 /// later ones.
--- a/crates/daemon/src/front/connection/backend.rs
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -21,7 +21,7 @@
 use tokio::time::timeout;
 
 /// Maximum wait for a new connection; the network latency is a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which sent data may remain unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT_MS: u32 = 2_000;
 /// Maximum idle time of a connection.
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -5,7 +5,7 @@
 //! answered: the receiver writes the release to the store, and the requesting node repeats the
 //! request while it waits.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -14,11 +14,14 @@
 
 use dandelionfront_coordination::ledger::{ClaimantId, ReleaseRequester};
 use dandelionfront_coordination::limits::usage::{
-    Admitted, TeamHash, report_interval, report_timeout,
+    Admitted, REPORT_INTERVAL_MIN, TeamHash, report_interval, report_timeout,
 };
+use dandelionfront_coordination::load::{LoadKeeper, NodeLoad, OthersLoad, ServerHash, keeper_of};
+use dandelionfront_coordination::placement::server_hash;
 use dandelionfront_coordination::rows::{RowStore as _, RowStoreError, RowWrite, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::front::process::FrontNode;
 
@@ -37,6 +40,11 @@
 /// Delay after a failed read or write of the nodes table.
 const MEMBERSHIP_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Maximum wait for the loads of backend servers; the network latency is a few milliseconds at most.
+const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(10);
+/// Time for which a keeper that did not answer is not asked again.
+const SILENT_KEEPER_PAUSE: Duration = Duration::from_secs(1);
+
 /// Message from one node to another.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -47,6 +55,37 @@
         /// Identifier of the program.
         program: String,
     },
+    /// Load of a backend server by the sender's requests; sent to the server's keeper.
+    ServerLoad {
+        /// The server.
+        server: ServerHash,
+        /// Requests in flight.
+        in_flight: u32,
+        /// Time for which the sender avoids the server after failures.
+        avoided_ms: u32,
+    },
+    /// Asks the keeper of some backend servers for their loads.
+    LoadQuery {
+        /// Number chosen by the sender, repeated in the reply.
+        query: u32,
+        /// The servers.
+        servers: Vec<ServerHash>,
+    },
+    /// Reply to [`Self::LoadQuery`].
+    LoadReply {
+        /// Number of the query.
+        query: u32,
+        /// Servers with the requests in flight of nodes other than the receiver, and the number of
+        /// these nodes that avoid the server.
+        loads: Vec<(ServerHash, u32, u32)>,
+    },
+}
+
+/// Query for the loads of backend servers that was not yet answered by all keepers.
+#[derive(Debug)]
+struct PendingQuery {
+    keepers_left: Cell<usize>,
+    is_answered: Notify,
 }
 
 /// State of a node, sent to the other nodes.
@@ -54,12 +93,9 @@
 struct Report {
     /// Random identifier of the process; differs after a restart.
     incarnation: u64,
-    /// Admissions since the start of the process and tokens left in the limit, by team.
+    /// Admissions since the start of the process and tokens left in the limit, by team; only of
+    /// teams that were not fully reported yet, and some of the others in turn.
     admitted: Vec<(TeamHash, Admitted)>,
-    /// Requests in flight, by hash of the backend server's identifier.
-    in_flight: Vec<(u32, u32)>,
-    /// Hashes of the backend servers that the node avoids because they failed.
-    avoided: Vec<u32>,
     /// Whether the node is shutting down gracefully.
     is_leaving: bool,
     /// Whether the node reaches the platform's store and has a configuration.
@@ -74,6 +110,12 @@
     incarnation: u64,
     /// Incarnation in the last report of each node.
     incarnations: RefCell<HashMap<SocketAddr, u64>>,
+    /// Loads of the backend servers whose keeper is this node.
+    keeper: RefCell<LoadKeeper>,
+    queries: RefCell<HashMap<u32, Rc<PendingQuery>>>,
+    next_query: Cell<u32>,
+    /// Nodes that did not answer a query, and the times until which they are not asked again.
+    silent_keepers: RefCell<HashMap<String, Duration>>,
 }
 
 impl Peers {
@@ -84,8 +126,16 @@
     /// Fails when the address is in use.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        let incarnations = RefCell::default();
-        Ok(Self { socket, address, incarnation: rand::random(), incarnations })
+        Ok(Self {
+            socket,
+            address,
+            incarnation: rand::random(),
+            incarnations: RefCell::default(),
+            keeper: RefCell::default(),
+            queries: RefCell::default(),
+            next_query: Cell::default(),
+            silent_keepers: RefCell::default(),
+        })
     }
 
     /// Returns the identifier of this node in claims.
@@ -106,10 +156,7 @@
                 }
             };
             match postcard::from_bytes::<Message>(&buffer[..length]) {
-                Ok(Message::Report(report)) => {
-                    self.incarnations.borrow_mut().insert(sender, report.incarnation);
-                    apply_report(node, sender, report);
-                }
+                Ok(Message::Report(report)) => self.apply_report(node, sender, report),
                 Ok(Message::GiveBack { program }) => {
                     log::info!("event=claim_asked program={program} by={sender}");
                     let node = Rc::clone(node);
@@ -117,6 +164,22 @@
                         async move { node.ledgers.release_unused(&program).await },
                     );
                 }
+                Ok(Message::ServerLoad { server, in_flight, avoided_ms }) => {
+                    let avoided_for = Duration::from_millis(avoided_ms.into());
+                    let load = NodeLoad { in_flight, avoided_for };
+                    let now = node.clock.monotonic_now();
+                    self.keeper.borrow_mut().update(server, &sender.to_string(), load, now);
+                }
+                Ok(Message::LoadQuery { query, servers }) => {
+                    let now = node.clock.monotonic_now();
+                    let asker = sender.to_string();
+                    let loads = servers.into_iter().map(|server| {
+                        let load = self.keeper.borrow().others_load(server, &asker, now);
+                        (server, load.in_flight, load.avoiding)
+                    });
+                    self.send(sender, &Message::LoadReply { query, loads: loads.collect() });
+                }
+                Ok(Message::LoadReply { query, loads }) => self.apply_loads(node, query, loads),
                 Err(error) => {
                     log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
                 }
@@ -124,52 +187,164 @@
         }
     }
 
-    /// Sends reports until the process ends.
+    /// Sends reports until the process ends; each other node gets one in a report interval.
     pub async fn send_reports(&self, node: &FrontNode) {
+        let mut left: Vec<SocketAddr> = Vec::new();
+        let mut batch = 0;
         loop {
-            let members = self.send_report(node, false).await;
-            tokio::time::sleep(report_interval(members)).await;
+            if left.is_empty() {
+                node.limiter.borrow_mut().begin_report_round();
+                left = members(node);
+                let interval = report_interval(left.len()).as_millis();
+                let ticks = usize::try_from(interval / REPORT_INTERVAL_MIN.as_millis());
+                batch = left.len().div_ceil(ticks.unwrap_or(1).max(1));
+            }
+            let receivers = left.split_off(left.len().saturating_sub(batch));
+            self.send_report(node, &receivers, false).await;
+            tokio::time::sleep(REPORT_INTERVAL_MIN).await;
         }
     }
 
     /// Announces to the other nodes that this one is leaving.
     pub async fn announce_leaving(&self, node: &FrontNode) {
-        self.send_report(node, true).await;
+        let members = members(node);
+        self.send_report(node, &members, true).await;
     }
 
-    /// Sends one report to every other known node; returns the number of these nodes.
-    async fn send_report(&self, node: &FrontNode, is_leaving: bool) -> usize {
+    async fn send_report(&self, node: &FrontNode, receivers: &[SocketAddr], is_leaving: bool) {
         let now = node.clock.monotonic_now();
-        let members: Vec<SocketAddr> = {
-            let limiter = node.limiter.borrow();
-            // Discard the outdated load and avoided servers of nodes that have stopped reporting.
-            for (member, _) in limiter.members(now).filter(|(_, is_reporting)| !is_reporting) {
-                node.placement.borrow_mut().forget_peer(member);
-            }
-            let reporting_count =
-                limiter.members(now).filter(|(_, is_reporting)| *is_reporting).count();
-            node.metrics.members_heard.set(i64::try_from(reporting_count).unwrap_or(i64::MAX));
-            limiter.members(now).filter_map(|(member, _)| member.parse().ok()).collect()
-        };
         let report = Report {
             incarnation: self.incarnation,
-            admitted: node.limiter.borrow().own_admitted().into_iter().collect(),
-            in_flight: node.placement.borrow().own_load(),
-            avoided: node.placement.borrow().own_avoided(now),
+            admitted: node.limiter.borrow().report(now).into_iter().collect(),
             is_leaving,
             has_store: !node.store_reachability.is_unreachable() && node.table().version() > 0,
         };
         match postcard::to_allocvec(&Message::Report(report)) {
             Ok(bytes) => {
-                for member in &members {
-                    if let Err(error) = self.socket.send_to(&bytes, member).await {
-                        log::debug!("event=report_not_sent member={member} cause=\"{error}\"");
+                for receiver in receivers {
+                    if let Err(error) = self.socket.send_to(&bytes, receiver).await {
+                        log::debug!("event=report_not_sent member={receiver} cause=\"{error}\"");
                     }
                 }
             }
             Err(error) => log::error!("event=report_not_encoded cause=\"{error}\""),
         }
-        members.len()
+    }
+
+    /// Asks the keepers of `servers` for their loads and records these for placement; returns
+    /// without the loads of keepers that do not answer in time.
+    pub async fn refresh_loads(&self, node: &FrontNode, servers: &[ServerHash]) {
+        let now = node.clock.monotonic_now();
+        let mut asked: HashMap<String, Vec<ServerHash>> = HashMap::new();
+        for server in servers {
+            let keeper = self.keeper_of(node, *server, now);
+            if keeper == self.own_id() {
+                let load = self.keeper.borrow().others_load(*server, &keeper, now);
+                node.placement.borrow_mut().set_others_load(*server, load, now);
+            } else {
+                asked.entry(keeper).or_default().push(*server);
+            }
+        }
+        if asked.is_empty() {
+            return;
+        }
+        let query = self.next_query.get();
+        self.next_query.set(query.wrapping_add(1));
+        let pending = Rc::new(PendingQuery {
+            keepers_left: Cell::new(asked.len()),
+            is_answered: Notify::new(),
+        });
+        self.queries.borrow_mut().insert(query, Rc::clone(&pending));
+        for (keeper, servers) in &asked {
+            if let Ok(keeper) = keeper.parse() {
+                self.send(keeper, &Message::LoadQuery { query, servers: servers.clone() });
+            }
+        }
+        let answered = tokio::time::timeout(LOAD_QUERY_TIMEOUT, pending.is_answered.notified());
+        if answered.await.is_err() {
+            let until = now + SILENT_KEEPER_PAUSE;
+            let mut silent_keepers = self.silent_keepers.borrow_mut();
+            let placement = node.placement.borrow();
+            for (keeper, servers) in asked {
+                if servers.iter().any(|server| !placement.knows_load(*server, now)) {
+                    log::info!("event=keeper_silent member={keeper} query={query}");
+                    silent_keepers.insert(keeper, until);
+                }
+            }
+        }
+        self.queries.borrow_mut().remove(&query);
+    }
+
+    /// Tells the keeper of `server` the load by this node's requests.
+    pub fn send_load(&self, node: &FrontNode, server: &str) {
+        let now = node.clock.monotonic_now();
+        let load = node.placement.borrow().own_load(server, now);
+        let server = server_hash(server);
+        let keeper = self.keeper_of(node, server, now);
+        if keeper == self.own_id() {
+            self.keeper.borrow_mut().update(server, &keeper, load, now);
+        } else if let Ok(keeper) = keeper.parse() {
+            let avoided_ms = u32::try_from(load.avoided_for.as_millis()).unwrap_or(u32::MAX);
+            let in_flight = load.in_flight;
+            self.send(keeper, &Message::ServerLoad { server, in_flight, avoided_ms });
+        }
+    }
+
+    /// Discards expired loads and pauses.
+    pub fn prune(&self, now: Duration) {
+        self.keeper.borrow_mut().prune(now);
+        self.silent_keepers.borrow_mut().retain(|_, until| now < *until);
+    }
+
+    fn own_id(&self) -> String {
+        self.address.to_string()
+    }
+
+    /// Returns the keeper of `server` among this node and the nodes that report and answer.
+    fn keeper_of(&self, node: &FrontNode, server: ServerHash, now: Duration) -> String {
+        let own_id = self.own_id();
+        let limiter = node.limiter.borrow();
+        let silent_keepers = self.silent_keepers.borrow();
+        let is_silent = |member: &str| silent_keepers.get(member).is_some_and(|until| now < *until);
+        let others = limiter
+            .members(now)
+            .filter(|(member, is_reporting)| *is_reporting && !is_silent(member))
+            .map(|(member, _)| member.as_str());
+        let keeper = keeper_of(server, others.chain([own_id.as_str()])).map(str::to_owned);
+        keeper.unwrap_or(own_id)
+    }
+
+    fn apply_loads(&self, node: &FrontNode, query: u32, loads: Vec<(ServerHash, u32, u32)>) {
+        let now = node.clock.monotonic_now();
+        let mut placement = node.placement.borrow_mut();
+        for (server, in_flight, avoiding) in loads {
+            placement.set_others_load(server, OthersLoad { in_flight, avoiding }, now);
+        }
+        let queries = self.queries.borrow();
+        // A late reply finds no query.
+        let Some(pending) = queries.get(&query) else { return };
+        pending.keepers_left.set(pending.keepers_left.get().saturating_sub(1));
+        if pending.keepers_left.get() == 0 {
+            pending.is_answered.notify_one();
+        }
+    }
+
+    fn apply_report(&self, node: &FrontNode, sender: SocketAddr, report: Report) {
+        let known = self.incarnations.borrow_mut().insert(sender, report.incarnation);
+        if report.is_leaving || known.is_some_and(|known| known != report.incarnation) {
+            self.keeper.borrow_mut().forget(&sender.to_string());
+        }
+        apply_report(node, sender, report);
+    }
+
+    /// Sends a message that is not repeated when lost.
+    fn send(&self, receiver: SocketAddr, message: &Message) {
+        let sent = postcard::to_allocvec(message)
+            .map_err(io::Error::other)
+            .and_then(|bytes| self.socket.try_send_to(&bytes, receiver));
+        if let Err(error) = sent {
+            log::debug!("event=datagram_not_sent receiver={receiver} cause=\"{error}\"");
+        }
     }
 
     /// Keeps this node registered, discovers other nodes and removes the rows of silent ones, until
@@ -262,7 +437,6 @@
         log::info!("event=member_left member={member}");
         node.limiter.borrow_mut().forget(&member);
         node.store_reachability.update_relay(sender, false, Duration::ZERO);
-        node.placement.borrow_mut().forget_peer(&member);
         return;
     }
     let admitted = report.admitted.into_iter().collect();
@@ -272,7 +446,13 @@
         limiter.members(now).count()
     };
     node.store_reachability.update_relay(sender, report.has_store, report_timeout(members));
-    let mut placement = node.placement.borrow_mut();
-    placement.set_peer_load(&member, report.in_flight);
-    placement.set_peer_avoided(&member, report.avoided);
+}
+
+/// Returns the other nodes and updates the gauge of those that report.
+fn members(node: &FrontNode) -> Vec<SocketAddr> {
+    let now = node.clock.monotonic_now();
+    let limiter = node.limiter.borrow();
+    let reporting_count = limiter.members(now).filter(|(_, is_reporting)| *is_reporting).count();
+    node.metrics.members_heard.set(i64::try_from(reporting_count).unwrap_or(i64::MAX));
+    limiter.members(now).filter_map(|(member, _)| member.parse().ok()).collect()
 }
--- a/crates/daemon/src/front/connection/reach.rs
+++ b/crates/daemon/src/front/connection/reach.rs
@@ -15,6 +15,7 @@
 use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
 use http::Method;
 use rand::seq::IteratorRandom as _;
+use tokio::sync::Notify;
 
 use super::relay_server::ANSWER_LOST_STATUS;
 use super::store::HttpTransport;
@@ -27,8 +28,10 @@
 ///
 /// A single refusal may just mean that all nodes together exceed the store's rate limit.
 const FAILOVER_AFTER_FAILURES: u32 = 3;
-/// Minimum time between two direct calls while calls are relayed.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two probes of the store while it is unreachable.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Timeout of a probe; longer than [`PROBE_INTERVAL`], so that a slow store is recognized too.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reachability of the store for this node, and the other nodes that reach it.
 pub struct StoreReachability {
@@ -36,7 +39,8 @@
     /// Time of the first failure since the last successful direct call.
     failing_since: Cell<Option<Duration>>,
     consecutive_failures: Cell<u32>,
-    last_direct_call_at: Cell<Duration>,
+    /// Notified when a direct call succeeds after failures.
+    reached_again: Notify,
     /// Whether the store was unreachable when its state was last logged.
     was_logged_unreachable: Cell<bool>,
     /// Nodes that reach the store, with the times at which their reports expire.
@@ -51,7 +55,7 @@
             clock,
             failing_since: Cell::new(None),
             consecutive_failures: Cell::new(0),
-            last_direct_call_at: Cell::new(Duration::ZERO),
+            reached_again: Notify::new(),
             was_logged_unreachable: Cell::new(false),
             relays: RefCell::default(),
         }
@@ -84,10 +88,25 @@
         }
     }
 
+    /// Returns the time since the store was last reached, if no node reaches it.
+    #[must_use]
+    pub fn outage(&self) -> Option<Duration> {
+        let failing_since = self.failing_since.get()?;
+        let is_outage = self.is_unreachable() && self.relay().is_none();
+        is_outage.then(|| self.clock.monotonic_now().saturating_sub(failing_since))
+    }
+
+    /// Waits until a direct call succeeds after failures.
+    pub async fn wait_until_reached(&self) {
+        self.reached_again.notified().await;
+    }
+
     /// Records whether a direct call succeeded.
     fn record_direct_call(&self, is_answered: bool) {
         if is_answered {
-            self.failing_since.set(None);
+            if self.failing_since.take().is_some() {
+                self.reached_again.notify_waiters();
+            }
             self.consecutive_failures.set(0);
         } else {
             self.consecutive_failures.set(self.consecutive_failures.get().saturating_add(1));
@@ -107,17 +126,6 @@
         self.consecutive_failures.get() >= FAILOVER_AFTER_FAILURES
     }
 
-    /// Returns whether the next call should be sent to the store directly, and records the attempt.
-    fn should_try_direct(&self) -> bool {
-        let now = self.clock.monotonic_now();
-        let is_due = now >= self.last_direct_call_at.get() + PROBE_INTERVAL;
-        if !self.is_isolated() || is_due {
-            self.last_direct_call_at.set(now);
-            return true;
-        }
-        false
-    }
-
     /// Returns a random node with an unexpired report that it reaches the store.
     fn relay(&self) -> Option<SocketAddr> {
         let now = self.clock.monotonic_now();
@@ -169,11 +177,10 @@
 #[async_trait(?Send)]
 impl Transport for FailoverTransport {
     async fn call(&self, request: StoreRequest) -> Result<StoreReply, RowStoreError> {
-        if self.reachability.should_try_direct() {
+        if !self.reachability.is_unreachable() {
             let result = self.direct.call(request.clone()).await;
             let is_failed = match &result {
-                // Statuses with which the store refuses a call.
-                Ok(reply) => matches!(reply.status, 429 | 503),
+                Ok(reply) => is_refused(reply),
                 Err(_) => true,
             };
             self.reachability.record_direct_call(!is_failed);
@@ -186,9 +193,34 @@
             let Some(relay) = self.reachability.relay() else { return result };
             return self.call_relay(relay, request).await;
         }
-        match self.reachability.relay() {
-            Some(relay) => self.call_relay(relay, request).await,
-            None => self.direct.call(request).await,
+        let Some(relay) = self.reachability.relay() else {
+            // Callers are refused at once instead of after a timeout.
+            let detail = "no node has reached it for some time".to_owned();
+            return Err(RowStoreError::Unreachable { detail });
+        };
+        self.call_relay(relay, request).await
+    }
+}
+
+/// Probes the store while it is unreachable, until the process ends.
+///
+/// A probe does not wait for the one before, so that the store's return is noticed within about
+/// [`PROBE_INTERVAL`] although calls during an outage may get no answer at all.
+pub async fn probe_store(direct: Rc<HttpTransport>, reachability: Rc<StoreReachability>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        if !reachability.is_unreachable() {
+            continue;
         }
+        let (direct, reachability) = (Rc::clone(&direct), Rc::clone(&reachability));
+        tokio::task::spawn_local(async move {
+            let reply = direct.probe(PROBE_TIMEOUT).await;
+            reachability.record_direct_call(reply.is_ok_and(|reply| !is_refused(&reply)));
+        });
     }
 }
+
+/// Returns whether the store refused the call.
+fn is_refused(reply: &StoreReply) -> bool {
+    matches!(reply.status, 429 | 503)
+}
--- a/crates/daemon/src/front/connection/relay_server.rs
+++ b/crates/daemon/src/front/connection/relay_server.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::listener;
+use super::reach::StoreReachability;
 use super::store::HttpTransport;
 use crate::consts::JSON;
 
@@ -33,11 +34,20 @@
 const FEED_WAIT: Duration = Duration::from_secs(2);
 
 /// Serves other nodes until the process ends.
-pub async fn accept(direct: Rc<HttpTransport>, listener: TcpListener) {
-    listener::accept("relay", listener, |stream| serve(Rc::clone(&direct), stream)).await;
+pub async fn accept(
+    direct: Rc<HttpTransport>,
+    reachability: Rc<StoreReachability>,
+    listener: TcpListener,
+) {
+    let serve = |stream| serve(Rc::clone(&direct), Rc::clone(&reachability), stream);
+    listener::accept("relay", listener, serve).await;
 }
 
-async fn serve(direct: Rc<HttpTransport>, stream: TcpStream) -> io::Result<()> {
+async fn serve(
+    direct: Rc<HttpTransport>,
+    reachability: Rc<StoreReachability>,
+    stream: TcpStream,
+) -> io::Result<()> {
     let (io, codec) = listener::open(stream, HEAD_MAX_BYTES)?;
     while let Ok(Some((head, payload))) = io.recv(&codec).await {
         let body = match &payload {
@@ -47,7 +57,12 @@
             }
         };
         let Ok(body) = body else { break };
-        let reply = call(&direct, &head, body).await;
+        let reply = if reachability.is_unreachable() {
+            let body = Bytes::from_static(b"the store is unreachable from here; try another node");
+            StoreReply { status: 503, body }
+        } else {
+            call(&direct, &head, body).await
+        };
         let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
         listener::send_response(&io, &codec, status, JSON, &reply.body).await?;
     }
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Reads from the store, waiting for at most `time_limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be reached or does not answer in time.
+    pub async fn probe(&self, time_limit: Duration) -> Result<StoreReply, RowStoreError> {
+        self.call_within(StoreRequest::probe(time_limit), time_limit).await
+    }
+
     /// Doubles the response timeout, up to `max`, when consecutive calls time out.
     ///
     /// A single lost response does not show that the store has become slower.
@@ -125,9 +134,19 @@
 #[async_trait(?Send)]
 impl Transport for HttpTransport {
     async fn call(&self, request: StoreRequest) -> Result<StoreReply, RowStoreError> {
+        let time_limit = request.wait + self.response_timeout.get().min(request.timeout);
+        self.call_within(request, time_limit).await
+    }
+}
+
+impl HttpTransport {
+    async fn call_within(
+        &self,
+        request: StoreRequest,
+        time_limit: Duration,
+    ) -> Result<StoreReply, RowStoreError> {
         let started_at = Instant::now();
         self.metrics.store_calls.with_label_values(&[operation(&request.path)]).inc();
-        let time_limit = request.wait + self.response_timeout.get().min(request.timeout);
         let result = timeout(time_limit, self.exchange(&request)).await.unwrap_or_else(|_| {
             self.record_lost_response(request.timeout);
             let detail = format!("no answer within {} ms", time_limit.as_millis());
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -18,7 +18,7 @@
 use super::node::FrontNode;
 use crate::cli::FrontArgs;
 use crate::front::connection::peers::Peers;
-use crate::front::connection::reach::{FailoverTransport, StoreReachability};
+use crate::front::connection::reach::{FailoverTransport, StoreReachability, probe_store};
 use crate::front::connection::store::HttpTransport;
 use crate::front::connection::{caller, relay_server, status};
 use crate::front::version::follow;
@@ -112,7 +112,12 @@
     tokio::task::spawn_local(caller::accept(Rc::clone(&node), callers));
     tokio::task::spawn_local(status::accept(Rc::clone(&node), readiness));
     tokio::task::spawn_local(status::accept(Rc::clone(&node), metrics_listener));
-    tokio::task::spawn_local(relay_server::accept(direct, relay_listener));
+    tokio::task::spawn_local(relay_server::accept(
+        Rc::clone(&direct),
+        Rc::clone(&node.store_reachability),
+        relay_listener,
+    ));
+    tokio::task::spawn_local(probe_store(direct, Rc::clone(&node.store_reachability)));
     tokio::task::spawn_local(run_housekeeping(Rc::clone(&node)));
     spawn_peer_tasks(&node, &peers);
     tokio::task::spawn_local(async move {
@@ -141,6 +146,7 @@
         node.pool.prune();
         node.update_gauges();
         let now = node.clock.monotonic_now();
+        node.peers.prune(now);
         node.ledgers.evict_idle(now.saturating_sub(PROGRAM_IDLE_MAX));
     }
 }
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -5,12 +5,15 @@
 use std::time::{Duration, Instant};
 
 use dandelionfront_coordination::freshness::Freshness;
-use dandelionfront_coordination::ledger::Ledgers;
+use dandelionfront_coordination::ledger::{Ledgers, ReleaseRequester};
 use dandelionfront_coordination::limits::UsageLimiter;
 use dandelionfront_coordination::limits::bucket::BucketLimits;
 use dandelionfront_coordination::limits::usage::{RequestClass, team_hash};
+use dandelionfront_coordination::outage::{RETRY_SPREAD, retry_delay};
 use dandelionfront_coordination::placement::Placement;
-use dandelionfront_coordination::routing::{RoutingTable, Team};
+use dandelionfront_coordination::prompts::{SharedPart, SharedPrompts};
+use dandelionfront_coordination::request::PromptPart;
+use dandelionfront_coordination::routing::{RoutingTable, ServiceSpec, Team};
 use dandelionfront_coordination::rows::SharedRowStore;
 use dandelionfront_coordination::servers::{ServerChange, ServerList};
 use dandelionfront_coordination::turns::{TurnRecord, Turns};
@@ -51,12 +54,16 @@
     pub servers: RefCell<ServerList>,
     /// Load and recent failures of backend servers.
     pub placement: RefCell<Placement>,
+    /// Use of shared parts of prompts.
+    pub prompts: RefCell<SharedPrompts>,
     /// Limits of the teams, which apply over all nodes.
     pub limiter: RefCell<UsageLimiter>,
     /// Token budgets of programs.
     pub ledgers: Ledgers,
     /// Stored turns.
     pub turns: Turns,
+    /// Messages to and from the other nodes.
+    pub peers: Rc<Peers>,
     /// Idle connections to backend servers.
     pub pool: BackendPool,
     /// Signal of a graceful shutdown.
@@ -85,6 +92,7 @@
     ) -> Self {
         let claimant = peers.claimant();
         log::info!("event=claimant vm={} claimant={claimant}", settings.vm_name);
+        let requester = Rc::clone(&peers) as Rc<dyn ReleaseRequester>;
         let rows: SharedRowStore = Rc::new(store.clone());
         let cache_max_bytes =
             usize::try_from(settings.memory_max_bytes / TURN_CACHE_MEMORY_DIVISOR)
@@ -95,8 +103,10 @@
             store_reachability,
             servers: RefCell::default(),
             placement: RefCell::default(),
+            prompts: RefCell::default(),
             limiter: RefCell::default(),
-            ledgers: Ledgers::new(Rc::clone(&rows), clock.monotonic_clock(), claimant, peers),
+            ledgers: Ledgers::new(Rc::clone(&rows), clock.monotonic_clock(), claimant, requester),
+            peers,
             turns: Turns::new(rows, cache_max_bytes),
             pool: BackendPool::default(),
             stop: StopSignal::default(),
@@ -145,10 +155,18 @@
         }
         // -1 if never confirmed.
         let age_ms = freshness.age(now).map_or(-1, millis_i64);
-        Err(Refusal::not_run(
-            RefusalKind::ConfigStale,
-            format!("the configuration was last proved current {age_ms} ms ago; retry elsewhere"),
-        ))
+        let message =
+            format!("the configuration was last proved current {age_ms} ms ago; retry elsewhere");
+        Err(self.during_outage(Refusal::not_run(RefusalKind::ConfigStale, message)))
+    }
+
+    /// Adapts the retry delay of a refusal whose cause is the store to the length of the outage, if
+    /// no node reaches the store; otherwise, the caller may retry at another node.
+    #[must_use]
+    pub fn during_outage(&self, refusal: Refusal) -> Refusal {
+        let Some(outage) = self.store_reachability.outage() else { return refusal };
+        let delay = retry_delay(outage, rand::random_range(RETRY_SPREAD));
+        refusal.retry_after_ms(u64::try_from(delay.as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Takes a token from the limit of `team`; returns the delay before the request may be sent.
@@ -180,6 +198,18 @@
         })
     }
 
+    /// Records a request's prompt and returns the part that other programs share, if any.
+    pub fn record_prompt(
+        &self,
+        service: &str,
+        spec: Option<&ServiceSpec>,
+        prompt: &[PromptPart],
+    ) -> Option<SharedPart> {
+        let engine = spec?.engine.as_ref()?;
+        let servers = self.servers.borrow().ready(service).count();
+        self.prompts.borrow_mut().record(service, prompt, engine.cache_tokens, servers)
+    }
+
     /// Refunds the token of a request that no backend server may have run.
     pub fn refund_limit_token(&self, team: &str) {
         self.limiter.borrow_mut().refund(team_hash(team));
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use dandelionfront_coordination::ids::TeamId;
 use dandelionfront_coordination::limits::usage::RequestClass;
+use dandelionfront_coordination::prompts::SharedPart;
 use dandelionfront_coordination::request::RequestContext;
 use dandelionfront_coordination::routing::{Route, RoutingTable};
 use dandelionfront_coordination::{Refusal, RefusalKind};
@@ -47,6 +48,10 @@
     /// Placement key; requests with equal keys often share a prompt and prefer the same backend
     /// server.
     pub placement_key: String,
+    /// Part of the prompt that other programs share, if any.
+    pub shared_part: Option<SharedPart>,
+    /// Whether the request is the first turn of a program.
+    pub starts_program: bool,
     /// Token taken from the team's limit.
     pub limit_reservation: LimitReservation,
 }
@@ -150,7 +155,11 @@
     let service_spec = table.service(&service);
     let prepared =
         turn::prepare(node, &context, &route, service_spec, team_name, &request.body, deadline)
-            .await?;
+            .await
+            .map_err(|refusal| match refusal.kind {
+                RefusalKind::PlatformUnavailable => node.during_outage(refusal),
+                _ => refusal,
+            })?;
     let time_left = deadline.saturating_duration_since(Instant::now());
     let class = if prepared.starts_program {
         RequestClass::NewProgram
@@ -162,6 +171,7 @@
         None => LimitReservation::default(),
     };
     let placement_key = prepared.placement_key;
+    let shared_part = node.record_prompt(&service, service_spec, &context.prompt);
     Ok(Admitted {
         headers: forwarded_headers(request, team.as_ref(), &route),
         method: request.head.method().clone(),
@@ -179,6 +189,8 @@
         arrived_at: request.arrived_at,
         turn: prepared.turn,
         placement_key,
+        shared_part,
+        starts_program: prepared.starts_program,
         limit_reservation,
         route,
     })
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use dandelionfront_coordination::ids::BackendId;
-use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest};
+use dandelionfront_coordination::load::ServerHash;
+use dandelionfront_coordination::overload::new_program_retry_delay;
+use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
 use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::{Response, StatusCode};
@@ -80,6 +82,7 @@
 impl<'a> InFlightGuard<'a> {
     fn begin(node: &'a FrontNode, server: &str) -> Self {
         node.placement.borrow_mut().begin(server);
+        node.peers.send_load(node, server);
         Self { node, server: server.to_owned() }
     }
 }
@@ -87,6 +90,7 @@
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         self.node.placement.borrow_mut().end(&self.server);
+        self.node.peers.send_load(self.node, &self.server);
     }
 }
 
@@ -128,7 +132,8 @@
             return Err(self.deadline_failure());
         }
         self.recheck_key()?;
-        let Some(server) = self.choose_server() else { return self.wait_for_server().await };
+        let Some(server) = self.choose_server().await else { return self.wait_for_server().await };
+        self.check_overload(&server)?;
         let in_flight = InFlightGuard::begin(self.node, &server.id);
         let mut connection = match self.connect(&server).await {
             Ok(connection) => connection,
@@ -207,10 +212,9 @@
         self.failure_before_send(Refusal::not_run(RefusalKind::InvalidRequest, message))
     }
 
-    fn choose_server(&self) -> Option<ServerEntry> {
-        let servers = self.node.servers.borrow();
+    async fn choose_server(&self) -> Option<ServerEntry> {
         if let Some(id) = self.pinned_server() {
-            return servers.ready_by_id(id).cloned();
+            return self.node.servers.borrow().ready_by_id(id).cloned();
         }
         let policy = match self.admitted.turn {
             Some(_) => PlacementPolicy::Affinity,
@@ -219,9 +223,21 @@
         let placement_request = PlacementRequest {
             policy,
             key: &self.admitted.placement_key,
+            shared_part: self.admitted.shared_part,
             may_repeat: self.admitted.route.repeat.may_repeat(),
             excluded: &self.excluded,
         };
+        let compared: Vec<ServerHash> = {
+            let servers = self.node.servers.borrow();
+            let ready = servers.ready(&self.admitted.service);
+            let now = self.node.clock.monotonic_now();
+            let compared = self.node.placement.borrow().compared(placement_request, ready, now);
+            compared.into_iter().map(|server| server_hash(&server.id)).collect()
+        };
+        if compared.len() > 1 {
+            self.node.peers.refresh_loads(self.node, &compared).await;
+        }
+        let servers = self.node.servers.borrow();
         let ready = servers.ready(&self.admitted.service);
         let now = self.node.clock.monotonic_now();
         self.node.placement.borrow().choose(placement_request, ready, now).cloned()
@@ -236,6 +252,27 @@
         (server_count >= self.admitted.route.attempts_max && is_ready).then_some(last)
     }
 
+    /// Refuses a new program if `server` is overloaded.
+    fn check_overload(&mut self, server: &ServerEntry) -> Result<(), Failure> {
+        if !self.admitted.starts_program || self.is_sent {
+            return Ok(());
+        }
+        let now = self.node.clock.monotonic_now();
+        let load = self.node.placement.borrow().load(server, now);
+        let Some(delay) = new_program_retry_delay(load, self.admitted.route.priority) else {
+            return Ok(());
+        };
+        let message = format!(
+            "the backend servers are overloaded ({load:.1} requests for each slot); retry later"
+        );
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        if let Some(turn) = &mut self.admitted.turn {
+            turn.release_claim();
+        }
+        let refusal = Refusal::not_run(RefusalKind::NoBackend, message);
+        Err(Failure::Refused(refusal.retry_after_ms(delay_ms)))
+    }
+
     /// Waits until all servers may be tried again; refuses if there was none to try or if the wait
     /// would exceed `busy_wait_until`.
     async fn wait_for_server(&mut self) -> AttemptResult {
@@ -361,7 +398,7 @@
         }
         log::info!(
             "event=sent request={} program={} route={} version={} team={} server={} time_left_ms={} \
-             reused={is_reused} added_ms={}",
+             reused={is_reused} load={:.2} added_ms={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
             self.admitted.route.name,
@@ -369,6 +406,7 @@
             self.admitted.team.as_ref().map_or("-", |team| team.name.as_str()),
             server.id,
             time_left.as_millis(),
+            self.node.placement.borrow().load(server, self.node.clock.monotonic_now()),
             added.as_millis(),
         );
     }
--- a/crates/daemon/src/front/request/turn.rs
+++ b/crates/daemon/src/front/request/turn.rs
@@ -21,6 +21,8 @@
     /// Tokens that the service's model engine generates per event.
     tokens_per_event: u64,
     delivered_events: u64,
+    /// Whether the program's claim is released at the end of the turn, because it did not start.
+    releases_claim: bool,
     /// Set until the turn is stored, if its route stores turns.
     pending: Option<PendingRecord>,
 }
@@ -73,6 +75,7 @@
         reserved: None,
         tokens_per_event,
         delivered_events: 0,
+        releases_claim: false,
         pending: None,
     };
     let (mut prompt, mut starts_program) = (body.clone(), false);
@@ -150,6 +153,12 @@
 }
 
 impl RunningTurn {
+    /// Releases the program's claim with the turn, because its first turn is refused; the program
+    /// is new again when it returns.
+    pub fn release_claim(&mut self) {
+        self.releases_claim = true;
+    }
+
     /// Records an event that is sent to the caller.
     pub fn record_event(&mut self, data: &[u8]) {
         self.delivered_events += 1;
@@ -178,8 +187,12 @@
         let Some((program, reserved_tokens)) = self.reserved.take() else { return };
         let node = Rc::clone(&self.node);
         let delivered_tokens = self.delivered_events * self.tokens_per_event;
+        let releases_claim = self.releases_claim;
         tokio::task::spawn_local(async move {
             node.ledgers.end_turn(&program, reserved_tokens, delivered_tokens).await;
+            if releases_claim {
+                node.ledgers.release_unused(&program).await;
+            }
         });
     }
 }
--- a/crates/daemon/src/front/version/follow.rs
+++ b/crates/daemon/src/front/version/follow.rs
@@ -66,8 +66,11 @@
                 }
                 node.confirm_config(requested_at);
             }
-            Ok(None) => log::warn!("event=stale_answer table={OPERATOR_TABLE}"),
-            Err(_) => delay_retry().await,
+            Ok(None) => {
+                log::warn!("event=stale_answer table={OPERATOR_TABLE}");
+                delay_retry(&node).await;
+            }
+            Err(_) => delay_retry(&node).await,
         }
     }
 }
@@ -110,10 +113,13 @@
                 node.record_servers_read();
                 tokio::time::sleep(SERVERS_POLL_INTERVAL).await;
             }
-            Ok(None) => log::warn!("event=stale_answer table={SERVERS_TABLE}"),
+            Ok(None) => {
+                log::warn!("event=stale_answer table={SERVERS_TABLE}");
+                delay_retry(&node).await;
+            }
             Err(_) => {
                 node.servers.borrow_mut().note_store_failure(now);
-                delay_retry().await;
+                delay_retry(&node).await;
             }
         }
     }
@@ -201,9 +207,12 @@
     Ok(cursor.advance(version).then_some(Update::Snapshot(rows)))
 }
 
-async fn delay_retry() {
-    let delay_ms = rand::rng().random_range(RETRY_DELAY_MS);
-    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+/// Waits for a random delay, or until the store is reached again.
+async fn delay_retry(node: &FrontNode) {
+    let delay = Duration::from_millis(rand::rng().random_range(RETRY_DELAY_MS));
+    let reached_again = node.store_reachability.wait_until_reached();
+    // Either end of the wait leads to the next attempt.
+    let _ = tokio::time::timeout(delay, reached_again).await;
 }
 
 impl FrontNode {
--- a/crates/daemon/tests/front.rs
+++ b/crates/daemon/tests/front.rs
@@ -393,6 +393,25 @@
     .await;
 }
 
+/// Guards against turns that each wait for a timeout although the store is known to be down.
+#[ntex::test]
+async fn turns_that_need_the_store_are_refused_at_once_while_it_is_down() {
+    let site = Site::start(1).await;
+    site.set_faults(&site.store, &json!({ "outage": true })).await;
+    eventually("turns are refused without a call to the store", async || {
+        let reply = send_turn(&site, 0, "t-1", "/stream/kept/a", None, "1000").await;
+        assert_eq!(reply.status, 503, "{}", reply.body);
+        reply.body.contains("no node has reached it").then_some(())
+    })
+    .await;
+    site.set_faults(&site.store, &json!({ "outage": false })).await;
+    eventually("turns are served again", async || {
+        let reply = send_turn(&site, 0, "t-2", "/stream/kept/a", None, "1000").await;
+        (reply.status == 200).then_some(())
+    })
+    .await;
+}
+
 /// Guards against engines that generate for callers that have disconnected.
 #[ntex::test]
 async fn disconnected_caller_ends_its_stream_at_the_engine() {
