Drop the load queries of callers that have left

Cause, found by reading: a request whose caller disconnects while it waits for the loads of servers is dropped, and its entry in the map of queries stayed for the life of the process, some hundred bytes each. The map now holds weak references, and the housekeeping removes those whose request has ended.

--- a/crates/coordination/src/overload.rs
+++ b/crates/coordination/src/overload.rs
@@ -25,6 +25,5 @@
 #[must_use]
 pub fn new_program_retry_delay(load: f64, priority: u8) -> Option<Duration> {
     let load_max = if priority == URGENT_PRIORITY { URGENT_LOAD_MAX } else { NORMAL_LOAD_MAX };
-    let is_refused = load >= load_max;
-    is_refused.then(|| RETRY_DELAY_MIN + RETRY_DELAY_PER_LOAD.mul_f64(load - 1.0))
+    (load >= load_max).then(|| RETRY_DELAY_MIN + RETRY_DELAY_PER_LOAD.mul_f64(load - 1.0))
 }
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use dandelionfront_coordination::ledger::{ClaimantId, ReleaseRequester};
@@ -112,7 +112,8 @@
     incarnations: RefCell<HashMap<SocketAddr, u64>>,
     /// Loads of the backend servers whose keeper is this node.
     keeper: RefCell<LoadKeeper>,
-    queries: RefCell<HashMap<u32, Rc<PendingQuery>>>,
+    /// Queries by number; the request that waits for the answer holds the query.
+    queries: RefCell<HashMap<u32, Weak<PendingQuery>>>,
     next_query: Cell<u32>,
     /// Nodes that did not answer a query, and the times until which they are not asked again.
     silent_keepers: RefCell<HashMap<String, Duration>>,
@@ -254,7 +255,7 @@
             keepers_left: Cell::new(asked.len()),
             is_answered: Notify::new(),
         });
-        self.queries.borrow_mut().insert(query, Rc::clone(&pending));
+        self.queries.borrow_mut().insert(query, Rc::downgrade(&pending));
         for (keeper, servers) in &asked {
             if let Ok(keeper) = keeper.parse() {
                 self.send(keeper, &Message::LoadQuery { query, servers: servers.clone() });
@@ -290,10 +291,11 @@
         }
     }
 
-    /// Discards expired loads and pauses.
+    /// Discards expired loads and pauses, and queries whose request has ended.
     pub fn prune(&self, now: Duration) {
         self.keeper.borrow_mut().prune(now);
         self.silent_keepers.borrow_mut().retain(|_, until| now < *until);
+        self.queries.borrow_mut().retain(|_, pending| pending.strong_count() > 0);
     }
 
     fn own_id(&self) -> String {
@@ -322,7 +324,7 @@
         }
         let queries = self.queries.borrow();
         // A late reply finds no query.
-        let Some(pending) = queries.get(&query) else { return };
+        let Some(pending) = queries.get(&query).and_then(Weak::upgrade) else { return };
         pending.keepers_left.set(pending.keepers_left.get().saturating_sub(1));
         if pending.keepers_left.get() == 0 {
             pending.is_answered.notify_one();
