--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -27,12 +27,10 @@
 /// cached row shows too few unclaimed tokens.
 const ATTEMPTS_MAX: u32 = 16;
 
-/// Number of retries of rate-limited writes after which a reservation fails.
-const RATE_LIMIT_RETRIES_MAX: u32 = 5;
-/// Range of the random backoff after a rate-limited write.
-const RATE_LIMIT_BACKOFF_MS: std::ops::Range<u64> = 20..120;
-/// HTTP status of a rate-limited call to the store.
-const RATE_LIMIT_STATUS: u16 = 429;
+/// Number of retries of refused writes after which a reservation fails.
+const REFUSED_RETRIES_MAX: u32 = 5;
+/// Range of the random backoff after a write that the store refused, which had no effect.
+const REFUSED_BACKOFF_MS: std::ops::Range<u64> = 20..120;
 /// Maximum number of attempts to read a row when answers are lost.
 const READ_ATTEMPTS_MAX: u32 = 4;
 /// Maximum number of later turns that a claim also covers. If a node is killed, its programs lose
@@ -227,7 +225,7 @@
         let mut is_current = false;
         let mut release_rounds_left =
             if cached.used_at >= cached.next_release_request_at { RELEASE_ROUNDS_MAX } else { 0 };
-        let mut rate_limited_writes = 0;
+        let mut refused_writes = 0;
         for _ in 0..ATTEMPTS_MAX {
             let mut next = cached.with_turns_settled(&self.claimant);
             let committed_tokens = next.committed_tokens();
@@ -266,12 +264,11 @@
             let is_first = cached.ledger == Ledger::default();
             is_current = true;
             let written = match self.write(program, &mut cached, next).await {
-                Err(ReserveError::Store { source: RowStoreError::Refused { status } })
-                    if status == RATE_LIMIT_STATUS
-                        && rate_limited_writes < RATE_LIMIT_RETRIES_MAX =>
+                Err(ReserveError::Store { source: RowStoreError::Refused { .. } })
+                    if refused_writes < REFUSED_RETRIES_MAX =>
                 {
-                    rate_limited_writes += 1;
-                    let backoff_ms = rand::random_range(RATE_LIMIT_BACKOFF_MS);
+                    refused_writes += 1;
+                    let backoff_ms = rand::random_range(REFUSED_BACKOFF_MS);
                     self.clock.sleep(Duration::from_millis(backoff_ms)).await;
                     continue;
                 }
--- a/crates/coordination/tests/ledger.rs
+++ b/crates/coordination/tests/ledger.rs
@@ -242,6 +242,20 @@
     .await;
 }
 
+/// Pattern: the store refuses a part of the calls of all nodes for some seconds.
+#[tokio::test(flavor = "current_thread")]
+async fn a_reservation_is_tried_again_when_the_store_refuses_single_writes() {
+    let rows = MemoryRows::default();
+    let ledgers = node(&rows, "a");
+    for program in ["p", "q", "r"] {
+        rows.set_faults(RowFaults { refuse_writes: 3, ..RowFaults::default() });
+        ledgers.reserve(program, TOKENS_MAX, 1_200).await.expect("the fourth write is accepted");
+    }
+    rows.set_faults(RowFaults { refuse_writes: 100, ..RowFaults::default() });
+    let refused = ledgers.reserve("s", TOKENS_MAX, 1_200).await;
+    assert!(matches!(refused, Err(ReserveError::Store { .. })), "{refused:?}");
+}
+
 /// Guards against a program that is told that its budget is spent although most of its turns are
 /// still to come: its turns are spread over many nodes, all of which are killed.
 #[tokio::test(flavor = "current_thread")]
--- a/crates/standins/src/rows.rs
+++ b/crates/standins/src/rows.rs
@@ -23,6 +23,8 @@
     pub lose_answers: u32,
     /// Number of upcoming writes that fail with [`RowStoreError::AnswerLost`] and take no effect.
     pub lose_writes: u32,
+    /// Number of upcoming writes that are refused with status 503.
+    pub refuse_writes: u32,
 }
 
 /// Versioned rows of all tables, with the history of their changes.
@@ -171,6 +173,9 @@
     async fn write(&self, write: RowWrite<'_>) -> Result<WriteOutcome, RowStoreError> {
         self.check_available()?;
         *lock(&self.writes) += 1;
+        if consume_one(&mut lock(&self.faults).refuse_writes) {
+            return Err(RowStoreError::Refused { status: 503 });
+        }
         let answer_lost = RowStoreError::AnswerLost { detail: "injected fault".to_owned() };
         if consume_one(&mut lock(&self.faults).lose_writes) {
             return Err(answer_lost);
