--- a/crates/coordination/src/request.rs
+++ b/crates/coordination/src/request.rs
@@ -46,6 +46,9 @@
     pub previous_turn: Option<RequestId>,
     /// Id of the last event that the caller has received.
     pub resume_after: Option<u64>,
+    /// Request id of the attempt that brought the first event of the stream, if the request resumes
+    /// one.
+    pub resumes: Option<RequestId>,
     /// Program that the request belongs to.
     pub program: Option<ProgramContext>,
 }
--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -11,6 +11,9 @@
 /// dropped them during the failure.
 pub const MISSING_GRACE: Duration = Duration::from_secs(2);
 
+/// Version of a backend server's software, as the server states it; versions are not ordered.
+pub type SoftwareVersion = String;
+
 /// Whether a backend server accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerState {
@@ -31,6 +34,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: ZoneId,
+    /// Version of the software that it runs.
+    pub software: SoftwareVersion,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -25,6 +25,7 @@
         service: "geo".to_owned(),
         address: "10.0.0.1:80".parse().expect("valid"),
         zone: "a".to_owned(),
+        software: "v1".to_owned(),
         slots: 12,
         state: ServerState::Ready,
         started_unix_ms: 1,
--- a/crates/coordination/tests/load.rs
+++ b/crates/coordination/tests/load.rs
@@ -27,6 +27,7 @@
         service: "geo".to_owned(),
         address: "10.0.0.1:80".parse().expect("valid"),
         zone: "a".to_owned(),
+        software: "v1".to_owned(),
         slots: SLOTS,
         state: ServerState::Ready,
         started_unix_ms: 1,
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -253,7 +253,11 @@
     pub fn apply_server_changes(&self, changes: &[ServerChange]) {
         for change in changes {
             match change {
-                ServerChange::Seen(id) => log::info!("event=server_seen server={id}"),
+                ServerChange::Seen(id) => {
+                    let servers = self.servers.borrow();
+                    let software = servers.ready_by_id(id).map_or("-", |entry| &entry.software);
+                    log::info!("event=server_seen server={id} software=\"{software}\"");
+                }
                 ServerChange::Draining(id) => log::info!("event=server_draining server={id}"),
                 ServerChange::Gone(id) => {
                     log::info!("event=server_gone server={id}");
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -398,7 +398,7 @@
         }
         log::info!(
             "event=sent request={} program={} route={} version={} team={} server={} time_left_ms={} \
-             reused={is_reused} load={:.2} added_ms={}",
+             reused={is_reused} load={:.2} added_ms={} software=\"{}\" resume_after={} resumes={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
             self.admitted.route.name,
@@ -408,6 +408,9 @@
             time_left.as_millis(),
             self.node.placement.borrow().load(server, self.node.clock.monotonic_now()),
             added.as_millis(),
+            server.software,
+            self.last_event.map_or("-".to_owned(), |event| event.to_string()),
+            self.admitted.context.resumes.as_deref().unwrap_or("-"),
         );
     }
 
