--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -1,7 +1,8 @@
 //! Test nodes started with the subcommand `front`, with stand-ins for the users' platform: its
 //! metadata store and its runners.
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -143,6 +144,11 @@
     /// Starts a store, two engines, two services and `nodes` nodes, and waits until the nodes are
     /// ready.
     pub async fn start(nodes: usize) -> Self {
+        Self::start_with_engines(nodes, &["v1", "v1"]).await
+    }
+
+    /// Starts a site with one engine for each software version in `software`.
+    pub async fn start_with_engines(nodes: usize, software: &[&str]) -> Self {
         let http = Http::new().await;
         let any_port = "127.0.0.1:0".parse().expect("valid");
         let store = MetadataStore::spawn(any_port).expect("starts").to_string();
@@ -152,20 +158,16 @@
             let address = Runner::spawn(any_port, settings).expect("starts").to_string();
             SiteRunner { id: id.to_owned(), address }
         };
-        let engines = vec![runner("engine-1", 2), runner("engine-2", 2)];
+        let engines: Vec<SiteRunner> =
+            (1..=software.len()).map(|number| runner(&format!("engine-{number}"), 2)).collect();
         let services = vec![runner("desk-1", 1), runner("desk-2", 1)];
         let config = config(3);
         let mut site = Self { http, store, engines, services, nodes: Vec::new(), config };
-        for index in 0..2 {
-            site.put_server(&site.engines[index].id, &site.engines[index].address, "geo", "ready")
-                .await;
-            site.put_server(
-                &site.services[index].id,
-                &site.services[index].address,
-                "desk",
-                "ready",
-            )
-            .await;
+        for (engine, software) in site.engines.iter().zip(software) {
+            site.put_server_of(&engine.id, &engine.address, "geo", "ready", software).await;
+        }
+        for service in &site.services {
+            site.put_server(&service.id, &service.address, "desk", "ready").await;
         }
         site.publish(site.config.clone()).await;
         site.add_nodes(nodes);
@@ -175,8 +177,20 @@
 
     /// Writes the row of a backend server to the store.
     pub async fn put_server(&self, id: &str, address: &str, service: &str, state: &str) {
+        self.put_server_of(id, address, service, state, "v1").await;
+    }
+
+    /// Writes the row of a backend server that runs the given version of its software.
+    pub async fn put_server_of(
+        &self,
+        id: &str,
+        address: &str,
+        service: &str,
+        state: &str,
+        software: &str,
+    ) {
         let value = json!({
-            "service": service, "address": address, "zone": "zone-a", "version": "v1", "slots": 4,
+            "service": service, "address": address, "zone": "zone-a", "version": software, "slots": 4,
             "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
         });
         self.put_row("servers", id, Some(value)).await;
@@ -301,6 +315,31 @@
         self.http.send(self.request(node, call), call.body).await
     }
 
+    /// Sends a stream request to a node and closes the connection once the first event has arrived.
+    pub async fn receive_first_event(&self, node: usize, call: &Call<'_>) {
+        let mut head = format!("{} {} HTTP/1.1\r\nhost: {HOST}\r\n", call.method, call.path);
+        let fixed = [("request-id", call.id), ("deadline-ms", "4000"), ("key", call.key)];
+        for (name, value) in fixed.iter().chain(call.headers) {
+            head += &format!("{name}: {value}\r\n");
+        }
+        head += &format!("content-length: {}\r\n\r\n{}", call.body.len(), call.body);
+        let address = self.nodes[node].listen.clone();
+        let received = ntex::rt::spawn_blocking(move || {
+            let mut connection = TcpStream::connect(address).expect("the node listens");
+            connection.set_read_timeout(Some(START_TIMEOUT)).expect("valid");
+            connection.write_all(head.as_bytes()).expect("the node reads");
+            let (mut received, mut buffer) = (Vec::new(), [0; 1024]);
+            while !received.windows(2).any(|bytes| bytes == b"\n\n") {
+                let length = connection.read(&mut buffer).expect("an event arrives");
+                assert!(length > 0, "the stream ended: {}", String::from_utf8_lossy(&received));
+                received.extend_from_slice(&buffer[..length]);
+            }
+            String::from_utf8_lossy(&received).into_owned()
+        });
+        let received = received.await.expect("no panic");
+        assert!(received.starts_with("HTTP/1.1 200"), "{received}");
+    }
+
     /// Returns the requests that the given backend servers ran, grouped by server and in order of
     /// execution within each group.
     pub async fn recorded_requests(&self, runners: &[SiteRunner]) -> Vec<Value> {
