Resume streams only at the software version that began them

Cause: nothing remembered what had begun a stream. A node's retry within one answer knew the last event only and went to any server of the service; a caller's next try drew its service and its server from its own request id, at a node that had never heard of the stream.

The node that forwards the first event now records the stream's origin, service and software version, at itself and at the two nodes that rank highest for the stream, before the event is sent; again after 20 s while it runs. Attempts after the first event go only to servers of that version. A request with Last-Event-Id asks the four nodes that rank highest for the origin of the stream named in Resumes; it keeps its service, and is refused with 503 (stream_unknown, not run) if no node knows it. Two datagrams a stream and up to four queries a resumption, at any number of nodes.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod rows;
 pub mod servers;
 pub mod shards;
+pub mod streams;
 pub mod turns;
 
 pub use call::{Answer, CallEvent, CallFeed, CallRequest, CallTarget, Usage};
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -51,6 +51,8 @@
     LimitUnavailable,
     /// No backend server can take the call.
     NoBackend,
+    /// No node knows the software version that began the stream to resume.
+    StreamUnknown,
     /// The backend server failed before an answer was complete.
     BackendFailed,
     /// The platform or its store cannot be read or written.
@@ -91,6 +93,7 @@
     RefusalRow(RefusalKind::RateLimited, "rate_limited", 429, Some(1_000)),
     RefusalRow(RefusalKind::LimitUnavailable, "limit_unavailable", 503, Some(1_000)),
     RefusalRow(RefusalKind::NoBackend, "no_backend", 503, Some(1_000)),
+    RefusalRow(RefusalKind::StreamUnknown, "stream_unknown", 503, None),
     RefusalRow(RefusalKind::BackendFailed, "backend_failed", 502, Some(500)),
     RefusalRow(RefusalKind::PlatformUnavailable, "platform_unavailable", 503, Some(2_000)),
     RefusalRow(RefusalKind::NotOwner, "not_owner", 503, Some(200)),
--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod caller;
 pub mod listener;
+mod origin_query;
 pub mod peers;
 pub mod reach;
 pub mod relay_server;
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -19,10 +19,14 @@
 use dandelionfront_coordination::load::{LoadKeeper, NodeLoad, OthersLoad, ServerHash, keeper_of};
 use dandelionfront_coordination::placement::server_hash;
 use dandelionfront_coordination::rows::{RowStore as _, RowStoreError, RowWrite, WriteOutcome};
+use dandelionfront_coordination::streams::{
+    ASKED_NODES, HOLDERS, StreamKey, StreamOrigin, StreamOrigins, holders_of,
+};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use super::origin_query::OriginQueries;
 use crate::front::process::FrontNode;
 
 /// Size of the receive buffer; a longer datagram is truncated and logged as malformed.
@@ -79,6 +83,25 @@
         /// these nodes that avoid the server.
         loads: Vec<(ServerHash, u32, u32)>,
     },
+    /// Origin of a stream, to be kept by the receiver.
+    StreamBegun {
+        /// The stream.
+        stream: StreamKey,
+        /// Its origin.
+        origin: StreamOrigin,
+    },
+    /// Asks for the origin of a stream.
+    StreamQuery {
+        /// The stream.
+        stream: StreamKey,
+    },
+    /// Reply to [`Self::StreamQuery`].
+    StreamReply {
+        /// The stream.
+        stream: StreamKey,
+        /// Its origin, if the sender knows it.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 /// Query for the loads of backend servers that was not yet answered by all keepers.
@@ -117,6 +140,9 @@
     next_query: Cell<u32>,
     /// Nodes that did not answer a query, and the times until which they are not asked again.
     silent_keepers: RefCell<HashMap<String, Duration>>,
+    /// Origins of streams that this node began, resumed or keeps for others.
+    origins: RefCell<StreamOrigins>,
+    origin_queries: OriginQueries,
 }
 
 impl Peers {
@@ -136,6 +162,8 @@
             queries: RefCell::default(),
             next_query: Cell::default(),
             silent_keepers: RefCell::default(),
+            origins: RefCell::default(),
+            origin_queries: OriginQueries::default(),
         })
     }
 
@@ -181,6 +209,17 @@
                     self.send(sender, &Message::LoadReply { query, loads: loads.collect() });
                 }
                 Ok(Message::LoadReply { query, loads }) => self.apply_loads(node, query, loads),
+                Ok(Message::StreamBegun { stream, origin }) => {
+                    let now = node.clock.monotonic_now();
+                    self.origins.borrow_mut().record(stream, origin, now);
+                }
+                Ok(Message::StreamQuery { stream }) => {
+                    let origin = self.origins.borrow().get(stream).cloned();
+                    self.send(sender, &Message::StreamReply { stream, origin });
+                }
+                Ok(Message::StreamReply { stream, origin }) => {
+                    self.origin_queries.apply(stream, sender, origin.as_ref());
+                }
                 Err(error) => {
                     log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
                 }
@@ -291,8 +330,31 @@
         }
     }
 
-    /// Discards expired loads and pauses, and queries whose request has ended.
+    /// Records the origin of a stream at this node and at those that keep it.
+    pub fn record_origin(&self, node: &FrontNode, stream: StreamKey, origin: &StreamOrigin) {
+        let now = node.clock.monotonic_now();
+        self.origins.borrow_mut().record(stream, origin.clone(), now);
+        let message = Message::StreamBegun { stream, origin: origin.clone() };
+        for holder in holders(node, stream, HOLDERS) {
+            self.send(holder, &message);
+        }
+    }
+
+    /// Returns the origin of a stream, from this node or from those that may keep it; `None` if
+    /// none of them knows it or answers in time.
+    pub async fn find_origin(&self, node: &FrontNode, stream: StreamKey) -> Option<StreamOrigin> {
+        if let Some(origin) = self.origins.borrow().get(stream) {
+            return Some(origin.clone());
+        }
+        let asked = holders(node, stream, ASKED_NODES);
+        let send = |receiver| self.send(receiver, &Message::StreamQuery { stream });
+        self.origin_queries.ask(stream, &asked, send).await
+    }
+
+    /// Discards expired loads, pauses and origins, and queries whose request has ended.
     pub fn prune(&self, now: Duration) {
+        self.origins.borrow_mut().prune(now);
+        self.origin_queries.prune();
         self.keeper.borrow_mut().prune(now);
         self.silent_keepers.borrow_mut().retain(|_, until| now < *until);
         self.queries.borrow_mut().retain(|_, pending| pending.strong_count() > 0);
@@ -450,6 +512,15 @@
     node.store_reachability.update_relay(sender, report.has_store, report_timeout(members));
 }
 
+/// Returns the `count` reporting nodes that rank highest for a stream.
+fn holders(node: &FrontNode, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+    let now = node.clock.monotonic_now();
+    let limiter = node.limiter.borrow();
+    let members = limiter.members(now).filter(|(_, is_reporting)| *is_reporting);
+    let holders = holders_of(stream, members.map(|(member, _)| member.as_str()), count);
+    holders.into_iter().filter_map(|member| member.parse().ok()).collect()
+}
+
 /// Returns the other nodes and updates the gauge of those that report.
 fn members(node: &FrontNode) -> Vec<SocketAddr> {
     let now = node.clock.monotonic_now();
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -8,7 +8,8 @@
 use dandelionfront_coordination::limits::usage::RequestClass;
 use dandelionfront_coordination::prompts::SharedPart;
 use dandelionfront_coordination::request::RequestContext;
-use dandelionfront_coordination::routing::{Route, RoutingTable};
+use dandelionfront_coordination::routing::{RepeatPolicy, Route, RoutingTable, ServiceId};
+use dandelionfront_coordination::streams::{StreamKey, StreamOrigin, stream_key};
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::headers;
 use http::{HeaderMap, HeaderValue, Method, header};
@@ -27,8 +28,12 @@
     pub context: RequestContext,
     /// Route that matched at admission.
     pub route: Route,
-    /// Service chosen by the route.
+    /// Service chosen by the route, or the one that began the stream to resume.
     pub service: String,
+    /// Key of the stream, if it may be resumed.
+    pub stream: Option<StreamKey>,
+    /// Origin of the stream that the request resumes.
+    pub origin: Option<StreamOrigin>,
     /// Team that the request's key belongs to; `None` if no key is required.
     pub team: Option<AdmittedTeam>,
     /// Request method.
@@ -146,12 +151,18 @@
         let message = "the request has no Request-Id; send a new one with each attempt";
         return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
     }
-    let service = route.service_for(&context.id).cloned().ok_or_else(|| {
-        Refusal::not_run(RefusalKind::NoBackend, "the route names no service; publish one")
-    })?;
     let time_limit = context.deadline.unwrap_or(TIME_LIMIT_DEFAULT).min(route.timeout);
     let deadline = request.arrived_at + time_limit;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
+    let is_resumable = route.repeat == RepeatPolicy::ResumableStream;
+    let stream = is_resumable.then(|| stream_key(team_name, first_request(&context)));
+    let origin = match stream {
+        Some(stream) if context.resume_after.is_some() => {
+            Some(find_origin(node, &context, stream).await?)
+        }
+        _ => None,
+    };
+    let service = choose_service(&route, &context, origin.as_ref())?;
     let service_spec = table.service(&service);
     let prepared =
         turn::prepare(node, &context, &route, service_spec, team_name, &request.body, deadline)
@@ -183,6 +194,8 @@
             .to_owned(),
         context,
         service,
+        stream,
+        origin,
         team,
         body: prepared.body,
         deadline,
@@ -196,6 +209,57 @@
     })
 }
 
+/// Returns the request that brought the first event of the stream, or will bring it.
+fn first_request(context: &RequestContext) -> &str {
+    match &context.resumes {
+        Some(first) if context.resume_after.is_some() => first,
+        _ => &context.id,
+    }
+}
+
+/// Returns the origin of the stream that a request resumes; refuses the request if no node knows
+/// it.
+async fn find_origin(
+    node: &FrontNode,
+    context: &RequestContext,
+    stream: StreamKey,
+) -> Result<StreamOrigin, Refusal> {
+    let found = node.peers.find_origin(node, stream).await;
+    log::info!(
+        "event=stream_resumed request={} resumes={} resume_after={} service={} software=\"{}\"",
+        context.id,
+        context.resumes.as_deref().unwrap_or("-"),
+        context.resume_after.unwrap_or_default(),
+        found.as_ref().map_or("-", |origin| &origin.service),
+        found.as_ref().map_or("-", |origin| &origin.software),
+    );
+    found.ok_or_else(|| {
+        let message = "no node knows which software version began the stream; \
+                       name the request that brought its first event in Resumes, or start it anew";
+        Refusal::not_run(RefusalKind::StreamUnknown, message)
+    })
+}
+
+fn choose_service(
+    route: &Route,
+    context: &RequestContext,
+    origin: Option<&StreamOrigin>,
+) -> Result<ServiceId, Refusal> {
+    let Some(origin) = origin else {
+        return route.service_for(&context.id).cloned().ok_or_else(|| {
+            Refusal::not_run(RefusalKind::NoBackend, "the route names no service; publish one")
+        });
+    };
+    if route.targets.iter().any(|target| target.service == origin.service) {
+        return Ok(origin.service.clone());
+    }
+    let message = format!(
+        "the route no longer names service {}, which began the stream; start the stream anew",
+        origin.service
+    );
+    Err(Refusal::not_run(RefusalKind::StreamUnknown, message))
+}
+
 fn find_route(
     node: &FrontNode,
     table: &RoutingTable,
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -10,7 +10,8 @@
 use dandelionfront_coordination::load::ServerHash;
 use dandelionfront_coordination::overload::new_program_retry_delay;
 use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
-use dandelionfront_coordination::servers::ServerEntry;
+use dandelionfront_coordination::servers::{ServerEntry, ServerList};
+use dandelionfront_coordination::streams::{ORIGIN_REFRESH, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
@@ -71,6 +72,10 @@
     is_sent: bool,
     /// Whether an event was sent to the caller.
     pub(super) has_forwarded_event: bool,
+    /// Origin of the stream, once its first event was sent to the caller.
+    origin: Option<StreamOrigin>,
+    /// Time at which the origin was last recorded at other nodes.
+    origin_recorded_at: Option<Instant>,
 }
 
 /// Counts a request as in flight on a backend server until dropped.
@@ -104,6 +109,7 @@
     let busy_wait_until =
         now + admitted.deadline.saturating_duration_since(now) / BUSY_WAIT_DIVISOR;
     let last_event = admitted.context.resume_after;
+    let origin = admitted.origin.clone();
     let mut attempts = Attempts {
         node,
         admitted,
@@ -114,6 +120,8 @@
         busy_wait_until,
         is_sent: false,
         has_forwarded_event: false,
+        origin,
+        origin_recorded_at: None,
     };
     loop {
         if let Some(result) = attempts.attempt_once(responder).await? {
@@ -229,7 +237,7 @@
         };
         let compared: Vec<ServerHash> = {
             let servers = self.node.servers.borrow();
-            let ready = servers.ready(&self.admitted.service);
+            let ready = self.eligible(&servers);
             let now = self.node.clock.monotonic_now();
             let compared = self.node.placement.borrow().compared(placement_request, ready, now);
             compared.into_iter().map(|server| server_hash(&server.id)).collect()
@@ -238,17 +246,44 @@
             self.node.peers.refresh_loads(self.node, &compared).await;
         }
         let servers = self.node.servers.borrow();
-        let ready = servers.ready(&self.admitted.service);
+        let ready = self.eligible(&servers);
         let now = self.node.clock.monotonic_now();
         self.node.placement.borrow().choose(placement_request, ready, now).cloned()
     }
 
+    /// Returns the ready servers of the service; only those of the software version that began the
+    /// stream, if it has begun.
+    fn eligible<'b>(&'b self, servers: &'b ServerList) -> impl Iterator<Item = &'b ServerEntry> {
+        servers.ready(&self.admitted.service).filter(|server| self.may_continue_at(server))
+    }
+
+    fn may_continue_at(&self, server: &ServerEntry) -> bool {
+        self.origin.as_ref().is_none_or(|origin| origin.software == server.software)
+    }
+
+    /// Records the origin of the stream before an event of `server` is sent to the caller, who may
+    /// resume the stream at another node as soon as the event has arrived.
+    pub(super) fn record_origin(&mut self, server: &ServerEntry) {
+        let Some(stream) = self.admitted.stream else { return };
+        let is_recorded = |at: Instant| at.elapsed() < ORIGIN_REFRESH;
+        if self.origin_recorded_at.is_some_and(is_recorded) {
+            return;
+        }
+        let origin = self.origin.get_or_insert_with(|| StreamOrigin {
+            service: server.service.clone(),
+            software: server.software.clone(),
+        });
+        self.node.peers.record_origin(self.node, stream, origin);
+        self.origin_recorded_at = Some(Instant::now());
+    }
+
     /// Returns the server that was added last to `may_have_run_on`, if the route's limit on the
     /// number of servers is reached and that server is ready.
     fn pinned_server(&self) -> Option<&BackendId> {
         let server_count = u32::try_from(self.may_have_run_on.len()).unwrap_or(u32::MAX);
         let last = self.may_have_run_on.last()?;
-        let is_ready = self.node.servers.borrow().ready_by_id(last).is_some();
+        let servers = self.node.servers.borrow();
+        let is_ready = servers.ready_by_id(last).is_some_and(|server| self.may_continue_at(server));
         (server_count >= self.admitted.route.attempts_max && is_ready).then_some(last)
     }
 
@@ -277,7 +312,14 @@
     /// would exceed `busy_wait_until`.
     async fn wait_for_server(&mut self) -> AttemptResult {
         if self.excluded.is_empty() || Instant::now() + BUSY_RETRY_DELAY > self.busy_wait_until {
-            let message = "no backend server can take the request now; retry later";
+            let message = match &self.origin {
+                Some(origin) => format!(
+                    "no backend server of software version {:?}, which began the stream, can take \
+                     it now; retry later",
+                    origin.software
+                ),
+                None => "no backend server can take the request now; retry later".to_owned(),
+            };
             let refusal = Refusal::not_run(RefusalKind::NoBackend, message);
             return Err(self.failure_before_send(refusal.retry_after_ms(BUSY_RETRY_AFTER_MS)));
         }
@@ -334,7 +376,7 @@
                 let status = response.status();
                 let is_stream = status.is_success() && self.admitted.route.repeat.is_stream();
                 let outcome = if is_stream {
-                    stream::forward_events(self, responder, response).await
+                    stream::forward_events(self, responder, server, response).await
                 } else {
                     body::forward_body(self, responder, response).await
                 };
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::events::{EventSplitter, StreamEvent};
+use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use http::Response;
 use hyper::body::Incoming;
@@ -10,10 +11,11 @@
 use super::frames::next_chunk;
 use crate::front::connection::responder::{BodyLength, Responder};
 
-/// Forwards a stream; only complete events in sequence reach the caller.
+/// Forwards the stream of `server`; only complete events in sequence reach the caller.
 pub async fn forward_events(
     attempts: &mut Attempts<'_>,
     responder: &mut Responder<'_>,
+    server: &ServerEntry,
     response: Response<Incoming>,
 ) -> Result<ForwardOutcome, Failure> {
     let (head, mut body) = response.into_parts();
@@ -33,7 +35,7 @@
             return Ok(ForwardOutcome::Incomplete("an event is too long".to_owned()));
         }
         while let Some(event) = splitter.next_event() {
-            if let Err(cause) = forward_event(attempts, responder, event).await? {
+            if let Err(cause) = forward_event(attempts, responder, server, event).await? {
                 return Ok(ForwardOutcome::Incomplete(cause));
             }
         }
@@ -57,6 +59,7 @@
 async fn forward_event(
     attempts: &mut Attempts<'_>,
     responder: &mut Responder<'_>,
+    server: &ServerEntry,
     event: StreamEvent,
 ) -> Result<Result<(), String>, Failure> {
     if let Some(id) = event.id {
@@ -74,6 +77,7 @@
     if let Some(turn) = &mut attempts.admitted.turn {
         turn.record_event(&event.data);
     }
+    attempts.record_origin(server);
     responder.send_chunk(Bytes::from(event.raw)).await.map_err(Failure::CallerGone)?;
     Ok(Ok(()))
 }
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -1,6 +1,7 @@
 //! Test nodes started with the subcommand `front`, with stand-ins for the users' platform: its
 //! metadata store and its runners.
 
+use std::fmt::Write as _;
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -320,9 +321,10 @@
         let mut head = format!("{} {} HTTP/1.1\r\nhost: {HOST}\r\n", call.method, call.path);
         let fixed = [("request-id", call.id), ("deadline-ms", "4000"), ("key", call.key)];
         for (name, value) in fixed.iter().chain(call.headers) {
-            head += &format!("{name}: {value}\r\n");
+            write!(head, "{name}: {value}\r\n").expect("a string");
         }
-        head += &format!("content-length: {}\r\n\r\n{}", call.body.len(), call.body);
+        let length = call.body.len();
+        write!(head, "content-length: {length}\r\n\r\n{}", call.body).expect("a string");
         let address = self.nodes[node].listen.clone();
         let received = ntex::rt::spawn_blocking(move || {
             let mut connection = TcpStream::connect(address).expect("the node listens");
