Find the streams of callers that do not name them by session and body

Refusing was ruled out, as was taking the only version in the list for the one that began the stream: a version that left just before would be missed.

Origins are now kept by session, with the hashes of the request's id and body. A request that names the first one still gets exactly that stream; one that does not gets the newest stream of its session with the same body. The messages are as many as before.

--- a/crates/daemon/src/front/connection/origin_query.rs
+++ b/crates/daemon/src/front/connection/origin_query.rs
@@ -6,7 +6,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use dandelionfront_coordination::streams::{StreamKey, StreamOrigin};
+use dandelionfront_coordination::streams::{SessionKey, SoughtStream, StreamOrigin};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -16,6 +16,9 @@
 /// Number of times that a node is asked.
 const ROUNDS_MAX: usize = 3;
 
+/// A stream whose origin is sought.
+type QueryKey = (SessionKey, SoughtStream);
+
 /// A query that is not decided yet.
 #[derive(Debug)]
 struct PendingQuery {
@@ -28,7 +31,7 @@
 /// Undecided queries by stream; the request that waits for the answer holds the query.
 #[derive(Debug, Default)]
 pub struct OriginQueries {
-    pending: RefCell<HashMap<StreamKey, Vec<Weak<PendingQuery>>>>,
+    pending: RefCell<HashMap<QueryKey, Vec<Weak<PendingQuery>>>>,
 }
 
 impl OriginQueries {
@@ -36,7 +39,7 @@
     /// one of them knows it or all have answered.
     pub async fn ask(
         &self,
-        stream: StreamKey,
+        key: QueryKey,
         nodes: &[SocketAddr],
         send: impl Fn(SocketAddr),
     ) -> Option<StreamOrigin> {
@@ -48,7 +51,7 @@
             origin: RefCell::default(),
             is_decided: Notify::new(),
         });
-        self.pending.borrow_mut().entry(stream).or_default().push(Rc::downgrade(&query));
+        self.pending.borrow_mut().entry(key).or_default().push(Rc::downgrade(&query));
         for _ in 0..ROUNDS_MAX {
             let unanswered: Vec<SocketAddr> = query.unanswered.borrow().iter().copied().collect();
             unanswered.into_iter().for_each(&send);
@@ -57,17 +60,18 @@
             }
         }
         log::info!(
-            "event=origin_query_timeout stream={stream:016x} unanswered={:?}",
+            "event=origin_query_timeout session={:016x} unanswered={:?}",
+            key.0,
             query.unanswered.borrow(),
         );
         None
     }
 
     /// Applies the answer of a node.
-    pub fn apply(&self, stream: StreamKey, sender: SocketAddr, origin: Option<&StreamOrigin>) {
+    pub fn apply(&self, key: QueryKey, sender: SocketAddr, origin: Option<&StreamOrigin>) {
         let pending = self.pending.borrow();
         // A late answer finds no query.
-        let queries = pending.get(&stream).into_iter().flatten().filter_map(Weak::upgrade);
+        let queries = pending.get(&key).into_iter().flatten().filter_map(Weak::upgrade);
         for query in queries {
             let mut unanswered = query.unanswered.borrow_mut();
             unanswered.remove(&sender);
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -20,7 +20,8 @@
 use dandelionfront_coordination::placement::server_hash;
 use dandelionfront_coordination::rows::{RowStore as _, RowStoreError, RowWrite, WriteOutcome};
 use dandelionfront_coordination::streams::{
-    ASKED_NODES, HOLDERS, StreamKey, StreamOrigin, StreamOrigins, holders_of,
+    ASKED_NODES, HOLDERS, SessionKey, SoughtStream, StreamId, StreamOrigin, StreamOrigins,
+    holders_of,
 };
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -86,19 +87,23 @@
     /// Origin of a stream, to be kept by the receiver.
     StreamBegun {
         /// The stream.
-        stream: StreamKey,
+        stream: StreamId,
         /// Its origin.
         origin: StreamOrigin,
     },
     /// Asks for the origin of a stream.
     StreamQuery {
+        /// Session of the stream.
+        session: SessionKey,
         /// The stream.
-        stream: StreamKey,
+        sought: SoughtStream,
     },
     /// Reply to [`Self::StreamQuery`].
     StreamReply {
+        /// Session of the stream.
+        session: SessionKey,
         /// The stream.
-        stream: StreamKey,
+        sought: SoughtStream,
         /// Its origin, if the sender knows it.
         origin: Option<StreamOrigin>,
     },
@@ -213,12 +218,12 @@
                     let now = node.clock.monotonic_now();
                     self.origins.borrow_mut().record(stream, origin, now);
                 }
-                Ok(Message::StreamQuery { stream }) => {
-                    let origin = self.origins.borrow().get(stream).cloned();
-                    self.send(sender, &Message::StreamReply { stream, origin });
+                Ok(Message::StreamQuery { session, sought }) => {
+                    let origin = self.origins.borrow().find(session, sought).cloned();
+                    self.send(sender, &Message::StreamReply { session, sought, origin });
                 }
-                Ok(Message::StreamReply { stream, origin }) => {
-                    self.origin_queries.apply(stream, sender, origin.as_ref());
+                Ok(Message::StreamReply { session, sought, origin }) => {
+                    self.origin_queries.apply((session, sought), sender, origin.as_ref());
                 }
                 Err(error) => {
                     log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
@@ -331,24 +336,33 @@
     }
 
     /// Records the origin of a stream at this node and at those that keep it.
-    pub fn record_origin(&self, node: &FrontNode, stream: StreamKey, origin: &StreamOrigin) {
+    pub fn record_origin(&self, node: &FrontNode, stream: StreamId, origin: &StreamOrigin) {
         let now = node.clock.monotonic_now();
         self.origins.borrow_mut().record(stream, origin.clone(), now);
         let message = Message::StreamBegun { stream, origin: origin.clone() };
-        for holder in holders(node, stream, HOLDERS) {
+        for holder in holders(node, stream.session, HOLDERS) {
             self.send(holder, &message);
         }
     }
 
     /// Returns the origin of a stream, from this node or from those that may keep it; `None` if
     /// none of them knows it or answers in time.
-    pub async fn find_origin(&self, node: &FrontNode, stream: StreamKey) -> Option<StreamOrigin> {
-        if let Some(origin) = self.origins.borrow().get(stream) {
-            return Some(origin.clone());
+    pub async fn find_origin(
+        &self,
+        node: &FrontNode,
+        session: SessionKey,
+        sought: SoughtStream,
+    ) -> Option<StreamOrigin> {
+        let known = self.origins.borrow().find(session, sought).cloned();
+        // Another node may have begun a newer stream with the same body.
+        let is_certain = matches!(sought, SoughtStream::Request(_));
+        if is_certain && known.is_some() {
+            return known;
         }
-        let asked = holders(node, stream, ASKED_NODES);
-        let send = |receiver| self.send(receiver, &Message::StreamQuery { stream });
-        self.origin_queries.ask(stream, &asked, send).await
+        let asked = holders(node, session, ASKED_NODES);
+        let message = Message::StreamQuery { session, sought };
+        let send = |receiver| self.send(receiver, &message);
+        self.origin_queries.ask((session, sought), &asked, send).await.or(known)
     }
 
     /// Discards expired loads, pauses and origins, and queries whose request has ended.
@@ -512,12 +526,12 @@
     node.store_reachability.update_relay(sender, report.has_store, report_timeout(members));
 }
 
-/// Returns the `count` reporting nodes that rank highest for a stream.
-fn holders(node: &FrontNode, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+/// Returns the `count` reporting nodes that rank highest for a session.
+fn holders(node: &FrontNode, session: SessionKey, count: usize) -> Vec<SocketAddr> {
     let now = node.clock.monotonic_now();
     let limiter = node.limiter.borrow();
     let members = limiter.members(now).filter(|(_, is_reporting)| *is_reporting);
-    let holders = holders_of(stream, members.map(|(member, _)| member.as_str()), count);
+    let holders = holders_of(session, members.map(|(member, _)| member.as_str()), count);
     holders.into_iter().filter_map(|member| member.parse().ok()).collect()
 }
 
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -9,7 +9,7 @@
 use dandelionfront_coordination::prompts::SharedPart;
 use dandelionfront_coordination::request::RequestContext;
 use dandelionfront_coordination::routing::{RepeatPolicy, Route, RoutingTable, ServiceId};
-use dandelionfront_coordination::streams::{StreamKey, StreamOrigin, stream_key};
+use dandelionfront_coordination::streams::{StreamId, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::headers;
 use http::{HeaderMap, HeaderValue, Method, header};
@@ -30,8 +30,8 @@
     pub route: Route,
     /// Service chosen by the route, or the one that began the stream to resume.
     pub service: String,
-    /// Key of the stream, if it may be resumed.
-    pub stream: Option<StreamKey>,
+    /// The stream, if it may be resumed.
+    pub stream: Option<StreamId>,
     /// Origin of the stream that the request resumes.
     pub origin: Option<StreamOrigin>,
     /// Team that the request's key belongs to; `None` if no key is required.
@@ -155,13 +155,14 @@
     let deadline = request.arrived_at + time_limit;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
     let is_resumable = route.repeat == RepeatPolicy::ResumableStream;
-    let stream = is_resumable.then(|| stream_key(team_name, first_request(&context)));
-    let origin = match stream {
-        Some(stream) if context.resume_after.is_some() => {
-            Some(find_origin(node, &context, stream).await?)
-        }
-        _ => None,
-    };
+    let mut stream = is_resumable.then(|| stream_id(&context, team_name, &request.body));
+    let mut origin = None;
+    if let Some(resuming) = stream
+        && context.resume_after.is_some()
+    {
+        origin = Some(find_origin(node, &context, resuming).await?);
+        stream = Some(resuming.continued(context.resumes.as_deref()));
+    }
     let service = choose_service(&route, &context, origin.as_ref())?;
     let service_spec = table.service(&service);
     let prepared =
@@ -209,12 +210,10 @@
     })
 }
 
-/// Returns the request that brought the first event of the stream, or will bring it.
-fn first_request(context: &RequestContext) -> &str {
-    match &context.resumes {
-        Some(first) if context.resume_after.is_some() => first,
-        _ => &context.id,
-    }
+fn stream_id(context: &RequestContext, team: &str, body: &[u8]) -> StreamId {
+    let session = context.program.as_ref().map(|program| program.session.as_bytes());
+    let affinity = context.affinity.as_ref().map(String::as_bytes);
+    StreamId::new(team, session.or(affinity).unwrap_or(body), &context.id, body)
 }
 
 /// Returns the origin of the stream that a request resumes; refuses the request if no node knows
@@ -222,9 +221,10 @@
 async fn find_origin(
     node: &FrontNode,
     context: &RequestContext,
-    stream: StreamKey,
+    stream: StreamId,
 ) -> Result<StreamOrigin, Refusal> {
-    let found = node.peers.find_origin(node, stream).await;
+    let sought = stream.resumed(context.resumes.as_deref());
+    let found = node.peers.find_origin(node, stream.session, sought).await;
     log::info!(
         "event=stream_resumed request={} resumes={} resume_after={} service={} software=\"{}\"",
         context.id,
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -74,6 +74,28 @@
     }
 }
 
+/// Guards against refusing, or resuming at another software version, the streams of callers that do
+/// not name the request that brought the first event.
+#[ntex::test]
+async fn stream_of_a_caller_that_does_not_name_it_is_resumed_at_the_software_version_that_began_it()
+{
+    let site = Site::start_with_engines(3, &SOFTWARE).await;
+    for stream in 0..STREAMS {
+        let (first, second) = (format!("first-{stream}"), format!("second-{stream}"));
+        let (session, body) = (format!("session-{}", stream % 4), format!("turn {stream}"));
+        let headers = [("program-id", "p-1"), ("session-id", session.as_str())];
+        let path = "/stream/talk/a";
+        let call = Call { id: &first, path, headers: &headers, body: &body, ..Call::default() };
+        site.receive_first_event(stream % 3, &call).await;
+        let headers = [headers[0], headers[1], ("last-event-id", "1")];
+        let call = Call { id: &second, path, headers: &headers, body: &body, ..Call::default() };
+        let reply = site.send((stream + 1) % 3, &call).await.expect("the node answers");
+        assert_eq!((reply.status, reply.body), (200, events_after(1)), "stream {stream}");
+        let versions = software_that_ran(&site, &[&first, &second]).await;
+        assert_eq!(versions.len(), 1, "stream {stream} holds events of {versions:?}");
+    }
+}
+
 /// Guards against streams that cannot be resumed because the node that began them was killed.
 #[ntex::test]
 async fn streams_of_a_killed_node_are_resumed_at_the_software_version_that_began_them() {
