Send nothing to a server that announces its leave in an answer

A server that leaves says so in all its answers (Server-Leaving: 1), at times only there: its entry stays ready or is removed late.

The list of servers now keeps announcements by server and start time. A server with one gets no request, by first choice, retry, resumption or pin, whatever its entry says, until an entry with a later start is read; an old entry, or one that lapsed and is written again, changes nothing. The node that learns of it tells all others, and a node that starts asks eight of them.

--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{BackendId, ZoneId};
 use crate::routing::ServiceId;
 
@@ -14,6 +16,9 @@
 /// Version of a backend server's software, as the server states it; versions are not ordered.
 pub type SoftwareVersion = String;
 
+/// Time for which the announcement of a server that is not in the list is kept.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
 /// Whether a backend server accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerState {
@@ -63,10 +68,23 @@
     missing_since: Option<Duration>,
 }
 
+/// Announcement by a backend server, in one of its answers, that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingServer {
+    /// Identifier of the backend server.
+    pub id: BackendId,
+    /// Time of its start, as in its entry.
+    pub started_unix_ms: u64,
+}
+
 /// The backend servers by identifier.
 #[derive(Debug, Default)]
 pub struct ServerList {
     known: HashMap<BackendId, KnownServer>,
+    /// Start times of the servers that announced in an answer that they are leaving, with the times
+    /// at which this node learned of it. An announcement holds for all entries with the same start
+    /// time, because the store may return an old entry, or one that lapsed may be written again.
+    leaving: HashMap<BackendId, (u64, Duration)>,
     /// Time of the last failed read of the list.
     store_failed_at: Option<Duration>,
 }
@@ -77,6 +95,43 @@
         self.store_failed_at = Some(now);
     }
 
+    /// Records that a server announced its leave; returns `false` if this was known.
+    pub fn note_leaving(&mut self, server: LeavingServer, now: Duration) -> bool {
+        let LeavingServer { id, started_unix_ms } = server;
+        match self.leaving.get(&id) {
+            // An announcement of an earlier start arrived late.
+            Some((known, _)) if *known >= started_unix_ms => false,
+            _ => {
+                self.leaving.insert(id, (started_unix_ms, now));
+                true
+            }
+        }
+    }
+
+    /// Returns the servers that announced their leave.
+    pub fn leaving(&self) -> impl Iterator<Item = LeavingServer> {
+        self.leaving.iter().map(|(id, (started_unix_ms, _))| LeavingServer {
+            id: id.clone(),
+            started_unix_ms: *started_unix_ms,
+        })
+    }
+
+    /// Discards old announcements of servers that are no longer in the list.
+    pub fn prune_leaving(&mut self, now: Duration) {
+        let known = &self.known;
+        self.leaving.retain(|id, (_, learned_at)| {
+            known.contains_key(id) || now < *learned_at + LEAVING_RETENTION
+        });
+    }
+
+    fn accepts_requests(&self, entry: &ServerEntry) -> bool {
+        entry.state == ServerState::Ready
+            && self
+                .leaving
+                .get(&entry.id)
+                .is_none_or(|(started, _)| *started < entry.started_unix_ms)
+    }
+
     /// Adds or replaces an entry; returns the change, if any.
     pub fn insert(&mut self, entry: ServerEntry) -> Option<ServerChange> {
         let id = entry.id.clone();
@@ -141,14 +196,14 @@
         self.known
             .values()
             .map(|known| &known.entry)
-            .filter(move |entry| entry.service == service && entry.state == ServerState::Ready)
+            .filter(move |entry| entry.service == service && self.accepts_requests(entry))
     }
 
     /// Returns the entry of a backend server if it accepts new requests.
     #[must_use]
     pub fn ready_by_id(&self, id: &str) -> Option<&ServerEntry> {
         let entry = &self.known.get(id)?.entry;
-        (entry.state == ServerState::Ready).then_some(entry)
+        self.accepts_requests(entry).then_some(entry)
     }
 
     /// Returns the number of backend servers in the list.
@@ -157,11 +212,10 @@
         self.known.len()
     }
 
-    /// Returns the number of draining backend servers.
+    /// Returns the number of backend servers that are leaving.
     #[must_use]
     pub fn draining_count(&self) -> usize {
-        let draining = |known: &&KnownServer| known.entry.state == ServerState::Draining;
-        self.known.values().filter(draining).count()
+        self.known.values().filter(|known| !self.accepts_requests(&known.entry)).count()
     }
 
     /// Returns whether the list is empty.
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -14,7 +14,7 @@
     CallerLimits, RepeatPolicy, Route, RoutingTable, Target, Team,
 };
 use dandelionfront_coordination::servers::{
-    MISSING_GRACE, ServerChange, ServerEntry, ServerList, ServerState,
+    LeavingServer, MISSING_GRACE, ServerChange, ServerEntry, ServerList, ServerState,
 };
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -60,6 +60,33 @@
     assert_eq!(ready(&list), 0);
 }
 
+/// Guards against requests to a server that announced its leave in an answer, whatever its entry
+/// says.
+#[test]
+fn a_server_that_announced_its_leave_gets_no_work_until_it_starts_anew() {
+    let mut list = ServerList::default();
+    let announce = |list: &mut ServerList, started_unix_ms, now| {
+        list.note_leaving(LeavingServer { id: "a".to_owned(), started_unix_ms }, now)
+    };
+    list.insert(entry("a"));
+    assert!(announce(&mut list, 1, MS));
+    assert!(!announce(&mut list, 1, 2 * MS), "it is known");
+    assert_eq!((ready(&list), list.ready_by_id("a")), (0, None));
+    // The entry lapses and is written again.
+    list.remove("a", 3 * MS);
+    list.prune_leaving(4 * MS);
+    list.insert(entry("a"));
+    assert_eq!(ready(&list), 0);
+    list.insert(ServerEntry { started_unix_ms: 2, ..entry("a") });
+    assert_eq!(ready(&list), 1);
+    assert!(!announce(&mut list, 1, 5 * MS), "a late announcement of the earlier start");
+    assert_eq!(ready(&list), 1);
+    // Announcements of servers that are not in the list are dropped after some time.
+    list.remove("a", 6 * MS);
+    list.prune_leaving(Duration::from_secs(3_600));
+    assert_eq!(list.leaving().count(), 0);
+}
+
 #[test]
 fn entries_that_expire_in_a_store_outage_are_kept_for_the_grace_period() {
     let mut list = ServerList::default();
--- a/crates/daemon/src/front/connection/peers.rs
+++ b/crates/daemon/src/front/connection/peers.rs
@@ -19,6 +19,7 @@
 use dandelionfront_coordination::load::{LoadKeeper, NodeLoad, OthersLoad, ServerHash, keeper_of};
 use dandelionfront_coordination::placement::server_hash;
 use dandelionfront_coordination::rows::{RowStore as _, RowStoreError, RowWrite, WriteOutcome};
+use dandelionfront_coordination::servers::LeavingServer;
 use dandelionfront_coordination::streams::{
     ASKED_NODES, HOLDERS, SessionKey, SoughtStream, StreamId, StreamOrigin, StreamOrigins,
     holders_of,
@@ -45,6 +46,8 @@
 /// Delay after a failed read or write of the nodes table.
 const MEMBERSHIP_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Number of nodes that are asked for the servers that announced their leave.
+const LEAVING_QUERIES: usize = 8;
 /// Maximum wait for the loads of backend servers; the network latency is a few milliseconds at most.
 const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time for which a keeper that did not answer is not asked again.
@@ -107,6 +110,11 @@
         /// Its origin, if the sender knows it.
         origin: Option<StreamOrigin>,
     },
+    /// A backend server announced to the sender, or to a node that told it, that it is leaving.
+    ServerLeaving(LeavingServer),
+    /// Asks for the backend servers that announced their leave; answered by one
+    /// [`Self::ServerLeaving`] for each.
+    LeavingQuery,
 }
 
 /// Query for the loads of backend servers that was not yet answered by all keepers.
@@ -214,6 +222,18 @@
                     self.send(sender, &Message::LoadReply { query, loads: loads.collect() });
                 }
                 Ok(Message::LoadReply { query, loads }) => self.apply_loads(node, query, loads),
+                Ok(Message::ServerLeaving(server)) => {
+                    let now = node.clock.monotonic_now();
+                    let id = server.id.clone();
+                    if node.servers.borrow_mut().note_leaving(server, now) {
+                        log::info!("event=server_leaving server={id} source=node member={sender}");
+                    }
+                }
+                Ok(Message::LeavingQuery) => {
+                    for server in node.servers.borrow().leaving() {
+                        self.send(sender, &Message::ServerLeaving(server));
+                    }
+                }
                 Ok(Message::StreamBegun { stream, origin }) => {
                     let now = node.clock.monotonic_now();
                     self.origins.borrow_mut().record(stream, origin, now);
@@ -335,6 +355,32 @@
         }
     }
 
+    /// Records that a server announced its leave in an answer to `request`, and tells the other
+    /// nodes if that is new.
+    pub fn note_leaving(&self, node: &FrontNode, server: LeavingServer, request: &str) {
+        let now = node.clock.monotonic_now();
+        if !node.servers.borrow_mut().note_leaving(server.clone(), now) {
+            return;
+        }
+        let members = members(node);
+        log::info!(
+            "event=server_leaving server={} source=answer request={request} told={}",
+            server.id,
+            members.len(),
+        );
+        let message = Message::ServerLeaving(server);
+        for member in members {
+            self.send(member, &message);
+        }
+    }
+
+    /// Asks other nodes for the servers that announced their leave before this node started.
+    fn ask_for_leaving(&self, node: &FrontNode) {
+        for member in members(node).into_iter().take(LEAVING_QUERIES) {
+            self.send(member, &Message::LeavingQuery);
+        }
+    }
+
     /// Records the origin of a stream at this node and at those that keep it.
     pub fn record_origin(&self, node: &FrontNode, stream: StreamId, origin: &StreamOrigin) {
         let now = node.clock.monotonic_now();
@@ -431,6 +477,7 @@
         loop {
             match self.refresh_membership(node).await {
                 Ok(()) => {
+                    self.ask_for_leaving(node);
                     tokio::time::sleep(REPORTS_WAIT).await;
                     node.record_members_read();
                     tokio::time::sleep(MEMBERSHIP_INTERVAL).await;
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -147,6 +147,7 @@
         node.update_gauges();
         let now = node.clock.monotonic_now();
         node.peers.prune(now);
+        node.servers.borrow_mut().prune_leaving(now);
         node.ledgers.evict_idle(now.saturating_sub(PROGRAM_IDLE_MAX));
     }
 }
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -10,9 +10,10 @@
 use dandelionfront_coordination::load::ServerHash;
 use dandelionfront_coordination::overload::new_program_retry_delay;
 use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
-use dandelionfront_coordination::servers::{ServerEntry, ServerList};
+use dandelionfront_coordination::servers::{LeavingServer, ServerEntry, ServerList};
 use dandelionfront_coordination::streams::{ORIGIN_REFRESH, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
+use dandelionfront_platform::headers;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
@@ -349,7 +350,9 @@
         if let Some(seconds) = outbound::keep_alive_seconds(&response) {
             connection.set_keep_alive(seconds);
         }
-        match outbound::classify(&response, &self.admitted.context.id) {
+        let kind = outbound::classify(&response, &self.admitted.context.id);
+        self.note_leave(server, &response, &kind);
+        match kind {
             ResponseKind::NotRun(status) => {
                 log::info!(
                     "event=not_run request={} server={} status={status}",
@@ -396,6 +399,35 @@
         }
     }
 
+    /// Records that `server` is leaving if its answer says so.
+    ///
+    /// An answer that another server or an earlier request may have produced is not considered.
+    fn note_leave(&self, server: &ServerEntry, response: &Response<Incoming>, kind: &ResponseKind) {
+        let is_from_server = match kind {
+            ResponseKind::Valid => true,
+            ResponseKind::NotRun(status) => *status != StatusCode::MISDIRECTED_REQUEST,
+            ResponseKind::Invalid(_) => false,
+        };
+        if !is_from_server {
+            return;
+        }
+        let request = &self.admitted.context.id;
+        match headers::announces_leave(response.headers()) {
+            Ok(false) => {}
+            Ok(true) => {
+                let leaving = LeavingServer {
+                    id: server.id.clone(),
+                    started_unix_ms: server.started_unix_ms,
+                };
+                self.node.peers.note_leaving(self.node, leaving, request);
+            }
+            Err(value) => log::info!(
+                "event=leave_malformed request={request} server={} value={value:?} ignored=true",
+                server.id,
+            ),
+        }
+    }
+
     /// Retries or refuses after an attempt that may have run but got no complete answer.
     fn handle_lost_attempt(&mut self, server: &ServerEntry, cause: &str) -> AttemptResult {
         self.record_failure(server, "answer", cause);
--- a/crates/standins/src/site/runner.rs
+++ b/crates/standins/src/site/runner.rs
@@ -40,6 +40,8 @@
     pub lose_answers: u32,
     /// Number of upcoming requests to answer with `request-id: other` instead of their own id.
     pub answer_foreign: u32,
+    /// Whether all answers carry the header with which a leaving server announces that it leaves.
+    pub leaving: bool,
 }
 
 /// The backend server stand-in.
@@ -116,13 +118,20 @@
         value.unwrap_or_default().to_owned()
     };
     let id = header("request-id");
+    let is_leaving = lock(&runner.faults).leaving;
     if header("expect-instance") != runner.settings.id {
-        return HttpResponse::build(ntex::http::StatusCode::MISDIRECTED_REQUEST)
-            .header("instance-id", runner.settings.id.clone())
-            .finish();
+        let mut response = HttpResponse::build(ntex::http::StatusCode::MISDIRECTED_REQUEST);
+        if is_leaving {
+            response.header("server-leaving", "1");
+        }
+        return response.header("instance-id", runner.settings.id.clone()).finish();
     }
     if runner.consume_fault(|faults| &mut faults.refuse) {
-        return HttpResponse::ServiceUnavailable().header("not-executed", "1").finish();
+        let mut response = HttpResponse::ServiceUnavailable();
+        if is_leaving {
+            response.header("server-leaving", "1");
+        }
+        return response.header("not-executed", "1").finish();
     }
     let path = request.uri().path_and_query().map_or("", |path| path.as_str());
     let number = {
@@ -141,6 +150,9 @@
         id
     };
     let mut response = HttpResponse::Ok();
+    if is_leaving {
+        response.header("server-leaving", "1");
+    }
     response.header("request-id", answered_id);
     // Stands in for the backend server's signature; it differs for each execution.
     response.header("server-seal", format!("{}.{number}", runner.settings.id));
