Refuse bodies that do not arrive within the caller's deadline

A body that a caller sent byte by byte, or not to its end, occupied its connection and its buffer without any time limit, and kept a planned stop waiting until the end of its grace. With a deadline of 500 ms, the test got no answer for 600 bytes sent over more than 9 s.

The body must now arrive within the caller's deadline, 30 s if it sets none; otherwise the answer is 408 (request_timeout, not run) and the connection closes. Sound callers are not affected: after its deadline a caller no longer waits.

--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -27,6 +27,8 @@
     HeadTooLarge,
     /// No key was sent, or the key is unknown.
     KeyUnknown,
+    /// The request did not arrive completely in time.
+    RequestTimeout,
     /// The key was withdrawn.
     KeyWithdrawn,
     /// The route does not exist or is not open to the team.
@@ -80,6 +82,7 @@
     RefusalRow(RefusalKind::InvalidRequest, "invalid_request", 400, None),
     RefusalRow(RefusalKind::BodyTooLarge, "body_too_large", 413, None),
     RefusalRow(RefusalKind::HeadTooLarge, "head_too_large", 431, None),
+    RefusalRow(RefusalKind::RequestTimeout, "request_timeout", 408, None),
     RefusalRow(RefusalKind::KeyUnknown, "key_unknown", 401, None),
     RefusalRow(RefusalKind::KeyWithdrawn, "key_withdrawn", 401, None),
     RefusalRow(RefusalKind::RouteUnknown, "route_unknown", 404, None),
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -4,10 +4,12 @@
 use std::io;
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dandelionfront_coordination::{Refusal, RefusalKind};
+use dandelionfront_platform::headers;
+use http::HeaderName;
 use http::header::{CONTENT_LENGTH, EXPECT};
 use ntex::http::Request;
 use ntex::http::error::DecodeError;
@@ -19,6 +21,7 @@
 
 use super::listener::{self, BodyError};
 use super::responder::Responder;
+use crate::consts::TIME_LIMIT_DEFAULT;
 use crate::front::process::FrontNode;
 use crate::front::request;
 
@@ -110,15 +113,25 @@
     match payload {
         PayloadType::None => handle_request(node, io, codec, head, Bytes::new(), arrived_at).await,
         PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
-            let body = read_body(io, &decoder, &head, body_max_bytes).await;
+            let time_limit = time_limit(&head);
+            let body = timeout(time_limit, read_body(io, &decoder, &head, body_max_bytes)).await;
             let refusal = match body {
-                Ok(body) => return handle_request(node, io, codec, head, body, arrived_at).await,
-                Err(BodyError::Connection(error)) => return Err(error),
-                Err(BodyError::TooLong) => Refusal::not_run(
+                Ok(Ok(body)) => {
+                    return handle_request(node, io, codec, head, body, arrived_at).await;
+                }
+                Ok(Err(BodyError::Connection(error))) => return Err(error),
+                Err(_) => {
+                    let message = format!(
+                        "the body did not arrive within {} ms; send it faster or allow more time",
+                        time_limit.as_millis()
+                    );
+                    Refusal::not_run(RefusalKind::RequestTimeout, message)
+                }
+                Ok(Err(BodyError::TooLong)) => Refusal::not_run(
                     RefusalKind::BodyTooLarge,
                     format!("the body is over {body_max_bytes} bytes; send a smaller one"),
                 ),
-                Err(BodyError::Malformed(error)) => Refusal::not_run(
+                Ok(Err(BodyError::Malformed(error))) => Refusal::not_run(
                     RefusalKind::InvalidRequest,
                     format!("the body is faulty ({error}); send valid chunks"),
                 ),
@@ -130,6 +143,13 @@
     }
 }
 
+/// Returns the time within which a request must arrive: the caller's deadline, if it sets one.
+fn time_limit(head: &Request) -> Duration {
+    let header =
+        |name: &HeaderName| head.headers().get(name.as_str()).and_then(|value| value.to_str().ok());
+    headers::decode_deadline(header).unwrap_or(TIME_LIMIT_DEFAULT).min(TIME_LIMIT_DEFAULT)
+}
+
 /// Reads a body, after sending `100 Continue` if the caller expects it; fails at once when the
 /// declared length exceeds `max_bytes`.
 async fn read_body(
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -1,7 +1,7 @@
 //! Admission: the checks and decisions made before a request is sent to a backend server.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use dandelionfront_coordination::ids::TeamId;
@@ -15,13 +15,10 @@
 use http::{HeaderMap, HeaderValue, Method, header};
 
 use super::turn::{self, RunningTurn};
+use crate::consts::TIME_LIMIT_DEFAULT;
 use crate::front::connection::caller::CallerRequest;
 use crate::front::process::FrontNode;
 
-/// Time limit of requests without a deadline; the longest deadline that the platform's
-/// documentation specifies.
-const TIME_LIMIT_DEFAULT: Duration = Duration::from_secs(30);
-
 /// A request that was admitted and may be sent to a backend server.
 pub struct Admitted {
     /// Decoded request headers.
