Bound the arrival of request heads and finish those that have begun at a stop

Two faults of one cause: a connection on which a request head was arriving counted as idle. A planned stop closed it without an answer (the test's caller got a reset, though it went on sending), and the configured time limit for heads was never applied: a head that arrived byte by byte ended after the idle time of 5 s, without an answer, instead of after 2 s.

Once the first byte of a head has arrived, the connection is no longer idle: a stopping node leaves it open and does not end, and the head must arrive within its own time limit, else the answer is 408 (request_timeout, not run).

Tests: slow_callers, two tests, both failed before.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -2,6 +2,7 @@
 
 use std::future::poll_fn;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -62,17 +63,20 @@
     io: &Io,
     codec: &Codec,
 ) -> io::Result<Option<(Request, PayloadType)>> {
-    let idle_timeout = node.table().limits().idle_timeout;
-    let received = tokio::select! {
-        biased;
-        received = timeout(idle_timeout, io.recv(codec)) => received,
-        () = node.stop.wait_for_idle_close() => return Ok(None),
-    };
-    match received {
-        Err(_) | Ok(Ok(None)) => Ok(None),
-        Ok(Ok(Some(item))) => Ok(Some(item)),
-        Ok(Err(Either::Right(error))) => Err(error),
-        Ok(Err(Either::Left(error))) => {
+    match receive_head(node, io, codec).await {
+        HeadReceived::Nothing | HeadReceived::Completely(Ok(None)) => Ok(None),
+        HeadReceived::Partly(time_limit) => {
+            let message = format!(
+                "the request head did not arrive within {} ms; send it faster",
+                time_limit.as_millis()
+            );
+            let refusal = Refusal::not_run(RefusalKind::RequestTimeout, message);
+            refuse_and_close(node, io, codec, &refusal).await?;
+            Ok(None)
+        }
+        HeadReceived::Completely(Ok(Some(item))) => Ok(Some(item)),
+        HeadReceived::Completely(Err(Either::Right(error))) => Err(error),
+        HeadReceived::Completely(Err(Either::Left(error))) => {
             let kind = match error {
                 DecodeError::TooLarge(_) | DecodeError::MaxHeaders => RefusalKind::HeadTooLarge,
                 _ => RefusalKind::InvalidRequest,
@@ -86,6 +90,49 @@
     }
 }
 
+/// What arrived of a request head.
+enum HeadReceived {
+    /// Nothing: the caller was idle for too long, or the node stops.
+    Nothing,
+    /// Its begin, but not the rest within the time limit.
+    Partly(Duration),
+    /// All of it, the end of the connection or a fault.
+    Completely(Result<Option<(Request, PayloadType)>, Either<DecodeError, io::Error>>),
+}
+
+/// Waits for a request head. Once its first byte has arrived, the connection is not idle: a stopping
+/// node does not close it, and the head must arrive within its own time limit.
+async fn receive_head(node: &Rc<FrontNode>, io: &Io, codec: &Codec) -> HeadReceived {
+    let limits = node.table().limits().clone();
+    let mut receiving = pin!(io.recv(codec));
+    let begin = poll_fn(|cx| {
+        // Checked first, because the decoder takes complete lines out of the buffer.
+        let has_begun = io.with_read_buf(|buffer| !buffer.is_empty());
+        match receiving.as_mut().poll(cx) {
+            Poll::Ready(received) => Poll::Ready(Some(received)),
+            Poll::Pending if has_begun => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    });
+    let begin = tokio::select! {
+        biased;
+        begin = timeout(limits.idle_timeout, begin) => begin,
+        () = node.stop.wait_for_idle_close() => return HeadReceived::Nothing,
+    };
+    match begin {
+        Err(_) => HeadReceived::Nothing,
+        Ok(Some(received)) => HeadReceived::Completely(received),
+        Ok(None) => {
+            // Keeps a stopping node from ending the process.
+            let _busy = node.caller_requests.track();
+            match timeout(limits.header_timeout, receiving).await {
+                Ok(received) => HeadReceived::Completely(received),
+                Err(_) => HeadReceived::Partly(limits.header_timeout),
+            }
+        }
+    }
+}
+
 async fn refuse_and_close(
     node: &FrontNode,
     io: &Io,
