Send a refused request again only on a connection that cannot hold an old answer

A request that must not repeat is now sent again to a server that refused it on a new connection only. Requests that may repeat, and other requests, go on using the connection.

--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -61,6 +61,8 @@
     /// Servers that were unreachable or refused the request without running it; placement skips
     /// them until the list is cleared.
     excluded: Vec<BackendId>,
+    /// Servers that answered that they did not run the request.
+    refused_by: Vec<BackendId>,
     /// Servers that may have run the request, in the order of their first possible run.
     may_have_run_on: Vec<BackendId>,
     /// Attempts that may have run and got no complete answer.
@@ -115,6 +117,7 @@
         node,
         admitted,
         excluded: Vec::new(),
+        refused_by: Vec::new(),
         may_have_run_on: Vec::new(),
         lost_count: 0,
         last_event,
@@ -332,7 +335,10 @@
     async fn connect(&self, server: &ServerEntry) -> io::Result<BackendConnection> {
         let may_repeat = self.admitted.route.repeat.may_repeat();
         let idle_max = if may_repeat { REPEATABLE_IDLE_MAX } else { AT_MOST_ONCE_IDLE_MAX };
-        if let Some(connection) = self.node.pool.take(server.address, idle_max) {
+        // On a reused connection, a second copy of the server's refusal could arrive and would be
+        // taken for the answer to this attempt, because both carry the id of the request.
+        let may_reuse = may_repeat || !self.refused_by.contains(&server.id);
+        if may_reuse && let Some(connection) = self.node.pool.take(server.address, idle_max) {
             return Ok(connection);
         }
         self.node.metrics.backend_connections.inc();
@@ -364,6 +370,7 @@
                 }
                 self.node.metrics.count_retry(RetryReason::BackendBusy);
                 self.excluded.push(server.id.clone());
+                self.refused_by.push(server.id.clone());
                 if body::discard(response).await {
                     self.node.pool.put(server.address, connection);
                 }
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -2,8 +2,10 @@
 //! and metadata store. [`crate::platform`] stands in for a different interface, the services of
 //! [`dandelionfront_coordination::platform`].
 
+pub mod repeater;
 pub mod runner;
 pub mod store;
 
+pub use repeater::{Repeater, RepeaterSettings};
 pub use runner::{Runner, RunnerFaults, RunnerSettings};
 pub use store::MetadataStore;
