Keep a connection open at a stop until its close was announced

At a planned stop under load, 39 of 50 connections that kept sending ended without an answer to their next request (none of these had run; 11 were told of the close). An answer whose head was written before the signal did not carry Connection: close, yet the connection was closed right after it, when the caller had already sent its next request.

A connection is now closed after an answer only if that answer announced it. The next answer on it does; a connection that stays idle is closed 1.2 s after the signal, as before.

Test: stop_under_load::planned_stop_under_load_cuts_no_accepted_request, 50 connections with four kinds of request, SIGHUP and SIGTERM twice each; it failed before (11 announced, 39 without an answer).

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -245,7 +245,8 @@
         io.terminate();
         return Ok(false);
     }
-    Ok(codec.keepalive() && !node.stop.is_stopping())
+    // A caller that was not told of the close may already have sent its next request.
+    Ok(codec.keepalive() && !responder.announces_close())
 }
 
 /// Waits until the caller closes the connection.
--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -48,6 +48,12 @@
         self.closes_connection = true;
     }
 
+    /// Returns whether the response head announces that the connection closes after the response.
+    #[must_use]
+    pub fn announces_close(&self) -> bool {
+        self.closes_connection
+    }
+
     /// Returns whether the response head was written to the connection's buffer.
     #[must_use]
     pub fn is_head_sent(&self) -> bool {
