Split the messages between nodes by subject

Reports, loads, leaving servers, origins of streams and membership have a file each; no logic changed.

--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -3,7 +3,6 @@
 pub mod backend;
 pub mod caller;
 pub mod listener;
-mod origin_query;
 pub mod peers;
 pub mod reach;
 pub mod relay_server;
--- /dev/null
+++ b/crates/daemon/src/front/connection/peers/mod.rs
@@ -0,0 +1,279 @@
+//! Datagrams between nodes.
+//!
+//! A report is small and useless when late, and the next one replaces it, so it is sent as a
+//! datagram and not resent when lost. A request to release a claim on a program's budget is not
+//! answered: the receiver writes the release to the store, and the requesting node repeats the
+//! request while it waits.
+
+mod leaving;
+mod loads;
+mod membership;
+mod origin_query;
+mod origins;
+mod reports;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use dandelionfront_coordination::ledger::{ClaimantId, ReleaseRequester};
+use dandelionfront_coordination::load::{LoadKeeper, NodeLoad, ServerHash};
+use dandelionfront_coordination::servers::LeavingServer;
+use dandelionfront_coordination::streams::{
+    SessionKey, SoughtStream, StreamId, StreamOrigin, StreamOrigins,
+};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use self::loads::PendingQuery;
+use self::origin_query::OriginQueries;
+use self::reports::Report;
+use crate::front::process::FrontNode;
+
+/// Size of the receive buffer; a longer datagram is truncated and logged as malformed.
+const DATAGRAM_MAX_BYTES: usize = 8 * 1024;
+
+/// Message from one node to another.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// State of the sender.
+    Report(Report),
+    /// Asks the receiver to release the unused part of its claim on a program's budget.
+    GiveBack {
+        /// Identifier of the program.
+        program: String,
+    },
+    /// Load of a backend server by the sender's requests; sent to the server's keeper.
+    ServerLoad {
+        /// The server.
+        server: ServerHash,
+        /// Requests in flight.
+        in_flight: u32,
+        /// Time for which the sender avoids the server after failures.
+        avoided_ms: u32,
+    },
+    /// Asks the keeper of some backend servers for their loads.
+    LoadQuery {
+        /// Number chosen by the sender, repeated in the reply.
+        query: u32,
+        /// The servers.
+        servers: Vec<ServerHash>,
+    },
+    /// Reply to [`Self::LoadQuery`].
+    LoadReply {
+        /// Number of the query.
+        query: u32,
+        /// Servers with the requests in flight of nodes other than the receiver, and the number of
+        /// these nodes that avoid the server.
+        loads: Vec<(ServerHash, u32, u32)>,
+    },
+    /// Origin of a stream, to be kept by the receiver.
+    StreamBegun {
+        /// The stream.
+        stream: StreamId,
+        /// Its origin.
+        origin: StreamOrigin,
+    },
+    /// Asks for the origin of a stream.
+    StreamQuery {
+        /// Session of the stream.
+        session: SessionKey,
+        /// The stream.
+        sought: SoughtStream,
+    },
+    /// Reply to [`Self::StreamQuery`].
+    StreamReply {
+        /// Session of the stream.
+        session: SessionKey,
+        /// The stream.
+        sought: SoughtStream,
+        /// Its origin, if the sender knows it.
+        origin: Option<StreamOrigin>,
+    },
+    /// A backend server announced to the sender, or to a node that told it, that it is leaving.
+    ServerLeaving(LeavingServer),
+    /// Asks for the backend servers that announced their leave; answered by one
+    /// [`Self::ServerLeaving`] for each.
+    LeavingQuery,
+}
+
+/// The node's socket for messages to and from the other nodes.
+#[derive(Debug)]
+pub struct Peers {
+    socket: UdpSocket,
+    address: SocketAddr,
+    incarnation: u64,
+    /// Incarnation in the last report of each node.
+    incarnations: RefCell<HashMap<SocketAddr, u64>>,
+    /// Loads of the backend servers whose keeper is this node.
+    keeper: RefCell<LoadKeeper>,
+    /// Queries by number; the request that waits for the answer holds the query.
+    queries: RefCell<HashMap<u32, Weak<PendingQuery>>>,
+    next_query: Cell<u32>,
+    /// Nodes that did not answer a query, and the times until which they are not asked again.
+    silent_keepers: RefCell<HashMap<String, Duration>>,
+    /// Origins of streams that this node began, resumed or keeps for others.
+    origins: RefCell<StreamOrigins>,
+    origin_queries: OriginQueries,
+}
+
+impl Peers {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self {
+            socket,
+            address,
+            incarnation: rand::random(),
+            incarnations: RefCell::default(),
+            keeper: RefCell::default(),
+            queries: RefCell::default(),
+            next_query: Cell::default(),
+            silent_keepers: RefCell::default(),
+            origins: RefCell::default(),
+            origin_queries: OriginQueries::default(),
+        })
+    }
+
+    /// Returns the identifier of this node in claims.
+    #[must_use]
+    pub fn claimant(&self) -> ClaimantId {
+        claimant_id(self.incarnation)
+    }
+
+    /// Receives datagrams until the process ends.
+    pub async fn receive(&self, node: &Rc<FrontNode>) {
+        let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+        loop {
+            let (length, sender) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!("event=datagram_not_received cause=\"{error}\"");
+                    continue;
+                }
+            };
+            match postcard::from_bytes::<Message>(&buffer[..length]) {
+                Ok(Message::Report(report)) => self.apply_report(node, sender, report),
+                Ok(Message::GiveBack { program }) => {
+                    log::info!("event=claim_asked program={program} by={sender}");
+                    let node = Rc::clone(node);
+                    tokio::task::spawn_local(
+                        async move { node.ledgers.release_unused(&program).await },
+                    );
+                }
+                Ok(Message::ServerLoad { server, in_flight, avoided_ms }) => {
+                    let avoided_for = Duration::from_millis(avoided_ms.into());
+                    let load = NodeLoad { in_flight, avoided_for };
+                    let now = node.clock.monotonic_now();
+                    self.keeper.borrow_mut().update(server, &sender.to_string(), load, now);
+                }
+                Ok(Message::LoadQuery { query, servers }) => {
+                    let now = node.clock.monotonic_now();
+                    let asker = sender.to_string();
+                    let loads = servers.into_iter().map(|server| {
+                        let load = self.keeper.borrow().others_load(server, &asker, now);
+                        (server, load.in_flight, load.avoiding)
+                    });
+                    self.send(sender, &Message::LoadReply { query, loads: loads.collect() });
+                }
+                Ok(Message::LoadReply { query, loads }) => self.apply_loads(node, query, loads),
+                Ok(Message::ServerLeaving(server)) => {
+                    let now = node.clock.monotonic_now();
+                    let id = server.id.clone();
+                    if node.servers.borrow_mut().note_leaving(server, now) {
+                        log::info!("event=server_leaving server={id} source=node member={sender}");
+                    }
+                }
+                Ok(Message::LeavingQuery) => {
+                    for server in node.servers.borrow().leaving() {
+                        self.send(sender, &Message::ServerLeaving(server));
+                    }
+                }
+                Ok(Message::StreamBegun { stream, origin }) => {
+                    let now = node.clock.monotonic_now();
+                    self.origins.borrow_mut().record(stream, origin, now);
+                }
+                Ok(Message::StreamQuery { session, sought }) => {
+                    let origin = self.origins.borrow().find(session, sought).cloned();
+                    self.send(sender, &Message::StreamReply { session, sought, origin });
+                }
+                Ok(Message::StreamReply { session, sought, origin }) => {
+                    self.origin_queries.apply((session, sought), sender, origin.as_ref());
+                }
+                Err(error) => {
+                    log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
+                }
+            }
+        }
+    }
+
+    /// Discards expired loads, pauses and origins, and queries whose request has ended.
+    pub fn prune(&self, now: Duration) {
+        self.origins.borrow_mut().prune(now);
+        self.origin_queries.prune();
+        self.keeper.borrow_mut().prune(now);
+        self.silent_keepers.borrow_mut().retain(|_, until| now < *until);
+        self.queries.borrow_mut().retain(|_, pending| pending.strong_count() > 0);
+    }
+
+    fn own_id(&self) -> String {
+        self.address.to_string()
+    }
+
+    /// Sends a message that is not repeated when lost.
+    fn send(&self, receiver: SocketAddr, message: &Message) {
+        let sent = postcard::to_allocvec(message)
+            .map_err(io::Error::other)
+            .and_then(|bytes| self.socket.try_send_to(&bytes, receiver));
+        if let Err(error) = sent {
+            log::debug!("event=datagram_not_sent receiver={receiver} cause=\"{error}\"");
+        }
+    }
+}
+
+impl ReleaseRequester for Peers {
+    fn request_release(&self, program: &str, holders: &[ClaimantId]) -> bool {
+        let message = Message::GiveBack { program: program.to_owned() };
+        let bytes = match postcard::to_allocvec(&message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=claim_not_asked program={program} cause=\"{error}\"");
+                return false;
+            }
+        };
+        let incarnations = self.incarnations.borrow();
+        let claimants =
+            incarnations.iter().map(|(address, incarnation)| (address, claimant_id(*incarnation)));
+        let mut is_any_asked = false;
+        for (address, _) in claimants.filter(|(_, claimant)| holders.contains(claimant)) {
+            match self.socket.try_send_to(&bytes, *address) {
+                Ok(_) => is_any_asked = true,
+                Err(error) => {
+                    log::info!("event=claim_not_asked program={program} cause=\"{error}\"");
+                }
+            }
+        }
+        is_any_asked
+    }
+}
+
+/// Formats an incarnation as the node's identifier in claims.
+fn claimant_id(incarnation: u64) -> ClaimantId {
+    format!("{incarnation:016x}")
+}
+
+/// Returns the other nodes and updates the gauge of those that report.
+fn members(node: &FrontNode) -> Vec<SocketAddr> {
+    let now = node.clock.monotonic_now();
+    let limiter = node.limiter.borrow();
+    let reporting_count = limiter.members(now).filter(|(_, is_reporting)| *is_reporting).count();
+    node.metrics.members_heard.set(i64::try_from(reporting_count).unwrap_or(i64::MAX));
+    limiter.members(now).filter_map(|(member, _)| member.parse().ok()).collect()
+}
