Log the limits that servers name, and what nodes know of them

A node records Server-Limit of each answer that is certainly its server's, logs a change (event=server_limit) and states what it knows in event=sent. A malformed value is logged and ignored.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod request;
 pub mod routing;
 pub mod rows;
+pub mod server_limits;
 pub mod servers;
 pub mod shards;
 pub mod streams;
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -10,6 +10,7 @@
 use dandelionfront_coordination::load::ServerHash;
 use dandelionfront_coordination::overload::new_program_retry_delay;
 use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
+use dandelionfront_coordination::server_limits::NamedLimit;
 use dandelionfront_coordination::servers::{LeavingServer, ServerEntry, ServerList};
 use dandelionfront_coordination::streams::{ORIGIN_REFRESH, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
@@ -357,7 +358,7 @@
             connection.set_keep_alive(seconds);
         }
         let kind = outbound::classify(&response, &self.admitted.context.id);
-        self.note_leave(server, &response, &kind);
+        self.note_announcements(server, &response, &kind);
         match kind {
             ResponseKind::NotRun(status) => {
                 log::info!(
@@ -406,10 +407,15 @@
         }
     }
 
-    /// Records that `server` is leaving if its answer says so.
+    /// Records what `server` says of itself in an answer: whether it is leaving, and its limit.
     ///
     /// An answer that another server or an earlier request may have produced is not considered.
-    fn note_leave(&self, server: &ServerEntry, response: &Response<Incoming>, kind: &ResponseKind) {
+    fn note_announcements(
+        &self,
+        server: &ServerEntry,
+        response: &Response<Incoming>,
+        kind: &ResponseKind,
+    ) {
         let is_from_server = match kind {
             ResponseKind::Valid => true,
             ResponseKind::NotRun(status) => *status != StatusCode::MISDIRECTED_REQUEST,
@@ -433,6 +439,25 @@
                 server.id,
             ),
         }
+        match headers::named_limit_per_s(response.headers()) {
+            Ok(limit_per_s) => self.note_limit(server, limit_per_s),
+            Err(value) => log::info!(
+                "event=limit_malformed request={request} server={} value={value:?} ignored=true",
+                server.id,
+            ),
+        }
+    }
+
+    fn note_limit(&self, server: &ServerEntry, limit_per_s: Option<f64>) {
+        let named = NamedLimit { per_s: limit_per_s, answered_at: self.node.clock.monotonic_now() };
+        if self.node.server_limits.borrow_mut().note(server_hash(&server.id), named) {
+            log::info!(
+                "event=server_limit server={} limit_per_s={} source=answer request={}",
+                server.id,
+                limit_text(limit_per_s),
+                self.admitted.context.id,
+            );
+        }
     }
 
     /// Retries or refuses after an attempt that may have run but got no complete answer.
@@ -479,7 +504,7 @@
         }
         log::info!(
             "event=sent request={} program={} route={} version={} team={} server={} time_left_ms={} \
-             reused={is_reused} load={:.2} added_ms={} software=\"{}\" resume_after={} resumes={}",
+             reused={is_reused} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
             self.admitted.route.name,
@@ -488,6 +513,7 @@
             server.id,
             time_left.as_millis(),
             self.node.placement.borrow().load(server, self.node.clock.monotonic_now()),
+            limit_text(self.node.server_limits.borrow().per_s(server_hash(&server.id))),
             added.as_millis(),
             server.software,
             self.last_event.map_or("-".to_owned(), |event| event.to_string()),
@@ -511,3 +537,7 @@
 const BUSY_RETRY_AFTER_MS: u64 = 150;
 /// Number of lost attempts after which a request is refused even if it may run again.
 const LOST_ATTEMPTS_MAX: u32 = 4;
+
+fn limit_text(limit_per_s: Option<f64>) -> String {
+    limit_per_s.map_or("-".to_owned(), |limit| limit.to_string())
+}
