Keep the limits that backend servers name, over all nodes

No node read the limit: all knew it within two seconds once it was logged, and sent on. Ruled out: nodes that keep it each for themselves, which would have given eleven times the limit.

A limit is kept where the loads are: the server's keeper grants a permit for each request, and the reply that tells of loads tells of limits. There is one way to a server, and the permit is taken there.

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -21,6 +21,7 @@
 use crate::ids::BackendId;
 use crate::load::{NodeLoad, OthersLoad, ServerHash};
 use crate::prompts::SharedPart;
+use crate::server_limits::NamedLimits;
 use crate::servers::ServerEntry;
 
 /// Policy for choosing among backend servers.
@@ -73,6 +74,8 @@
 const COSTED_RANK_MAX: usize = 8;
 /// Cost of a server that is being avoided after failures; exceeds any load.
 const FAILED_COST: f64 = 100.0;
+/// Additional cost of a server that has named a limit; the load of a server whose slots are taken.
+const LIMITED_COST: f64 = 1.0;
 /// Age from which the load by other nodes' requests is considered unknown; most requests that it
 /// counts have ended by then.
 const OTHERS_LOAD_MAX_AGE: Duration = Duration::from_millis(500);
@@ -96,11 +99,24 @@
     views: HashMap<BackendId, ServerView>,
     /// Load by other nodes' requests, with the time at which it became known.
     others: HashMap<ServerHash, (OthersLoad, Duration)>,
+    /// Limits that the servers named.
+    limits: NamedLimits,
 }
 
 impl Placement {
+    /// Returns the limits that the servers named.
+    #[must_use]
+    pub fn limits(&self) -> &NamedLimits {
+        &self.limits
+    }
+
+    /// Returns the limits that the servers named, for changing them.
+    pub fn limits_mut(&mut self) -> &mut NamedLimits {
+        &mut self.limits
+    }
+
     /// Returns the servers among which [`Self::choose`] would choose, except for those that are not
-    /// healthy; their loads should be known first.
+    /// healthy or have a limit; their loads should be known first.
     pub fn compared<'a>(
         &self,
         request: PlacementRequest<'_>,
@@ -118,18 +134,19 @@
         servers: impl Iterator<Item = &'a ServerEntry>,
         now: Duration,
     ) -> Option<&'a ServerEntry> {
-        let (compared, unhealthy) = self.candidates(request, servers, now);
+        let (compared, inferior) = self.candidates(request, servers, now);
         // Servers that are not healthy come last and so lose ties; while avoided, they also cost
         // more than any load.
         compared
             .into_iter()
-            .chain(unhealthy)
+            .chain(inferior)
             .map(|candidate| (self.cost(request.policy, &candidate, now), candidate.server))
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, server)| server)
     }
 
-    /// Returns the healthy servers to compare and all servers that are not healthy.
+    /// Returns the healthy servers without a limit to compare, and all other servers that a request
+    /// may be sent to.
     fn candidates<'a>(
         &self,
         request: PlacementRequest<'_>,
@@ -140,9 +157,12 @@
             PlacementPolicy::Affinity | PlacementPolicy::TwoChoices => COMPARED_SERVERS,
             PlacementPolicy::AffinityAllServers | PlacementPolicy::LeastLoaded => usize::MAX,
         };
-        let mut candidates = rank(&request, servers);
-        candidates.retain(|candidate| !request.excluded.contains(&candidate.server.id));
-        let (healthy, unhealthy): (Vec<_>, Vec<_>) =
+        let (limited, unlimited): (Vec<_>, Vec<_>) =
+            servers.partition(|server| self.limits.is_limited(server_hash(&server.id), now));
+        let mut limited = self.limited_candidates(&request, &limited, &unlimited, now);
+        let mut candidates = rank(&request, unlimited.into_iter());
+        candidates.retain(|candidate| self.may_choose(&request, candidate.server, now));
+        let (healthy, mut inferior): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|candidate| {
                 !self.is_avoided(candidate.server, now)
                     && (request.may_repeat || !self.failed_last(candidate.server))
@@ -152,7 +172,42 @@
         compared.truncate(compared_max);
         others.truncate(if compared.is_empty() { compared_max } else { 1 });
         compared.append(&mut others);
-        (compared, unhealthy)
+        inferior.append(&mut limited);
+        (compared, inferior)
+    }
+
+    /// Returns the servers with a limit that a request may be sent to: the first in rank among all
+    /// servers, or any if each server has a limit. Sessions that visit other servers for a single
+    /// permit would have their prompts prefilled there in vain.
+    fn limited_candidates<'a>(
+        &self,
+        request: &PlacementRequest<'_>,
+        limited: &[&'a ServerEntry],
+        unlimited: &[&'a ServerEntry],
+        now: Duration,
+    ) -> Vec<Candidate<'a>> {
+        if limited.is_empty() {
+            return Vec::new();
+        }
+        let mut candidates = rank(request, limited.iter().chain(unlimited).copied());
+        if !unlimited.is_empty() {
+            candidates.truncate(1);
+        }
+        candidates.retain(|candidate| {
+            self.limits.is_limited(server_hash(&candidate.server.id), now)
+                && self.may_choose(request, candidate.server, now)
+        });
+        candidates
+    }
+
+    fn may_choose(
+        &self,
+        request: &PlacementRequest<'_>,
+        server: &ServerEntry,
+        now: Duration,
+    ) -> bool {
+        !request.excluded.contains(&server.id)
+            && self.limits.blocked_for(server_hash(&server.id), now).is_none()
     }
 
     fn is_avoided(&self, server: &ServerEntry, now: Duration) -> bool {
@@ -169,6 +224,8 @@
         let Candidate { server, rank, is_host } = *candidate;
         let load = self.load(server, now);
         let failure_cost = if self.is_avoided(server, now) { FAILED_COST } else { 0.0 };
+        let is_limited = self.limits.is_limited(server_hash(&server.id), now);
+        let limit_cost = if is_limited { LIMITED_COST } else { 0.0 };
         let move_cost = match policy {
             PlacementPolicy::TwoChoices | PlacementPolicy::LeastLoaded => 0.0,
             _ if rank == 0 => 0.0,
@@ -178,7 +235,7 @@
                 PREFILL_COST + RANK_COST * f64::from(rank) + shared_cost
             }
         };
-        load + failure_cost + move_cost
+        load + failure_cost + limit_cost + move_cost
     }
 
     /// Records that a request is sent to `server`.
@@ -249,6 +306,7 @@
     pub fn forget(&mut self, server: &str) {
         self.views.remove(server);
         self.others.remove(&server_hash(server));
+        self.limits.forget(server_hash(server));
     }
 
     fn view(&mut self, server: &str) -> &mut ServerView {
--- a/crates/coordination/src/server_limits.rs
+++ b/crates/coordination/src/server_limits.rs
@@ -2,12 +2,28 @@
 //!
 //! A server in need names in its answers how many requests a second it takes from all nodes
 //! together, and names none once it has recovered. The newest answer counts, whichever node got it.
+//!
+//! A limit holds over all nodes, so the server's keeper (see [`crate::load`]) grants a permit for
+//! each request. A keeper that has just taken over starts without tokens: two nodes that both act
+//! as keeper for a moment do not grant a second burst.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::limits::Bucket;
+use crate::limits::bucket::BucketLimits;
 use crate::load::ServerHash;
 
+/// Rate of permits for a server that names a lower limit; without any request, nobody would learn
+/// that the limit has ended.
+const PERMITS_PER_S_MIN: f64 = 0.25;
+/// Time for which unused permits accumulate.
+const PERMIT_BURST: Duration = Duration::from_millis(500);
+/// Age from which a limit may have ended, so that the server is worth another request.
+const CONFIRMED_FOR: Duration = Duration::from_secs(1);
+/// Time after which the permits of a server without requests are discarded.
+const PERMITS_RETENTION: Duration = Duration::from_secs(60);
+
 /// What a backend server's newest known answer said of its limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct NamedLimit {
@@ -17,34 +33,68 @@
     pub answered_at: Duration,
 }
 
+#[derive(Debug)]
+struct KnownLimit {
+    named: NamedLimit,
+    /// Time until which the keeper has no permit.
+    blocked_until: Duration,
+}
+
 /// Limits of the backend servers as known to one node.
 #[derive(Debug, Default)]
 pub struct NamedLimits {
-    servers: HashMap<ServerHash, NamedLimit>,
+    servers: HashMap<ServerHash, KnownLimit>,
 }
 
 impl NamedLimits {
     /// Records what an answer said, unless a later answer is known; returns whether the limit has
     /// changed.
     pub fn note(&mut self, server: ServerHash, named: NamedLimit) -> bool {
-        match self.servers.get_mut(&server) {
-            Some(known) if named.answered_at < known.answered_at => false,
-            Some(known) => {
-                let is_changed = known.per_s != named.per_s;
-                *known = named;
-                is_changed
-            }
-            None => {
-                self.servers.insert(server, named);
-                named.per_s.is_some()
-            }
+        let Some(known) = self.servers.get_mut(&server) else {
+            self.servers.insert(server, KnownLimit { named, blocked_until: Duration::ZERO });
+            return named.per_s.is_some();
+        };
+        if named.answered_at < known.named.answered_at {
+            return false;
         }
+        let is_changed = known.named.per_s != named.per_s;
+        known.named = named;
+        is_changed
+    }
+
+    /// Returns what the newest known answer of a server said.
+    #[must_use]
+    pub fn named(&self, server: ServerHash) -> Option<NamedLimit> {
+        self.servers.get(&server).map(|known| known.named)
     }
 
     /// Returns the limit of a server in requests a second, if it has named one.
     #[must_use]
     pub fn per_s(&self, server: ServerHash) -> Option<f64> {
-        self.servers.get(&server).and_then(|named| named.per_s)
+        self.named(server)?.per_s
+    }
+
+    /// Returns whether a server has named a limit so recently that the limit still holds.
+    #[must_use]
+    pub fn is_limited(&self, server: ServerHash, now: Duration) -> bool {
+        self.named(server)
+            .is_some_and(|named| named.per_s.is_some() && now < named.answered_at + CONFIRMED_FOR)
+    }
+
+    /// Records that the keeper has no permit for a server until `until`.
+    pub fn block(&mut self, server: ServerHash, until: Duration) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.blocked_until = until;
+        }
+    }
+
+    /// Returns the time until a permit for a server may be had; `None` if it may be had now or the
+    /// server has no limit.
+    #[must_use]
+    pub fn blocked_for(&self, server: ServerHash, now: Duration) -> Option<Duration> {
+        let known = self.servers.get(&server)?;
+        known.named.per_s?;
+        known.blocked_until.checked_sub(now).filter(|wait| !wait.is_zero())
     }
 
     /// Discards the limit of a server that has left.
@@ -52,3 +102,44 @@
         self.servers.remove(&server);
     }
 }
+
+#[derive(Debug)]
+struct KeptPermits {
+    bucket: Bucket,
+    asked_at: Duration,
+}
+
+/// Permits of the servers whose keeper is this node.
+#[derive(Debug, Default)]
+pub struct PermitKeeper {
+    servers: HashMap<ServerHash, KeptPermits>,
+}
+
+impl PermitKeeper {
+    /// Takes a permit for one request to a server with a limit of `limit_per_s`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next permit.
+    pub fn take(
+        &mut self,
+        server: ServerHash,
+        limit_per_s: f64,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        let rate_per_s = limit_per_s.max(PERMITS_PER_S_MIN);
+        let burst = (rate_per_s * PERMIT_BURST.as_secs_f64()).max(1.0);
+        let kept = self
+            .servers
+            .entry(server)
+            .or_insert_with(|| KeptPermits { bucket: Bucket::empty(now), asked_at: now });
+        kept.asked_at = now;
+        let taken = kept.bucket.take(BucketLimits { rate_per_s, burst }, now, Duration::MAX);
+        taken.map_err(|wait| wait.unwrap_or(PERMITS_RETENTION))
+    }
+
+    /// Discards the permits of servers that have not been asked for.
+    pub fn prune(&mut self, now: Duration) {
+        self.servers.retain(|_, kept| now < kept.asked_at + PERMITS_RETENTION);
+    }
+}
--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{BackendId, ZoneId};
+use crate::load::ServerHash;
+use crate::placement::server_hash;
 use crate::routing::ServiceId;
 
 /// Time after a store failure for which missing entries are kept, because the store may have
@@ -206,6 +208,12 @@
         self.accepts_requests(entry).then_some(entry)
     }
 
+    /// Returns the identifier of the backend server with the given hash.
+    #[must_use]
+    pub fn id_of(&self, server: ServerHash) -> Option<&BackendId> {
+        self.known.keys().find(|id| server_hash(id) == server)
+    }
+
     /// Returns the number of backend servers in the list.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/daemon/src/front/connection/peers/loads.rs
+++ b/crates/daemon/src/front/connection/peers/loads.rs
@@ -12,10 +12,10 @@
 use super::{Message, Peers};
 use crate::front::process::FrontNode;
 
-/// Maximum wait for the loads of backend servers; the network latency is a few milliseconds at most.
-const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(10);
+/// Maximum wait for a keeper's reply; the network latency is a few milliseconds at most.
+pub(super) const KEEPER_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time for which a keeper that did not answer is not asked again.
-const SILENT_KEEPER_PAUSE: Duration = Duration::from_secs(1);
+pub(super) const SILENT_KEEPER_PAUSE: Duration = Duration::from_secs(1);
 
 /// Query for the loads of backend servers that was not yet answered by all keepers.
 #[derive(Debug)]
@@ -54,7 +54,7 @@
                 self.send(keeper, &Message::LoadQuery { query, servers: servers.clone() });
             }
         }
-        let answered = tokio::time::timeout(LOAD_QUERY_TIMEOUT, pending.is_answered.notified());
+        let answered = tokio::time::timeout(KEEPER_TIMEOUT, pending.is_answered.notified());
         if answered.await.is_err() {
             let until = now + SILENT_KEEPER_PAUSE;
             let mut silent_keepers = self.silent_keepers.borrow_mut();
@@ -85,7 +85,7 @@
     }
 
     /// Returns the keeper of `server` among this node and the nodes that report and answer.
-    fn keeper_of(&self, node: &FrontNode, server: ServerHash, now: Duration) -> String {
+    pub(super) fn keeper_of(&self, node: &FrontNode, server: ServerHash, now: Duration) -> String {
         let own_id = self.own_id();
         let limiter = node.limiter.borrow();
         let silent_keepers = self.silent_keepers.borrow();
--- a/crates/daemon/src/front/connection/peers/mod.rs
+++ b/crates/daemon/src/front/connection/peers/mod.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod origin_query;
 mod origins;
+mod permits;
 mod reports;
 
 use std::cell::{Cell, RefCell};
@@ -30,6 +31,7 @@
 
 use self::loads::PendingQuery;
 use self::origin_query::OriginQueries;
+use self::permits::{Permits, ServerLimit};
 use self::reports::Report;
 use crate::front::process::FrontNode;
 
@@ -98,6 +100,23 @@
     /// Asks for the backend servers that announced their leave; answered by one
     /// [`Self::ServerLeaving`] for each.
     LeavingQuery,
+    /// Limit of a backend server: from a node that got an answer to the server's keeper, and from
+    /// the keeper to a node that asks it.
+    ServerLimit(ServerLimit),
+    /// Asks the keeper of a backend server for a permit for one request.
+    PermitQuery {
+        /// Number chosen by the sender, repeated in the reply.
+        query: u32,
+        /// Limit of the server as known to the sender.
+        limit: ServerLimit,
+    },
+    /// Reply to [`Self::PermitQuery`].
+    PermitReply {
+        /// Number of the query.
+        query: u32,
+        /// Time until the next permit; `None` if the permit is granted.
+        wait_ms: Option<u32>,
+    },
 }
 
 /// The node's socket for messages to and from the other nodes.
@@ -118,6 +137,7 @@
     /// Origins of streams that this node began, resumed or keeps for others.
     origins: RefCell<StreamOrigins>,
     origin_queries: OriginQueries,
+    permits: Permits,
 }
 
 impl Peers {
@@ -139,6 +159,7 @@
             silent_keepers: RefCell::default(),
             origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
+            permits: Permits::default(),
         })
     }
 
@@ -177,6 +198,9 @@
                 Ok(Message::LoadQuery { query, servers }) => {
                     let now = node.clock.monotonic_now();
                     let asker = sender.to_string();
+                    for server in &servers {
+                        self.send_limit(node, sender, *server, now);
+                    }
                     let loads = servers.into_iter().map(|server| {
                         let load = self.keeper.borrow().others_load(server, &asker, now);
                         (server, load.in_flight, load.avoiding)
@@ -196,6 +220,11 @@
                         self.send(sender, &Message::ServerLeaving(server));
                     }
                 }
+                Ok(Message::ServerLimit(limit)) => permits::apply_limit(node, sender, limit),
+                Ok(Message::PermitQuery { query, limit }) => {
+                    node.peers.answer_permit_query(node, sender, query, limit);
+                }
+                Ok(Message::PermitReply { query, wait_ms }) => self.permits.apply(query, wait_ms),
                 Ok(Message::StreamBegun { stream, origin }) => {
                     let now = node.clock.monotonic_now();
                     self.origins.borrow_mut().record(stream, origin, now);
@@ -218,6 +247,7 @@
     pub fn prune(&self, now: Duration) {
         self.origins.borrow_mut().prune(now);
         self.origin_queries.prune();
+        self.permits.prune(now);
         self.keeper.borrow_mut().prune(now);
         self.silent_keepers.borrow_mut().retain(|_, until| now < *until);
         self.queries.borrow_mut().retain(|_, pending| pending.strong_count() > 0);
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -12,6 +12,8 @@
     BackendUnreachable,
     /// A backend server refused the request without running it.
     BackendBusy,
+    /// A backend server is at the limit that it named.
+    BackendAtLimit,
     /// An attempt may have run but got no complete answer, and the route allows another run.
     AttemptLost,
 }
@@ -21,6 +23,7 @@
         match self {
             Self::BackendUnreachable => "backend_unreachable",
             Self::BackendBusy => "backend_busy",
+            Self::BackendAtLimit => "backend_at_limit",
             Self::AttemptLost => "attempt_lost",
         }
     }
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -10,12 +10,11 @@
 use dandelionfront_coordination::limits::bucket::BucketLimits;
 use dandelionfront_coordination::limits::usage::{RequestClass, team_hash};
 use dandelionfront_coordination::outage::{RETRY_SPREAD, retry_delay};
-use dandelionfront_coordination::placement::{Placement, server_hash};
+use dandelionfront_coordination::placement::Placement;
 use dandelionfront_coordination::prompts::{SharedPart, SharedPrompts};
 use dandelionfront_coordination::request::PromptPart;
 use dandelionfront_coordination::routing::{RoutingTable, ServiceSpec, Team};
 use dandelionfront_coordination::rows::SharedRowStore;
-use dandelionfront_coordination::server_limits::NamedLimits;
 use dandelionfront_coordination::servers::{ServerChange, ServerList};
 use dandelionfront_coordination::turns::{TurnRecord, Turns};
 use dandelionfront_coordination::{Refusal, RefusalKind};
@@ -53,10 +52,8 @@
     pub store_reachability: Rc<StoreReachability>,
     /// Backend servers in the platform's list.
     pub servers: RefCell<ServerList>,
-    /// Load and recent failures of backend servers.
+    /// Load, recent failures and limits of backend servers.
     pub placement: RefCell<Placement>,
-    /// Limits that backend servers named for themselves.
-    pub server_limits: RefCell<NamedLimits>,
     /// Use of shared parts of prompts.
     pub prompts: RefCell<SharedPrompts>,
     /// Limits of the teams, which apply over all nodes.
@@ -106,7 +103,6 @@
             store_reachability,
             servers: RefCell::default(),
             placement: RefCell::default(),
-            server_limits: RefCell::default(),
             prompts: RefCell::default(),
             limiter: RefCell::default(),
             ledgers: Ledgers::new(Rc::clone(&rows), clock.monotonic_clock(), claimant, requester),
@@ -266,7 +262,6 @@
                 ServerChange::Gone(id) => {
                     log::info!("event=server_gone server={id}");
                     self.placement.borrow_mut().forget(id);
-                    self.server_limits.borrow_mut().forget(server_hash(id));
                 }
             }
         }
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -10,7 +10,6 @@
 use dandelionfront_coordination::load::ServerHash;
 use dandelionfront_coordination::overload::new_program_retry_delay;
 use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
-use dandelionfront_coordination::server_limits::NamedLimit;
 use dandelionfront_coordination::servers::{LeavingServer, ServerEntry, ServerList};
 use dandelionfront_coordination::streams::{ORIGIN_REFRESH, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
@@ -36,6 +35,9 @@
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Divisor of a request's remaining time; the quotient is the maximum wait for a busy service.
 const BUSY_WAIT_DIVISOR: u32 = 3;
+/// Maximum number of queries for the loads of servers; a reply may tell of limits, in which case
+/// other servers are compared.
+const LOAD_ROUNDS_MAX: usize = 3;
 /// Minimum remaining time for sending a request; with less, no answer would arrive in time.
 const SEND_TIME_MIN: Duration = Duration::from_millis(5);
 
@@ -147,6 +149,9 @@
         self.recheck_key()?;
         let Some(server) = self.choose_server().await else { return self.wait_for_server().await };
         self.check_overload(&server)?;
+        if !self.take_permit(&server).await {
+            return Ok(None);
+        }
         let in_flight = InFlightGuard::begin(self.node, &server.id);
         let mut connection = match self.connect(&server).await {
             Ok(connection) => connection,
@@ -225,9 +230,47 @@
         self.failure_before_send(Refusal::not_run(RefusalKind::InvalidRequest, message))
     }
 
+    /// Takes a permit for a request to `server` if it has named a limit; returns `false` if there is
+    /// none, in which case placement skips the server until there may be one.
+    async fn take_permit(&self, server: &ServerEntry) -> bool {
+        let hash = server_hash(&server.id);
+        let Some(limit_per_s) = self.node.placement.borrow().limits().per_s(hash) else {
+            return true;
+        };
+        let Err(wait) = self.node.peers.take_permit(self.node, hash).await else { return true };
+        let until = self.node.clock.monotonic_now() + wait;
+        self.node.placement.borrow_mut().limits_mut().block(hash, until);
+        self.node.metrics.count_retry(RetryReason::BackendAtLimit);
+        log::info!(
+            "event=server_at_limit request={} server={} limit_per_s={limit_per_s} wait_ms={}",
+            self.admitted.context.id,
+            server.id,
+            wait.as_millis(),
+        );
+        false
+    }
+
+    /// Returns the time until a permit for one of the eligible servers may be had, if each of them
+    /// is at its limit.
+    fn permit_wait(&self) -> Option<Duration> {
+        let servers = self.node.servers.borrow();
+        let placement = self.node.placement.borrow();
+        let now = self.node.clock.monotonic_now();
+        let wait =
+            |server: &ServerEntry| placement.limits().blocked_for(server_hash(&server.id), now);
+        if let Some(server) = self.pinned_server().and_then(|id| servers.ready_by_id(id)) {
+            return wait(server);
+        }
+        self.eligible(&servers).map(wait).min().flatten()
+    }
+
     async fn choose_server(&self) -> Option<ServerEntry> {
         if let Some(id) = self.pinned_server() {
-            return self.node.servers.borrow().ready_by_id(id).cloned();
+            let servers = self.node.servers.borrow();
+            let placement = self.node.placement.borrow();
+            let now = self.node.clock.monotonic_now();
+            let is_blocked = placement.limits().blocked_for(server_hash(id), now).is_some();
+            return servers.ready_by_id(id).filter(|_| !is_blocked).cloned();
         }
         let policy = match self.admitted.turn {
             Some(_) => PlacementPolicy::Affinity,
@@ -240,15 +283,22 @@
             may_repeat: self.admitted.route.repeat.may_repeat(),
             excluded: &self.excluded,
         };
-        let compared: Vec<ServerHash> = {
-            let servers = self.node.servers.borrow();
-            let ready = self.eligible(&servers);
-            let now = self.node.clock.monotonic_now();
-            let compared = self.node.placement.borrow().compared(placement_request, ready, now);
-            compared.into_iter().map(|server| server_hash(&server.id)).collect()
-        };
-        if compared.len() > 1 {
+        let mut asked: Vec<ServerHash> = Vec::new();
+        for _ in 0..LOAD_ROUNDS_MAX {
+            let mut compared: Vec<ServerHash> = {
+                let servers = self.node.servers.borrow();
+                let ready = self.eligible(&servers);
+                let now = self.node.clock.monotonic_now();
+                let compared = self.node.placement.borrow().compared(placement_request, ready, now);
+                compared.into_iter().map(|server| server_hash(&server.id)).collect()
+            };
+            let is_choice = compared.len() > 1;
+            compared.retain(|server| !asked.contains(server));
+            if !is_choice || compared.is_empty() {
+                break;
+            }
             self.node.peers.refresh_loads(self.node, &compared).await;
+            asked.append(&mut compared);
         }
         let servers = self.node.servers.borrow();
         let ready = self.eligible(&servers);
@@ -313,22 +363,34 @@
         Err(Failure::Refused(refusal.retry_after_ms(delay_ms)))
     }
 
-    /// Waits until all servers may be tried again; refuses if there was none to try or if the wait
-    /// would exceed `busy_wait_until`.
+    /// Waits until all servers may be tried again; refuses if there was none to try, if the wait
+    /// would exceed `busy_wait_until`, or if all servers are at their limits and the request starts
+    /// a program.
     async fn wait_for_server(&mut self) -> AttemptResult {
-        if self.excluded.is_empty() || Instant::now() + BUSY_RETRY_DELAY > self.busy_wait_until {
+        let permit_wait = self.permit_wait();
+        let is_any_worth_waiting = match permit_wait {
+            Some(_) => !self.admitted.starts_program,
+            None => !self.excluded.is_empty(),
+        };
+        let delay = permit_wait.unwrap_or_default().max(BUSY_RETRY_DELAY);
+        if !is_any_worth_waiting || Instant::now() + delay > self.busy_wait_until {
             let message = match &self.origin {
                 Some(origin) => format!(
                     "no backend server of software version {:?}, which began the stream, can take \
                      it now; retry later",
                     origin.software
                 ),
+                None if permit_wait.is_some() => {
+                    "all backend servers are at the limits that they named; retry later".to_owned()
+                }
                 None => "no backend server can take the request now; retry later".to_owned(),
             };
             let refusal = Refusal::not_run(RefusalKind::NoBackend, message);
-            return Err(self.failure_before_send(refusal.retry_after_ms(BUSY_RETRY_AFTER_MS)));
+            let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+            let refusal = refusal.retry_after_ms(delay_ms.max(BUSY_RETRY_AFTER_MS));
+            return Err(self.failure_before_send(refusal));
         }
-        tokio::time::sleep(BUSY_RETRY_DELAY).await;
+        tokio::time::sleep(delay).await;
         self.excluded.clear();
         Ok(None)
     }
@@ -449,8 +511,7 @@
     }
 
     fn note_limit(&self, server: &ServerEntry, limit_per_s: Option<f64>) {
-        let named = NamedLimit { per_s: limit_per_s, answered_at: self.node.clock.monotonic_now() };
-        if self.node.server_limits.borrow_mut().note(server_hash(&server.id), named) {
+        if self.node.peers.note_limit(self.node, server_hash(&server.id), limit_per_s) {
             log::info!(
                 "event=server_limit server={} limit_per_s={} source=answer request={}",
                 server.id,
@@ -513,7 +574,7 @@
             server.id,
             time_left.as_millis(),
             self.node.placement.borrow().load(server, self.node.clock.monotonic_now()),
-            limit_text(self.node.server_limits.borrow().per_s(server_hash(&server.id))),
+            limit_text(self.node.placement.borrow().limits().per_s(server_hash(&server.id))),
             added.as_millis(),
             server.software,
             self.last_event.map_or("-".to_owned(), |event| event.to_string()),
--- a/crates/daemon/tests/support/http.rs
+++ b/crates/daemon/tests/support/http.rs
@@ -17,6 +17,8 @@
 pub struct Reply {
     pub status: u16,
     pub body: String,
+    /// Value of the header `Retry-After`.
+    pub retry_after: Option<String>,
 }
 
 impl Reply {
@@ -80,8 +82,11 @@
         let exchange = async {
             let response = request.send_body(body).await.map_err(|error| error.to_string())?;
             let status = response.status().as_u16();
+            let retry_after = response.headers().get("retry-after");
+            let retry_after = retry_after.and_then(|value| value.to_str().ok()).map(str::to_owned);
             let body = response.body().await.map_err(|error| error.to_string())?;
-            Ok(Reply { status, body: String::from_utf8_lossy(&body).into_owned() })
+            let body = String::from_utf8_lossy(&body).into_owned();
+            Ok(Reply { status, body, retry_after })
         };
         timeout(REQUEST_TIMEOUT, exchange).await.unwrap_or_else(|()| Err("timeout".to_owned()))
     }
--- a/crates/standins/src/site/runner.rs
+++ b/crates/standins/src/site/runner.rs
@@ -28,7 +28,7 @@
 }
 
 /// Faults to inject into the backend server stand-in.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct RunnerFaults {
     /// Number of upcoming requests to refuse without executing them.
@@ -42,6 +42,8 @@
     pub answer_foreign: u32,
     /// Whether all answers carry the header with which a leaving server announces that it leaves.
     pub leaving: bool,
+    /// Limit that all answers name, in requests a second from all nodes together.
+    pub limit_per_s: Option<f64>,
 }
 
 /// The backend server stand-in.
@@ -77,6 +79,17 @@
         *remaining = remaining.saturating_sub(1);
         is_active
     }
+
+    /// Adds the headers with which the server announces its leave and its limit.
+    fn announce(&self, response: &mut web::HttpResponseBuilder) {
+        let faults = lock(&self.faults);
+        if faults.leaving {
+            response.header("server-leaving", "1");
+        }
+        if let Some(limit_per_s) = faults.limit_per_s {
+            response.header("server-limit", limit_per_s.to_string());
+        }
+    }
 }
 
 fn routes(config: &mut web::ServiceConfig) {
@@ -118,19 +131,14 @@
         value.unwrap_or_default().to_owned()
     };
     let id = header("request-id");
-    let is_leaving = lock(&runner.faults).leaving;
     if header("expect-instance") != runner.settings.id {
         let mut response = HttpResponse::build(ntex::http::StatusCode::MISDIRECTED_REQUEST);
-        if is_leaving {
-            response.header("server-leaving", "1");
-        }
+        runner.announce(&mut response);
         return response.header("instance-id", runner.settings.id.clone()).finish();
     }
     if runner.consume_fault(|faults| &mut faults.refuse) {
         let mut response = HttpResponse::ServiceUnavailable();
-        if is_leaving {
-            response.header("server-leaving", "1");
-        }
+        runner.announce(&mut response);
         return response.header("not-executed", "1").finish();
     }
     let path = request.uri().path_and_query().map_or("", |path| path.as_str());
@@ -150,9 +158,7 @@
         id
     };
     let mut response = HttpResponse::Ok();
-    if is_leaving {
-        response.header("server-leaving", "1");
-    }
+    runner.announce(&mut response);
     response.header("request-id", answered_id);
     // Stands in for the backend server's signature; it differs for each execution.
     response.header("server-seal", format!("{}.{number}", runner.settings.id));
