Reach backend servers through another node while cut off from them

Such a node tried one server after the other, 250 ms each, until the caller's deadline (4,438 of 4,444 failed attempts at connect); it had no other way. Ruled out as the cause: the marks of failed servers that it spread, which left the others at 1,134 of 1,136.

When a connection fails, the node probes others; if none accepts, each request goes through a tunnel (CONNECT) that another node opens. The node between passes bytes only, so what is known of whether a request ran does not change. It passes a reset on as a reset, and a planned stop waits for its tunnels.

The six tests fail with the old way only.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod platform;
 pub mod program;
 pub mod prompts;
+pub mod reach;
 pub mod record;
 pub mod refusal;
 pub mod request;
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -267,6 +267,18 @@
         pause
     }
 
+    /// Considers all servers healthy, because their failures were those of this node's network;
+    /// returns the servers that had failed.
+    pub fn forgive(&mut self) -> Vec<BackendId> {
+        let failed = self.views.iter_mut().filter(|(_, view)| view.consecutive_failures > 0);
+        let forgive = |(server, view): (&BackendId, &mut ServerView)| {
+            view.consecutive_failures = 0;
+            view.avoid_until = Duration::ZERO;
+            server.clone()
+        };
+        failed.map(forgive).collect()
+    }
+
     /// Returns the load of `server` by this node's requests.
     #[must_use]
     pub fn own_load(&self, server: &str, now: Duration) -> NodeLoad {
--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -195,10 +195,12 @@
 
     /// Returns the backend servers of `service` that accept new requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerEntry> {
-        self.known
-            .values()
-            .map(|known| &known.entry)
-            .filter(move |entry| entry.service == service && self.accepts_requests(entry))
+        self.all_ready().filter(move |entry| entry.service == service)
+    }
+
+    /// Returns the backend servers of all services that accept new requests.
+    pub fn all_ready(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.known.values().map(|known| &known.entry).filter(|entry| self.accepts_requests(entry))
     }
 
     /// Returns the entry of a backend server if it accepts new requests.
--- a/crates/daemon/src/front/connection/backend.rs
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -14,14 +14,13 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::upgrade::Upgraded;
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Maximum wait for a new connection; the network latency is a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which sent data may remain unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT_MS: u32 = 2_000;
 /// Maximum idle time of a connection.
@@ -41,6 +40,8 @@
     idle_max: Duration,
     /// Whether an earlier request was sent on the connection.
     pub is_reused: bool,
+    /// Node through which the connection goes; such a connection is not reused.
+    pub via: Option<SocketAddr>,
 }
 
 impl Drop for BackendConnection {
@@ -60,27 +61,56 @@
     Lost(String),
 }
 
+/// Opens a connection for messages that are small and urgent.
+///
+/// # Errors
+///
+/// Fails when the peer refuses the connection or does not accept it in time.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = timeout(BackendConnection::CONNECT_TIMEOUT, connecting).await??;
+    stream.set_nodelay(true)?;
+    sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?;
+    Ok(stream)
+}
+
 impl BackendConnection {
+    /// Maximum wait for a new connection; the network latency is a few milliseconds.
+    pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
     /// Opens a connection.
     ///
     /// # Errors
     ///
     /// Fails when the peer refuses the connection or does not accept it in time.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?;
+        Self::handshake(TokioIo::new(connect(address).await?), None).await
+    }
+
+    /// Uses a tunnel that another node has opened.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the tunnel has failed.
+    pub async fn through(tunnel: Upgraded, via: SocketAddr) -> io::Result<Self> {
+        Self::handshake(tunnel, Some(via)).await
+    }
+
+    async fn handshake<T>(stream: T, via: Option<SocketAddr>) -> io::Result<Self>
+    where
+        T: hyper::rt::Read + hyper::rt::Write + Unpin + 'static,
+    {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_MAX_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(stream)
             .await
             .map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
-                log::debug!("event=backend_connection_ended address={address} cause=\"{error}\"");
+                log::debug!("event=backend_connection_ended cause=\"{error}\"");
             }
         });
-        Ok(Self { sender, task, idle_max: IDLE_MAX, is_reused: false })
+        Ok(Self { sender, task, idle_max: IDLE_MAX, is_reused: false, via })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -148,9 +178,9 @@
         None
     }
 
-    /// Returns a connection to the pool; its last response must have been read completely.
+    /// Returns a connection to the pool, unless it goes through another node; its last response must have been read completely.
     pub fn put(&self, address: SocketAddr, mut connection: BackendConnection) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.via.is_some() {
             return;
         }
         connection.is_reused = true;
@@ -158,6 +188,11 @@
         self.idle.borrow_mut().entry(address).or_default().push(idle);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes all idle connections to `address`.
     pub fn close(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, backend servers, other nodes and the store.
 
 pub mod backend;
+pub mod backend_reach;
 pub mod caller;
 pub mod listener;
 pub mod peers;
@@ -9,6 +10,8 @@
 pub mod responder;
 pub mod status;
 pub mod store;
+pub mod tunnel;
+mod tunnel_server;
 
 pub use backend::{BackendPool, SendOutcome};
 pub use responder::Responder;
--- a/crates/daemon/src/front/connection/relay_server.rs
+++ b/crates/daemon/src/front/connection/relay_server.rs
@@ -1,4 +1,4 @@
-//! Relay for other nodes' calls to the store.
+//! Relay for other nodes' calls to the store, and listener for tunnels to backend servers.
 //!
 //! The relay accepts the same requests as the store, so that nodes use one client for both.
 
@@ -13,10 +13,10 @@
 use ntex::http::{Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::listener;
-use super::reach::StoreReachability;
 use super::store::HttpTransport;
+use super::{listener, tunnel_server};
 use crate::consts::JSON;
+use crate::front::process::FrontNode;
 
 /// Status which tells the calling node that the store's response was lost, so that the call may
 /// have taken effect.
@@ -34,20 +34,19 @@
 const FEED_WAIT: Duration = Duration::from_secs(2);
 
 /// Serves other nodes until the process ends.
-pub async fn accept(
-    direct: Rc<HttpTransport>,
-    reachability: Rc<StoreReachability>,
-    listener: TcpListener,
-) {
-    let serve = |stream| serve(Rc::clone(&direct), Rc::clone(&reachability), stream);
+pub async fn accept(node: Rc<FrontNode>, direct: Rc<HttpTransport>, listener: TcpListener) {
+    let serve = |stream| serve(Rc::clone(&node), Rc::clone(&direct), stream);
     listener::accept("relay", listener, serve).await;
 }
 
 async fn serve(
+    node: Rc<FrontNode>,
     direct: Rc<HttpTransport>,
-    reachability: Rc<StoreReachability>,
     stream: TcpStream,
 ) -> io::Result<()> {
+    if tunnel_server::is_wanted(&stream).await? {
+        return tunnel_server::serve(node, stream).await;
+    }
     let (io, codec) = listener::open(stream, HEAD_MAX_BYTES)?;
     while let Ok(Some((head, payload))) = io.recv(&codec).await {
         let body = match &payload {
@@ -57,7 +56,7 @@
             }
         };
         let Ok(body) = body else { break };
-        let reply = if reachability.is_unreachable() {
+        let reply = if node.store_reachability.is_unreachable() {
             let body = Bytes::from_static(b"the store is unreachable from here; try another node");
             StoreReply { status: 503, body }
         } else {
--- /dev/null
+++ b/crates/daemon/src/front/connection/tunnel_server.rs
@@ -0,0 +1,107 @@
+//! Tunnels to backend servers for nodes that are cut off from them.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionfront_platform::headers;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::upgrade::Upgraded;
+use hyper_util::rt::TokioIo;
+use rustix::net::sockopt;
+use tokio::io::{AsyncWriteExt as _, copy_bidirectional};
+use tokio::net::TcpStream;
+
+use super::backend::connect;
+use crate::front::process::{ActiveGuard, FrontNode};
+
+/// Returns whether a connection begins with a request for a tunnel.
+///
+/// # Errors
+///
+/// Fails when the connection fails before its first byte.
+pub async fn is_wanted(stream: &TcpStream) -> io::Result<bool> {
+    let mut first = [0];
+    // No other method that nodes send begins with this letter.
+    Ok(stream.peek(&mut first).await? == 1 && first[0] == b'C')
+}
+
+/// Serves a connection that begins with a request for a tunnel.
+///
+/// # Errors
+///
+/// Fails when the connection fails.
+pub async fn serve(node: Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
+    let service = service_fn(move |request| {
+        let node = Rc::clone(&node);
+        async move {
+            let mut response = Response::new(Empty::<Bytes>::new());
+            *response.status_mut() = open(&node, request).await;
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    connection.with_upgrades().await.map_err(io::Error::other)
+}
+
+/// Connects to the backend server that a request names and returns the status of the answer.
+async fn open(node: &Rc<FrontNode>, request: Request<Incoming>) -> StatusCode {
+    if request.method() != Method::CONNECT {
+        return StatusCode::METHOD_NOT_ALLOWED;
+    }
+    if node.stop.is_stopping() || node.backend_reach.is_lost() {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    let id = request.headers().get(headers::EXPECTED_SERVER).and_then(|id| id.to_str().ok());
+    let Some(id) = id.map(str::to_owned) else { return StatusCode::BAD_REQUEST };
+    let address = node.servers.borrow().ready_by_id(&id).map(|server| server.address);
+    let Some(address) = address else { return StatusCode::BAD_GATEWAY };
+    let connected = connect(address).await;
+    node.backend_reach.record_connect(&id, connected.is_ok(), node.clock.monotonic_now());
+    let Ok(server) = connected else { return StatusCode::BAD_GATEWAY };
+    log::info!("event=tunnel_open server={id} address={address}");
+    node.metrics.backend_connections.inc();
+    let active = node.tunnels.track();
+    tokio::task::spawn_local(async move {
+        match hyper::upgrade::on(request).await {
+            Ok(upgraded) => forward(upgraded, server, address, active).await,
+            Err(error) => log::info!("event=tunnel_failed server={id} cause=\"{error}\""),
+        }
+    });
+    StatusCode::OK
+}
+
+/// Forwards bytes in both directions until both ends have closed; resets both connections if one
+/// fails, because an answer that ends with its connection would otherwise look complete.
+async fn forward(
+    upgraded: Upgraded,
+    mut server: TcpStream,
+    address: SocketAddr,
+    _active: ActiveGuard,
+) {
+    let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else {
+        log::error!("event=tunnel_failed address={address} cause=\"not a TCP connection\"");
+        return;
+    };
+    let mut peer = parts.io.into_inner();
+    let result = match server.write_all(&parts.read_buf).await {
+        Ok(()) => copy_bidirectional(&mut peer, &mut server).await.map(drop),
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
+        log::debug!("event=tunnel_ended address={address} cause=\"{error}\"");
+        for stream in [&peer, &server] {
+            let reset = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+            if let Err(error) = reset {
+                log::warn!("event=tunnel_not_reset address={address} cause=\"{error}\"");
+            }
+        }
+    }
+}
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -17,6 +17,7 @@
 use super::metrics::FrontMetrics;
 use super::node::FrontNode;
 use crate::cli::FrontArgs;
+use crate::front::connection::backend_reach::probe_backends;
 use crate::front::connection::peers::Peers;
 use crate::front::connection::reach::{FailoverTransport, StoreReachability, probe_store};
 use crate::front::connection::store::HttpTransport;
@@ -113,10 +114,11 @@
     tokio::task::spawn_local(status::accept(Rc::clone(&node), readiness));
     tokio::task::spawn_local(status::accept(Rc::clone(&node), metrics_listener));
     tokio::task::spawn_local(relay_server::accept(
+        Rc::clone(&node),
         Rc::clone(&direct),
-        Rc::clone(&node.store_reachability),
         relay_listener,
     ));
+    tokio::task::spawn_local(probe_backends(Rc::clone(&node)));
     tokio::task::spawn_local(probe_store(direct, Rc::clone(&node.store_reachability)));
     tokio::task::spawn_local(run_housekeeping(Rc::clone(&node)));
     spawn_peer_tasks(&node, &peers);
@@ -189,7 +191,8 @@
     node.stop.close_idle();
     let deadline = started_at + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < deadline {
-        if node.caller_requests.get() == 0 && started_at.elapsed() >= STOP_DURATION_MIN {
+        let is_idle = node.caller_requests.get() == 0 && node.tunnels.get() == 0;
+        if is_idle && started_at.elapsed() >= STOP_DURATION_MIN {
             break;
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/daemon/src/front/process/mod.rs
+++ b/crates/daemon/src/front/process/mod.rs
@@ -11,4 +11,5 @@
 pub use lifecycle::run;
 pub use metrics::{FrontMetrics, RetryReason};
 pub use node::FrontNode;
+pub use stop::ActiveGuard;
 pub use stop::StopSignal;
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -24,8 +24,10 @@
 use super::metrics::FrontMetrics;
 use super::stop::{ActiveCount, StopSignal};
 use crate::front::connection::BackendPool;
+use crate::front::connection::backend_reach::BackendReachability;
 use crate::front::connection::peers::Peers;
 use crate::front::connection::reach::StoreReachability;
+use crate::front::connection::tunnel::TunnelNeighbours;
 
 /// Minimum `Retry-After` delay for callers over their team's limit.
 const LIMIT_RETRY_AFTER_MIN_MS: u64 = 50;
@@ -64,6 +66,12 @@
     pub turns: Turns,
     /// Messages to and from the other nodes.
     pub peers: Rc<Peers>,
+    /// Reachability of the backend servers, without other nodes.
+    pub backend_reach: BackendReachability,
+    /// Other nodes through which backend servers are reached.
+    pub tunnel_neighbours: TunnelNeighbours,
+    /// Open tunnels of other nodes to backend servers.
+    pub tunnels: ActiveCount,
     /// Idle connections to backend servers.
     pub pool: BackendPool,
     /// Signal of a graceful shutdown.
@@ -108,6 +116,9 @@
             ledgers: Ledgers::new(Rc::clone(&rows), clock.monotonic_clock(), claimant, requester),
             peers,
             turns: Turns::new(rows, cache_max_bytes),
+            backend_reach: BackendReachability::default(),
+            tunnel_neighbours: TunnelNeighbours::default(),
+            tunnels: ActiveCount::default(),
             pool: BackendPool::default(),
             stop: StopSignal::default(),
             caller_connections: ActiveCount::default(),
@@ -267,6 +278,16 @@
         }
     }
 
+    /// Considers all backend servers healthy and closes idle connections, once this node is found
+    /// to be cut off; the servers' keepers are told.
+    pub fn forgive_servers(&self) {
+        self.pool.close_all();
+        let failed = self.placement.borrow_mut().forgive();
+        for server in failed {
+            self.peers.send_load(self, &server);
+        }
+    }
+
     /// Stores a turn; returns whether the store accepted it before `deadline`.
     ///
     /// The answer is completed only after the turn is stored, so that a caller with a complete
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -23,6 +23,7 @@
 use super::{body, stream};
 use crate::front::connection::backend::{BackendConnection, SendOutcome};
 use crate::front::connection::responder::Responder;
+use crate::front::connection::tunnel;
 use crate::front::process::{FrontNode, RetryReason};
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice. If the
@@ -156,7 +157,10 @@
         let mut connection = match self.connect(&server).await {
             Ok(connection) => connection,
             Err(error) => {
-                self.record_failure(&server, "connect", &error.to_string());
+                // Without any way to the servers, none of them has failed.
+                if error.kind() != io::ErrorKind::NetworkUnreachable {
+                    self.record_failure(&server, "connect", &error.to_string());
+                }
                 self.node.metrics.count_retry(RetryReason::BackendUnreachable);
                 self.excluded.push(server.id.clone());
                 return Ok(None);
@@ -168,7 +172,7 @@
             .map_err(|error| self.invalid_request(&error))?;
         let deadline = self.admitted.deadline.into();
         let sent_at = Instant::now();
-        self.record_sending(&server, time_left, connection.is_reused);
+        self.record_sending(&server, time_left, &connection);
         let Ok(outcome) = timeout_at(deadline, connection.send(request)).await else {
             self.mark_may_have_run(&server.id);
             return Err(self.deadline_failure());
@@ -396,6 +400,9 @@
     }
 
     async fn connect(&self, server: &ServerEntry) -> io::Result<BackendConnection> {
+        if self.node.backend_reach.is_lost() {
+            return tunnel::open(self.node, server).await;
+        }
         let may_repeat = self.admitted.route.repeat.may_repeat();
         let idle_max = if may_repeat { REPEATABLE_IDLE_MAX } else { AT_MOST_ONCE_IDLE_MAX };
         // On a reused connection, a second copy of the server's refusal could arrive and would be
@@ -405,7 +412,10 @@
             return Ok(connection);
         }
         self.node.metrics.backend_connections.inc();
-        BackendConnection::open(server.address).await
+        let opened = BackendConnection::open(server.address).await;
+        let now = self.node.clock.monotonic_now();
+        self.node.backend_reach.record_connect(&server.id, opened.is_ok(), now);
+        opened
     }
 
     async fn handle_response(
@@ -558,14 +568,19 @@
         );
     }
 
-    fn record_sending(&mut self, server: &ServerEntry, time_left: Duration, is_reused: bool) {
+    fn record_sending(
+        &mut self,
+        server: &ServerEntry,
+        time_left: Duration,
+        connection: &BackendConnection,
+    ) {
         let added = self.admitted.arrived_at.elapsed();
         if !std::mem::replace(&mut self.is_sent, true) {
             self.node.metrics.added_seconds.observe(added.as_secs_f64());
         }
         log::info!(
             "event=sent request={} program={} route={} version={} team={} server={} time_left_ms={} \
-             reused={is_reused} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={}",
+             reused={} via={} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
             self.admitted.route.name,
@@ -573,6 +588,8 @@
             self.admitted.team.as_ref().map_or("-", |team| team.name.as_str()),
             server.id,
             time_left.as_millis(),
+            connection.is_reused,
+            connection.via.map_or("-".to_owned(), |via| via.to_string()),
             self.node.placement.borrow().load(server, self.node.clock.monotonic_now()),
             limit_text(self.node.placement.borrow().limits().per_s(server_hash(&server.id))),
             added.as_millis(),
--- /dev/null
+++ b/crates/daemon/tests/stranded.rs
@@ -0,0 +1,192 @@
+//! A node that is cut off from all backend servers, while callers and another node reach it.
+
+mod support;
+
+use std::collections::HashSet;
+
+use dandelionfront_standins::site::{FaultyAnswer, FaultyServer};
+use serde_json::{Value, json};
+use support::http::eventually;
+use support::site::{Call, EVENTS_PER_STREAM, Site, SiteRunner, free_address};
+
+/// Two nodes that know each other, each with a store of its own, so that the first can be cut off:
+/// its store names addresses at which nobody listens.
+struct Cut {
+    stranded: Site,
+    neighbour: Site,
+}
+
+impl Cut {
+    async fn start() -> Self {
+        let stranded = Site::start(1).await;
+        let mut neighbour = Site::start(0).await;
+        neighbour.put_row("nodes", &stranded.nodes[0].peer, Some(json!("zone-a"))).await;
+        neighbour.add_node();
+        neighbour.wait_ready().await;
+        let cut = Self { stranded, neighbour };
+        for runner in cut.stranded.engines.iter().chain(&cut.stranded.services) {
+            let service = if runner.id.starts_with("engine") { "geo" } else { "desk" };
+            let nowhere = free_address().to_string();
+            cut.stranded.put_server(&runner.id, &nowhere, service, "ready").await;
+        }
+        eventually("the node has found the other one and has the new addresses", async || {
+            let metrics = cut.stranded.metrics(0).await;
+            let is_updated = cut.stranded.services.iter().all(|service| {
+                let seen = format!("event=server_seen server={}", service.id);
+                cut.count_lines(&seen) == 2
+            });
+            (is_updated && metrics.contains("dandelionfront_members_heard 1\n")).then_some(())
+        })
+        .await;
+        cut
+    }
+
+    /// Sends a request to the stranded node; returns the status and body of the answer.
+    async fn send(&self, method: &str, path: &str, id: &str) -> Result<(u16, String), String> {
+        let call = Call { id, method, path, ..Call::default() };
+        self.stranded.send(0, &call).await.map(|reply| (reply.status, reply.body))
+    }
+
+    fn count_lines(&self, words: &str) -> usize {
+        let lines = self.stranded.nodes[0].process.lines();
+        lines.iter().filter(|line| line.contains(words)).count()
+    }
+
+    async fn ran(&self, servers: &[SiteRunner]) -> Vec<Value> {
+        self.neighbour.recorded_requests(servers).await
+    }
+
+    /// Replaces the engines of both nodes with one that takes half a second for each event.
+    async fn start_slow_engine(&self) -> SiteRunner {
+        let engine = self.neighbour.start_engine(500).await;
+        for known in &self.stranded.engines {
+            self.stranded.put_row("servers", &known.id, None).await;
+        }
+        let nowhere = free_address().to_string();
+        self.stranded.put_server(&engine.id, &nowhere, "geo", "ready").await;
+        eventually("the node has the new list of servers", async || {
+            self.stranded.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
+        })
+        .await;
+        engine
+    }
+}
+
+/// Guards against callers of a cut-off node that wait for their deadlines while other nodes reach
+/// the servers, and against requests that run twice on the way.
+#[ntex::test]
+async fn cut_off_node_serves_its_callers_through_another_node() {
+    let cut = Cut::start().await;
+    for request in 0..30 {
+        let path = if request % 2 == 0 { "/plain/x" } else { "/lookup/x" };
+        let (status, body) =
+            cut.send("POST", path, &format!("r-{request}")).await.expect("answers");
+        assert_eq!(status, 200, "{body}");
+    }
+    let ran = cut.ran(&cut.neighbour.services).await;
+    let ids: Vec<&str> = ran.iter().map(|ran| Site::header(ran, "request-id")).collect();
+    let ids: Vec<&str> = ids.into_iter().filter(|id| id.starts_with("r-")).collect();
+    let distinct: HashSet<&&str> = ids.iter().collect();
+    assert_eq!((ids.len(), distinct.len()), (30, 30), "each request ran once");
+    assert!(ran.iter().all(|ran| Site::header(ran, "tenant") == "alpha"));
+}
+
+/// Guards against streams that are cut, joined or left running at the engine when they go through
+/// another node.
+#[ntex::test]
+async fn stream_through_another_node_is_whole_and_ends_with_its_caller() {
+    let cut = Cut::start().await;
+    let (status, body) = cut.send("POST", "/stream/talk/1", "s-1").await.expect("answers");
+    assert_eq!(status, 200, "{body}");
+    let events = u64::try_from(body.matches("data: token-").count()).expect("few");
+    assert_eq!(events, EVENTS_PER_STREAM, "{body}");
+
+    let engine = cut.start_slow_engine().await;
+    let call = Call { id: "s-2", path: "/stream/talk/2", ..Call::default() };
+    cut.stranded.receive_first_event(0, &call).await;
+    eventually("the engine no longer runs the stream", async || {
+        let streams = cut.neighbour.http.get_json(&engine.address, "/standin/streams").await;
+        (streams["open"] == 0).then_some(())
+    })
+    .await;
+}
+
+/// Guards against a second run of a request that may not be repeated, when its answer is lost on the
+/// way through another node.
+#[ntex::test]
+async fn lost_answer_through_another_node_is_not_asked_for_again() {
+    let cut = Cut::start().await;
+    for service in &cut.neighbour.services {
+        cut.neighbour.set_faults(&service.address, &json!({ "lose_answers": 1 })).await;
+    }
+    let (status, body) = cut.send("POST", "/plain/x", "once").await.expect("answers");
+    assert_eq!(status, 502, "{body}");
+    let ran = cut.ran(&cut.neighbour.services).await;
+    let runs = ran.iter().filter(|ran| Site::header(ran, "request-id") == "once").count();
+    assert_eq!(runs, 1);
+}
+
+/// Guards against an answer that looks complete although its server reset the connection, because
+/// the node between closed the other one in order.
+#[ntex::test]
+async fn reset_reaches_the_cut_off_node_as_a_reset() {
+    let cut = Cut::start().await;
+    let any_port = "127.0.0.1:0".parse().expect("valid");
+    let (server, address) = FaultyServer::spawn(any_port, FaultyAnswer::Reset).expect("starts");
+    for (site, address) in [(&cut.neighbour, address), (&cut.stranded, free_address())] {
+        for service in &site.services {
+            site.put_row("servers", &service.id, None).await;
+        }
+        site.put_server("desk-f", &address.to_string(), "desk", "ready").await;
+        eventually("the node has the new list of servers", async || {
+            site.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
+        })
+        .await;
+    }
+    let answer = cut.send("POST", "/plain/x", "reset").await;
+    assert_eq!(server.request_count(), 1);
+    assert!(!matches!(answer, Ok((200, _))), "{answer:?}");
+}
+
+/// Guards against a planned stop that cuts requests of another node.
+#[ntex::test]
+async fn planned_stop_of_the_node_between_cuts_no_stream() {
+    let cut = Cut::start().await;
+    let engine = cut.start_slow_engine().await;
+    let call = Call { id: "s-3", path: "/stream/talk/3", ..Call::default() };
+    let stop = async {
+        eventually("the engine runs the stream", async || {
+            let streams = cut.neighbour.http.get_json(&engine.address, "/standin/streams").await;
+            (streams["open"] == 1).then_some(())
+        })
+        .await;
+        cut.neighbour.nodes[0].process.signal("TERM");
+    };
+    let (reply, ()) = futures_util::join!(cut.stranded.send(0, &call), stop);
+    let reply = reply.expect("the node answers").expect_status(200);
+    let events = u64::try_from(reply.body.matches("data: token-").count()).expect("few");
+    assert_eq!(events, EVENTS_PER_STREAM, "{}", reply.body);
+}
+
+/// Guards against a node that goes on through others after its own way is back.
+#[ntex::test]
+async fn node_uses_its_own_way_again_once_it_is_back() {
+    let cut = Cut::start().await;
+    let (status, body) = cut.send("POST", "/plain/x", "cut").await.expect("answers");
+    assert_eq!(status, 200, "{body}");
+    for (known, reached) in cut.stranded.services.iter().zip(&cut.neighbour.services) {
+        cut.stranded.put_server(&known.id, &reached.address, "desk", "ready").await;
+    }
+    eventually("the node reaches the servers", async || {
+        (cut.count_lines("event=backend_reach is_lost=false") == 1).then_some(())
+    })
+    .await;
+    let (status, body) = cut.send("POST", "/plain/x", "direct").await.expect("answers");
+    assert_eq!(status, 200, "{body}");
+    let sent = eventually("the sending is logged", async || {
+        let lines = cut.stranded.nodes[0].process.lines();
+        lines.into_iter().find(|line| line.contains("event=sent request=direct"))
+    })
+    .await;
+    assert!(sent.contains(" via=- "), "{sent}");
+}
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -37,6 +37,8 @@
     pub listen: String,
     pub ready: String,
     pub metrics: String,
+    /// Address for datagrams, relayed store calls and tunnels of other nodes.
+    pub peer: String,
     settings: PathBuf,
 }
 
@@ -98,7 +100,8 @@
     }
 }
 
-fn free_address() -> SocketAddr {
+/// Returns an address at which nobody listens.
+pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("bound")
 }
@@ -259,6 +262,7 @@
             listen: listen.to_string(),
             ready: ready.to_string(),
             metrics: metrics.to_string(),
+            peer: format!("127.0.0.1:{peer_port}"),
             settings: path,
         }
     }
@@ -283,10 +287,14 @@
 
     /// Replaces the engines with one that takes a second for each event.
     pub async fn start_slow_engine(&self) -> SiteRunner {
+        self.start_engine(1_000).await
+    }
+
+    /// Replaces the engines with one that takes `delay_ms` for each event.
+    pub async fn start_engine(&self, delay_ms: u32) -> SiteRunner {
         let any_port = "127.0.0.1:0".parse().expect("valid");
         let id = "engine-slow".to_owned();
-        let settings =
-            RunnerSettings { id: id.clone(), event_count: EVENTS_PER_STREAM, delay_ms: 1_000 };
+        let settings = RunnerSettings { id: id.clone(), event_count: EVENTS_PER_STREAM, delay_ms };
         let address = Runner::spawn(any_port, settings).expect("starts").to_string();
         for engine in &self.engines {
             self.put_row("servers", &engine.id, None).await;
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -2,10 +2,12 @@
 //! and metadata store. [`crate::platform`] stands in for a different interface, the services of
 //! [`dandelionfront_coordination::platform`].
 
+pub mod faulty;
 pub mod repeater;
 pub mod runner;
 pub mod store;
 
+pub use faulty::{FaultyAnswer, FaultyServer};
 pub use repeater::{Repeater, RepeaterSettings};
 pub use runner::{Runner, RunnerFaults, RunnerSettings};
 pub use store::MetadataStore;
--- a/crates/standins/src/site/repeater.rs
+++ b/crates/standins/src/site/repeater.rs
@@ -101,7 +101,7 @@
 }
 
 /// Reads a request with a declared length; returns its id, or `None` at the end of the connection.
-fn read_request(reader: &mut BufReader<&TcpStream>) -> io::Result<Option<String>> {
+pub(super) fn read_request(reader: &mut BufReader<&TcpStream>) -> io::Result<Option<String>> {
     let (mut id, mut length) = (None, 0);
     loop {
         let mut line = String::new();
