Give up backend servers that send interim responses without end

The users' pages say that servers in trouble may send bytes that are no answer without end, in a head or a body. A stand-in plays eleven kinds of it. Ten were bounded already: noise, endless heads, header fields, chunk extensions, trailers and events by the library's and the splitter's limits, a refusal's body by not waiting for it, other bodies by the deadline, after which the answer is broken off. Interim responses (1xx) were read until the caller's deadline, which then got 504 in place of 502, with the node parsing all the while. Now the request ends at the seventeenth.

--- a/crates/daemon/src/front/connection/backend.rs
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -7,6 +7,8 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -30,6 +33,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Maximum size of a response head and of the read buffer.
 const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+/// Maximum number of interim responses to one request.
+const INTERIM_MAX: usize = 16;
 
 /// An open connection; closed when dropped.
 #[derive(Debug)]
@@ -114,11 +119,18 @@
     }
 
     /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+    pub async fn send(&mut self, mut request: Request<Full<Bytes>>) -> SendOutcome {
         if let Err(error) = self.sender.ready().await {
             return SendOutcome::NotSent(error.to_string());
         }
-        match self.sender.try_send_request(request).await {
+        let interim = InterimResponses::count(&mut request);
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(request) => sent,
+            () = interim.too_many.notified() => {
+                return SendOutcome::Lost("it sends interim responses without end".to_owned());
+            }
+        };
+        match sent {
             Ok(response) => SendOutcome::Answered(response),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
@@ -135,6 +147,27 @@
     }
 }
 
+/// Interim (1xx) responses to one request.
+#[derive(Debug, Default)]
+struct InterimResponses {
+    received: AtomicUsize,
+    too_many: Notify,
+}
+
+impl InterimResponses {
+    /// Counts the interim responses to `request`.
+    fn count(request: &mut Request<Full<Bytes>>) -> Arc<Self> {
+        let interim = Arc::new(Self::default());
+        let counted = Arc::clone(&interim);
+        hyper::ext::on_informational(request, move |_| {
+            if counted.received.fetch_add(1, Ordering::Relaxed) == INTERIM_MAX {
+                counted.too_many.notify_one();
+            }
+        });
+        interim
+    }
+}
+
 /// Formats an error with its source.
 fn error_with_source(error: &hyper::Error) -> String {
     use std::error::Error as _;
