--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -7,18 +7,16 @@
 use std::time::{Duration, Instant};
 
 use dandelionfront_coordination::ids::BackendId;
-use dandelionfront_coordination::load::ServerHash;
-use dandelionfront_coordination::overload::new_program_retry_delay;
-use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
-use dandelionfront_coordination::servers::{LeavingServer, ServerEntry, ServerList};
+use dandelionfront_coordination::placement::server_hash;
+use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_coordination::streams::{ORIGIN_REFRESH, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
-use dandelionfront_platform::headers;
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
 use super::admission::Admitted;
+use super::announcements::limit_text;
 use super::outbound::{self, ResponseKind};
 use super::{body, stream};
 use crate::front::connection::backend::{BackendConnection, SendOutcome};
@@ -36,9 +34,6 @@
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Divisor of a request's remaining time; the quotient is the maximum wait for a busy service.
 const BUSY_WAIT_DIVISOR: u32 = 3;
-/// Maximum number of queries for the loads of servers; a reply may tell of limits, in which case
-/// other servers are compared.
-const LOAD_ROUNDS_MAX: usize = 3;
 /// Minimum remaining time for sending a request; with less, no answer would arrive in time.
 const SEND_TIME_MIN: Duration = Duration::from_millis(5);
 
@@ -64,11 +59,11 @@
     pub(super) admitted: Admitted,
     /// Servers that were unreachable or refused the request without running it; placement skips
     /// them until the list is cleared.
-    excluded: Vec<BackendId>,
+    pub(super) excluded: Vec<BackendId>,
     /// Servers that answered that they did not run the request.
     refused_by: Vec<BackendId>,
     /// Servers that may have run the request, in the order of their first possible run.
-    may_have_run_on: Vec<BackendId>,
+    pub(super) may_have_run_on: Vec<BackendId>,
     /// Attempts that may have run and got no complete answer.
     lost_count: u32,
     /// Id of the last event that the caller has received, initially from its `Last-Event-ID`.
@@ -76,11 +71,11 @@
     /// Time until which the request may wait for a busy service.
     busy_wait_until: Instant,
     /// Whether an attempt was sent to any server.
-    is_sent: bool,
+    pub(super) is_sent: bool,
     /// Whether an event was sent to the caller.
     pub(super) has_forwarded_event: bool,
     /// Origin of the stream, once its first event was sent to the caller.
-    origin: Option<StreamOrigin>,
+    pub(super) origin: Option<StreamOrigin>,
     /// Time at which the origin was last recorded at other nodes.
     origin_recorded_at: Option<Instant>,
 }
@@ -234,92 +229,6 @@
         self.failure_before_send(Refusal::not_run(RefusalKind::InvalidRequest, message))
     }
 
-    /// Takes a permit for a request to `server` if it has named a limit; returns `false` if there is
-    /// none, in which case placement skips the server until there may be one.
-    async fn take_permit(&self, server: &ServerEntry) -> bool {
-        let hash = server_hash(&server.id);
-        let Some(limit_per_s) = self.node.placement.borrow().limits().per_s(hash) else {
-            return true;
-        };
-        let Err(wait) = self.node.peers.take_permit(self.node, hash).await else { return true };
-        let until = self.node.clock.monotonic_now() + wait;
-        self.node.placement.borrow_mut().limits_mut().block(hash, until);
-        self.node.metrics.count_retry(RetryReason::BackendAtLimit);
-        log::info!(
-            "event=server_at_limit request={} server={} limit_per_s={limit_per_s} wait_ms={}",
-            self.admitted.context.id,
-            server.id,
-            wait.as_millis(),
-        );
-        false
-    }
-
-    /// Returns the time until a permit for one of the eligible servers may be had, if each of them
-    /// is at its limit.
-    fn permit_wait(&self) -> Option<Duration> {
-        let servers = self.node.servers.borrow();
-        let placement = self.node.placement.borrow();
-        let now = self.node.clock.monotonic_now();
-        let wait =
-            |server: &ServerEntry| placement.limits().blocked_for(server_hash(&server.id), now);
-        if let Some(server) = self.pinned_server().and_then(|id| servers.ready_by_id(id)) {
-            return wait(server);
-        }
-        self.eligible(&servers).map(wait).min().flatten()
-    }
-
-    async fn choose_server(&self) -> Option<ServerEntry> {
-        if let Some(id) = self.pinned_server() {
-            let servers = self.node.servers.borrow();
-            let placement = self.node.placement.borrow();
-            let now = self.node.clock.monotonic_now();
-            let is_blocked = placement.limits().blocked_for(server_hash(id), now).is_some();
-            return servers.ready_by_id(id).filter(|_| !is_blocked).cloned();
-        }
-        let policy = match self.admitted.turn {
-            Some(_) => PlacementPolicy::Affinity,
-            None => PlacementPolicy::TwoChoices,
-        };
-        let placement_request = PlacementRequest {
-            policy,
-            key: &self.admitted.placement_key,
-            shared_part: self.admitted.shared_part,
-            may_repeat: self.admitted.route.repeat.may_repeat(),
-            excluded: &self.excluded,
-        };
-        let mut asked: Vec<ServerHash> = Vec::new();
-        for _ in 0..LOAD_ROUNDS_MAX {
-            let mut compared: Vec<ServerHash> = {
-                let servers = self.node.servers.borrow();
-                let ready = self.eligible(&servers);
-                let now = self.node.clock.monotonic_now();
-                let compared = self.node.placement.borrow().compared(placement_request, ready, now);
-                compared.into_iter().map(|server| server_hash(&server.id)).collect()
-            };
-            let is_choice = compared.len() > 1;
-            compared.retain(|server| !asked.contains(server));
-            if !is_choice || compared.is_empty() {
-                break;
-            }
-            self.node.peers.refresh_loads(self.node, &compared).await;
-            asked.append(&mut compared);
-        }
-        let servers = self.node.servers.borrow();
-        let ready = self.eligible(&servers);
-        let now = self.node.clock.monotonic_now();
-        self.node.placement.borrow().choose(placement_request, ready, now).cloned()
-    }
-
-    /// Returns the ready servers of the service; only those of the software version that began the
-    /// stream, if it has begun.
-    fn eligible<'b>(&'b self, servers: &'b ServerList) -> impl Iterator<Item = &'b ServerEntry> {
-        servers.ready(&self.admitted.service).filter(|server| self.may_continue_at(server))
-    }
-
-    fn may_continue_at(&self, server: &ServerEntry) -> bool {
-        self.origin.as_ref().is_none_or(|origin| origin.software == server.software)
-    }
-
     /// Records the origin of the stream before an event of `server` is sent to the caller, who may
     /// resume the stream at another node as soon as the event has arrived.
     pub(super) fn record_origin(&mut self, server: &ServerEntry) {
@@ -336,37 +245,6 @@
         self.origin_recorded_at = Some(Instant::now());
     }
 
-    /// Returns the server that was added last to `may_have_run_on`, if the route's limit on the
-    /// number of servers is reached and that server is ready.
-    fn pinned_server(&self) -> Option<&BackendId> {
-        let server_count = u32::try_from(self.may_have_run_on.len()).unwrap_or(u32::MAX);
-        let last = self.may_have_run_on.last()?;
-        let servers = self.node.servers.borrow();
-        let is_ready = servers.ready_by_id(last).is_some_and(|server| self.may_continue_at(server));
-        (server_count >= self.admitted.route.attempts_max && is_ready).then_some(last)
-    }
-
-    /// Refuses a new program if `server` is overloaded.
-    fn check_overload(&mut self, server: &ServerEntry) -> Result<(), Failure> {
-        if !self.admitted.starts_program || self.is_sent {
-            return Ok(());
-        }
-        let now = self.node.clock.monotonic_now();
-        let load = self.node.placement.borrow().load(server, now);
-        let Some(delay) = new_program_retry_delay(load, self.admitted.route.priority) else {
-            return Ok(());
-        };
-        let message = format!(
-            "the backend servers are overloaded ({load:.1} requests for each slot); retry later"
-        );
-        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
-        if let Some(turn) = &mut self.admitted.turn {
-            turn.release_claim();
-        }
-        let refusal = Refusal::not_run(RefusalKind::NoBackend, message);
-        Err(Failure::Refused(refusal.retry_after_ms(delay_ms)))
-    }
-
     /// Waits until all servers may be tried again; refuses if there was none to try, if the wait
     /// would exceed `busy_wait_until`, or if all servers are at their limits and the request starts
     /// a program.
@@ -479,58 +357,6 @@
         }
     }
 
-    /// Records what `server` says of itself in an answer: whether it is leaving, and its limit.
-    ///
-    /// An answer that another server or an earlier request may have produced is not considered.
-    fn note_announcements(
-        &self,
-        server: &ServerEntry,
-        response: &Response<Incoming>,
-        kind: &ResponseKind,
-    ) {
-        let is_from_server = match kind {
-            ResponseKind::Valid => true,
-            ResponseKind::NotRun(status) => *status != StatusCode::MISDIRECTED_REQUEST,
-            ResponseKind::Invalid(_) => false,
-        };
-        if !is_from_server {
-            return;
-        }
-        let request = &self.admitted.context.id;
-        match headers::announces_leave(response.headers()) {
-            Ok(false) => {}
-            Ok(true) => {
-                let leaving = LeavingServer {
-                    id: server.id.clone(),
-                    started_unix_ms: server.started_unix_ms,
-                };
-                self.node.peers.note_leaving(self.node, leaving, request);
-            }
-            Err(value) => log::info!(
-                "event=leave_malformed request={request} server={} value={value:?} ignored=true",
-                server.id,
-            ),
-        }
-        match headers::named_limit_per_s(response.headers()) {
-            Ok(limit_per_s) => self.note_limit(server, limit_per_s),
-            Err(value) => log::info!(
-                "event=limit_malformed request={request} server={} value={value:?} ignored=true",
-                server.id,
-            ),
-        }
-    }
-
-    fn note_limit(&self, server: &ServerEntry, limit_per_s: Option<f64>) {
-        if self.node.peers.note_limit(self.node, server_hash(&server.id), limit_per_s) {
-            log::info!(
-                "event=server_limit server={} limit_per_s={} source=answer request={}",
-                server.id,
-                limit_text(limit_per_s),
-                self.admitted.context.id,
-            );
-        }
-    }
-
     /// Retries or refuses after an attempt that may have run but got no complete answer.
     fn handle_lost_attempt(&mut self, server: &ServerEntry, cause: &str) -> AttemptResult {
         self.record_failure(server, "answer", cause);
@@ -615,7 +441,3 @@
 const BUSY_RETRY_AFTER_MS: u64 = 150;
 /// Number of lost attempts after which a request is refused even if it may run again.
 const LOST_ATTEMPTS_MAX: u32 = 4;
-
-fn limit_text(limit_per_s: Option<f64>) -> String {
-    limit_per_s.map_or("-".to_owned(), |limit| limit.to_string())
-}
--- /dev/null
+++ b/crates/daemon/src/front/request/choice.rs
@@ -0,0 +1,137 @@
+//! Choice of the backend server for an attempt.
+
+use std::time::Duration;
+
+use dandelionfront_coordination::ids::BackendId;
+use dandelionfront_coordination::load::ServerHash;
+use dandelionfront_coordination::overload::new_program_retry_delay;
+use dandelionfront_coordination::placement::{PlacementPolicy, PlacementRequest, server_hash};
+use dandelionfront_coordination::servers::{ServerEntry, ServerList};
+use dandelionfront_coordination::{Refusal, RefusalKind};
+
+use super::attempt::{Attempts, Failure};
+use crate::front::process::RetryReason;
+
+/// Maximum number of queries for the loads of servers; a reply may tell of limits, in which case
+/// other servers are compared.
+const LOAD_ROUNDS_MAX: usize = 3;
+
+impl Attempts<'_> {
+    /// Chooses a server by rank, loads, failures and limits; returns `None` if none may be used now.
+    pub(super) async fn choose_server(&self) -> Option<ServerEntry> {
+        if let Some(id) = self.pinned_server() {
+            let servers = self.node.servers.borrow();
+            let placement = self.node.placement.borrow();
+            let now = self.node.clock.monotonic_now();
+            let is_blocked = placement.limits().blocked_for(server_hash(id), now).is_some();
+            return servers.ready_by_id(id).filter(|_| !is_blocked).cloned();
+        }
+        let policy = match self.admitted.turn {
+            Some(_) => PlacementPolicy::Affinity,
+            None => PlacementPolicy::TwoChoices,
+        };
+        let placement_request = PlacementRequest {
+            policy,
+            key: &self.admitted.placement_key,
+            shared_part: self.admitted.shared_part,
+            may_repeat: self.admitted.route.repeat.may_repeat(),
+            excluded: &self.excluded,
+        };
+        let mut asked: Vec<ServerHash> = Vec::new();
+        for _ in 0..LOAD_ROUNDS_MAX {
+            let mut compared: Vec<ServerHash> = {
+                let servers = self.node.servers.borrow();
+                let ready = self.eligible(&servers);
+                let now = self.node.clock.monotonic_now();
+                let compared = self.node.placement.borrow().compared(placement_request, ready, now);
+                compared.into_iter().map(|server| server_hash(&server.id)).collect()
+            };
+            let is_choice = compared.len() > 1;
+            compared.retain(|server| !asked.contains(server));
+            if !is_choice || compared.is_empty() {
+                break;
+            }
+            self.node.peers.refresh_loads(self.node, &compared).await;
+            asked.append(&mut compared);
+        }
+        let servers = self.node.servers.borrow();
+        let ready = self.eligible(&servers);
+        let now = self.node.clock.monotonic_now();
+        self.node.placement.borrow().choose(placement_request, ready, now).cloned()
+    }
+
+    /// Returns the ready servers of the service; only those of the software version that began the
+    /// stream, if it has begun.
+    fn eligible<'b>(&'b self, servers: &'b ServerList) -> impl Iterator<Item = &'b ServerEntry> {
+        servers.ready(&self.admitted.service).filter(|server| self.may_continue_at(server))
+    }
+
+    fn may_continue_at(&self, server: &ServerEntry) -> bool {
+        self.origin.as_ref().is_none_or(|origin| origin.software == server.software)
+    }
+
+    /// Returns the server that was added last to `may_have_run_on`, if the route's limit on the
+    /// number of servers is reached and that server is ready.
+    fn pinned_server(&self) -> Option<&BackendId> {
+        let server_count = u32::try_from(self.may_have_run_on.len()).unwrap_or(u32::MAX);
+        let last = self.may_have_run_on.last()?;
+        let servers = self.node.servers.borrow();
+        let is_ready = servers.ready_by_id(last).is_some_and(|server| self.may_continue_at(server));
+        (server_count >= self.admitted.route.attempts_max && is_ready).then_some(last)
+    }
+
+    /// Takes a permit for a request to `server` if it has named a limit; returns `false` if there is
+    /// none, in which case placement skips the server until there may be one.
+    pub(super) async fn take_permit(&self, server: &ServerEntry) -> bool {
+        let hash = server_hash(&server.id);
+        let Some(limit_per_s) = self.node.placement.borrow().limits().per_s(hash) else {
+            return true;
+        };
+        let Err(wait) = self.node.peers.take_permit(self.node, hash).await else { return true };
+        let until = self.node.clock.monotonic_now() + wait;
+        self.node.placement.borrow_mut().limits_mut().block(hash, until);
+        self.node.metrics.count_retry(RetryReason::BackendAtLimit);
+        log::info!(
+            "event=server_at_limit request={} server={} limit_per_s={limit_per_s} wait_ms={}",
+            self.admitted.context.id,
+            server.id,
+            wait.as_millis(),
+        );
+        false
+    }
+
+    /// Returns the time until a permit for one of the eligible servers may be had, if each of them
+    /// is at its limit.
+    pub(super) fn permit_wait(&self) -> Option<Duration> {
+        let servers = self.node.servers.borrow();
+        let placement = self.node.placement.borrow();
+        let now = self.node.clock.monotonic_now();
+        let wait =
+            |server: &ServerEntry| placement.limits().blocked_for(server_hash(&server.id), now);
+        if let Some(server) = self.pinned_server().and_then(|id| servers.ready_by_id(id)) {
+            return wait(server);
+        }
+        self.eligible(&servers).map(wait).min().flatten()
+    }
+
+    /// Refuses a new program if `server` is overloaded.
+    pub(super) fn check_overload(&mut self, server: &ServerEntry) -> Result<(), Failure> {
+        if !self.admitted.starts_program || self.is_sent {
+            return Ok(());
+        }
+        let now = self.node.clock.monotonic_now();
+        let load = self.node.placement.borrow().load(server, now);
+        let Some(delay) = new_program_retry_delay(load, self.admitted.route.priority) else {
+            return Ok(());
+        };
+        let message = format!(
+            "the backend servers are overloaded ({load:.1} requests for each slot); retry later"
+        );
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        if let Some(turn) = &mut self.admitted.turn {
+            turn.release_claim();
+        }
+        let refusal = Refusal::not_run(RefusalKind::NoBackend, message);
+        Err(Failure::Refused(refusal.retry_after_ms(delay_ms)))
+    }
+}
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -1,8 +1,10 @@
 //! Handles one request: admits it, tries backend servers and forwards the answer.
 
 mod admission;
+mod announcements;
 mod attempt;
 mod body;
+mod choice;
 mod frames;
 mod outbound;
 mod stream;
