Try to keep a turn until just before its deadline

Traced before: the store turns single writes away with 429, and after three tries a node gave up 0.4 s before the deadline, because the next pause would have passed it. Now the pause is shortened, and the last try comes 60 ms before the deadline.

The test fails with the old rule (77 of 137 ms unused).

--- a/crates/coordination/src/turns.rs
+++ b/crates/coordination/src/turns.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD_NO_PAD as BASE64;
@@ -22,6 +23,23 @@
 /// Number of partitions of the table. The store supports 200 writes per second in each partition
 /// and 800 in total.
 const TURN_PARTS: u64 = 64;
+/// First delay between attempts to store a turn; doubles with each attempt.
+const STORE_RETRY_DELAY_MIN: Duration = Duration::from_millis(50);
+/// Maximum delay between attempts to store a turn.
+const STORE_RETRY_DELAY_MAX: Duration = Duration::from_millis(400);
+/// Time that the last attempt to store a turn leaves for the store's answer.
+const LAST_ATTEMPT_MARGIN: Duration = Duration::from_millis(60);
+
+/// Returns the delay after `attempts` failed attempts to store a turn, or `None` if too little time
+/// is left for another one. The last attempt is made just before the deadline, because the store
+/// may accept the turn until then.
+#[must_use]
+pub fn store_retry_delay(attempts: u32, time_left: Duration) -> Option<Duration> {
+    let doublings = attempts.saturating_sub(1).min(STORE_RETRY_DELAY_MAX.as_millis().ilog2());
+    let delay = STORE_RETRY_DELAY_MIN * 2_u32.pow(doublings);
+    let longest = time_left.checked_sub(LAST_ATTEMPT_MARGIN).filter(|delay| !delay.is_zero())?;
+    Some(delay.min(STORE_RETRY_DELAY_MAX).min(longest))
+}
 
 /// Bytes stored as text if they are valid UTF-8, and in Base64 otherwise.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/coordination/tests/turns.rs
+++ b/crates/coordination/tests/turns.rs
@@ -1,9 +1,10 @@
 //! Stored turns: chains across nodes, separation of teams, and store failures.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use dandelionfront_coordination::turns::{
-    TextBytes, TurnError, TurnRecord, Turns, assemble_prompt,
+    TextBytes, TurnError, TurnRecord, Turns, assemble_prompt, store_retry_delay,
 };
 use dandelionfront_standins::MemoryRows;
 use dandelionfront_standins::rows::RowFaults;
@@ -85,3 +86,22 @@
     let chain = turns.chain("alpha", "t3").await.expect("read from the store");
     assert_eq!(chain.len(), 3);
 }
+
+/// Guards against an answer that is cut because its turn was given up hundreds of milliseconds
+/// before the deadline, while the store refused single writes.
+#[test]
+fn turn_is_stored_for_the_last_time_just_before_its_deadline() {
+    const ATTEMPT: Duration = Duration::from_millis(5);
+    for deadline_ms in (100..4_000).step_by(37) {
+        let deadline = Duration::from_millis(deadline_ms);
+        let (mut now, mut attempts) = (ATTEMPT, 1);
+        while let Some(delay) = store_retry_delay(attempts, deadline.saturating_sub(now)) {
+            now += delay + ATTEMPT;
+            attempts += 1;
+        }
+        assert!(now <= deadline, "{attempts} attempts until {now:?} of {deadline:?}");
+        let unused = deadline.saturating_sub(now);
+        assert!(unused <= Duration::from_millis(60), "{unused:?} of {deadline:?} unused");
+        assert!(attempts <= 16, "{attempts} attempts in {deadline:?}");
+    }
+}
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -16,7 +16,7 @@
 use dandelionfront_coordination::routing::{RoutingTable, ServiceSpec, Team};
 use dandelionfront_coordination::rows::SharedRowStore;
 use dandelionfront_coordination::servers::{ServerChange, ServerList};
-use dandelionfront_coordination::turns::{TurnRecord, Turns};
+use dandelionfront_coordination::turns::{TurnRecord, Turns, store_retry_delay};
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::{NodeSettings, StoreClient};
 
@@ -35,10 +35,6 @@
 const LIMIT_RETRY_AFTER_MAX_MS: u64 = 2_000;
 /// Divisor of the process's memory limit; the quotient is the maximum size of the turn cache.
 const TURN_CACHE_MEMORY_DIVISOR: u64 = 8;
-/// First delay between attempts to store a turn; doubles with each attempt.
-const PERSIST_RETRY_DELAY_MIN: Duration = Duration::from_millis(50);
-/// Maximum delay between attempts to store a turn.
-const PERSIST_RETRY_DELAY_MAX: Duration = Duration::from_millis(400);
 
 /// State shared by the requests and tasks of a node.
 pub struct FrontNode {
@@ -298,22 +294,24 @@
         record: Rc<TurnRecord>,
         deadline: Instant,
     ) -> bool {
-        let mut delay = PERSIST_RETRY_DELAY_MIN;
-        loop {
+        for attempts in 1.. {
             let write = self.turns.store(turn, Rc::clone(&record));
             let cause = match tokio::time::timeout_at(deadline.into(), write).await {
                 Ok(Ok(())) => return true,
                 Ok(Err(error)) => error.to_string(),
                 Err(_) => "the deadline passed".to_owned(),
             };
-            let will_retry = Instant::now() + delay < deadline;
-            log::warn!("event=turn_not_kept request={turn} cause=\"{cause}\" retried={will_retry}");
-            if !will_retry {
-                return false;
-            }
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let delay = store_retry_delay(attempts, time_left);
+            log::warn!(
+                "event=turn_not_kept request={turn} cause=\"{cause}\" retried={} time_left_ms={}",
+                delay.is_some(),
+                time_left.as_millis(),
+            );
+            let Some(delay) = delay else { break };
             tokio::time::sleep(delay).await;
-            delay = (delay * 2).min(PERSIST_RETRY_DELAY_MAX);
         }
+        false
     }
 }
 
