--- a/crates/daemon/tests/server_limits.rs
+++ b/crates/daemon/tests/server_limits.rs
@@ -148,3 +148,26 @@
     let got = got as f64;
     assert!(got <= allowed(began), "{got} requests, {} allowed", allowed(began));
 }
+
+/// Guards against a second burst when the keeper stands still for a moment and goes on.
+#[ntex::test]
+async fn limit_holds_while_nodes_stand_still() {
+    let site = Site::start(NODES).await;
+    let limited = &site.services[..1];
+    set_limit(&site, limited, Some(LIMIT_PER_S)).await;
+    teach(&site, limited, "/plain/1").await;
+    let (began, before) = (Instant::now(), executions(&site, limited).await);
+    for paused in 0..NODES {
+        site.nodes[paused].process.signal("STOP");
+        for request in 0..40 {
+            let node = (paused + 1 + request % (NODES - 1)) % NODES;
+            let reply = send(&site, node, &format!("p-{paused}-{request}"), "/plain/1").await;
+            assert_eq!(reply.status, 200, "the other server has no limit: {}", reply.body);
+        }
+        site.nodes[paused].process.signal("CONT");
+    }
+    let got = executions(&site, limited).await - before;
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred requests")]
+    let got = got as f64;
+    assert!(got <= allowed(began), "{got} requests, {} allowed", allowed(began));
+}
--- a/crates/standins/src/site/faulty.rs
+++ b/crates/standins/src/site/faulty.rs
@@ -13,6 +13,8 @@
 
 /// Pause between two writes of an endless answer, which bounds its rate to some MB a second.
 const WRITE_PAUSE: Duration = Duration::from_millis(1);
+/// Pause between two writes of a trickled answer.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
 /// Size of each write of an endless answer.
 const WRITE_BYTES: usize = 16 * 1024;
 
@@ -43,6 +45,8 @@
     EndlessEvent,
     /// The head of an event stream and comment lines without end.
     EndlessComments,
+    /// The head of an event stream and an event without end, a few bytes now and then.
+    TrickledEvent,
 }
 
 /// The faulty backend server stand-in.
@@ -118,16 +122,21 @@
             FaultyAnswer::EndlessChunkExtension => (format!("{chunked}5;a="), "more"),
             FaultyAnswer::EndlessTrailers => (format!("{chunked}0\r\n"), "x-more: yes\r\n"),
             FaultyAnswer::EndlessInterim => (String::new(), "HTTP/1.1 102 Wait\r\n\r\n"),
-            FaultyAnswer::EndlessEvent => (format!("{stream}id: 1\ndata: "), "more "),
+            FaultyAnswer::EndlessEvent | FaultyAnswer::TrickledEvent => {
+                (format!("{stream}id: 1\ndata: "), "more ")
+            }
             FaultyAnswer::EndlessComments => (stream, ": more\n\n"),
         };
         let mut writer = connection;
         writer.write_all(begin.as_bytes())?;
-        let block = repeated.repeat(WRITE_BYTES / repeated.len());
+        let is_trickled = self.answer == FaultyAnswer::TrickledEvent;
+        let (bytes, pause) =
+            if is_trickled { (repeated.len(), TRICKLE_PAUSE) } else { (WRITE_BYTES, WRITE_PAUSE) };
+        let block = repeated.repeat(bytes / repeated.len());
         loop {
             writer.write_all(block.as_bytes())?;
             self.sent_bytes.fetch_add(block.len() as u64, Ordering::SeqCst);
-            thread::sleep(WRITE_PAUSE);
+            thread::sleep(pause);
         }
     }
 }
