Log what repetitions of a request share, and servers that have ended

Now event=sent and event=refused name a fingerprint of team, method, path and body, event=refused the team, and a node that lost an answer finds out whether anything still listens at the server's address (event=server_ended).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod call;
 pub mod clock;
 pub mod config;
+pub mod crashes;
 pub mod detector;
 pub mod dispatch;
 pub mod events;
--- a/crates/daemon/src/front/connection/mod.rs
+++ b/crates/daemon/src/front/connection/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod backend_reach;
 pub mod caller;
+pub mod ended;
 pub mod listener;
 pub mod peers;
 pub mod reach;
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use dandelionfront_coordination::crashes::{RequestFingerprint, request_fingerprint};
 use dandelionfront_coordination::ids::TeamId;
 use dandelionfront_coordination::limits::usage::RequestClass;
 use dandelionfront_coordination::prompts::SharedPart;
@@ -37,6 +38,8 @@
     pub method: Method,
     /// Path and query as received.
     pub target: String,
+    /// Identity of the request, which its repetitions share.
+    pub fingerprint: RequestFingerprint,
     /// Headers to forward.
     pub headers: HeaderMap,
     /// Body to forward.
@@ -58,6 +61,19 @@
     pub limit_reservation: LimitReservation,
 }
 
+impl Admitted {
+    /// Returns what identifies the request in the log.
+    #[must_use]
+    pub fn labels(&self) -> RequestLabels {
+        RequestLabels {
+            id: self.context.id.clone(),
+            program: self.context.program.as_ref().map(|program| program.id.clone()),
+            team: self.team.as_ref().map(|team| team.name.clone()),
+            fingerprint: Some(self.fingerprint),
+        }
+    }
+}
+
 /// A token taken from a team's limit; refunded on drop unless a backend server may have run the
 /// request.
 #[derive(Default)]
@@ -108,16 +124,35 @@
     pub priority: Option<u8>,
 }
 
-/// A request that was refused at admission.
-pub struct RefusedRequest {
+/// What identifies a request in the log.
+#[derive(Debug, Default)]
+pub struct RequestLabels {
     /// Request id; empty if the request had none.
     pub id: String,
     /// Program id, if the request named one.
     pub program: Option<String>,
+    /// Team of the request's key, if it is known.
+    pub team: Option<TeamId>,
+    /// Fingerprint, if the request's team is known or its route is open to all.
+    pub fingerprint: Option<RequestFingerprint>,
+}
+
+/// A request that was refused at admission.
+pub struct RefusedRequest {
+    /// What identifies the request in the log.
+    pub labels: RequestLabels,
     /// Refusal to send to the caller.
     pub refusal: Refusal,
 }
 
+/// The route of a request, and the team that it belongs to.
+struct Identified {
+    table: Rc<RoutingTable>,
+    route: Route,
+    team: Option<AdmittedTeam>,
+    fingerprint: RequestFingerprint,
+}
+
 /// Admits a request or refuses it.
 pub async fn admit(
     node: &Rc<FrontNode>,
@@ -126,17 +161,22 @@
     let context = headers::decode_request(|name| {
         request.head.headers().get(name).and_then(|value| value.to_str().ok())
     });
-    let id = context.id.clone();
-    let program = context.program.as_ref().map(|program| program.id.clone());
-    let result = admit_decoded(node, request, context).await;
-    result.map_err(|refusal| RefusedRequest { id, program, refusal })
+    let mut labels = RequestLabels {
+        id: context.id.clone(),
+        program: context.program.as_ref().map(|program| program.id.clone()),
+        ..RequestLabels::default()
+    };
+    let identified = match identify(node, request) {
+        Ok(identified) => identified,
+        Err(refusal) => return Err(RefusedRequest { labels, refusal }),
+    };
+    labels.team = identified.team.as_ref().map(|team| team.name.clone());
+    labels.fingerprint = Some(identified.fingerprint);
+    let result = admit_identified(node, request, context, identified).await;
+    result.map_err(|refusal| RefusedRequest { labels, refusal })
 }
 
-async fn admit_decoded(
-    node: &Rc<FrontNode>,
-    request: &CallerRequest,
-    context: RequestContext,
-) -> Result<Admitted, Refusal> {
+fn identify(node: &FrontNode, request: &CallerRequest) -> Result<Identified, Refusal> {
     let table = node.table();
     if table.version() == 0 {
         let message = "no configuration has arrived yet; retry shortly";
@@ -144,6 +184,24 @@
     }
     let route = find_route(node, &table, request)?;
     let team = find_team(node, &table, request, &route)?;
+    let team_name = team.as_ref().map_or("", |team| team.name.as_str());
+    let (method, target) = (request.head.method().as_str(), target(request));
+    let fingerprint = request_fingerprint(team_name, method, target, &request.body);
+    Ok(Identified { table, route, team, fingerprint })
+}
+
+/// Returns the path and query of a request.
+fn target(request: &CallerRequest) -> &str {
+    request.head.uri().path_and_query().map_or("/", |target| target.as_str())
+}
+
+async fn admit_identified(
+    node: &Rc<FrontNode>,
+    request: &CallerRequest,
+    context: RequestContext,
+    identified: Identified,
+) -> Result<Admitted, Refusal> {
+    let Identified { table, route, team, fingerprint } = identified;
     if context.id.is_empty() {
         let message = "the request has no Request-Id; send a new one with each attempt";
         return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
@@ -184,12 +242,8 @@
     Ok(Admitted {
         headers: forwarded_headers(request, team.as_ref(), &route),
         method: request.head.method().clone(),
-        target: request
-            .head
-            .uri()
-            .path_and_query()
-            .map_or("/", |target| target.as_str())
-            .to_owned(),
+        target: target(request).to_owned(),
+        fingerprint,
         context,
         service,
         stream,
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -20,6 +20,7 @@
 use super::outbound::{self, ResponseKind};
 use super::{body, stream};
 use crate::front::connection::backend::{BackendConnection, SendOutcome};
+use crate::front::connection::ended;
 use crate::front::connection::responder::Responder;
 use crate::front::connection::tunnel;
 use crate::front::process::{FrontNode, RetryReason};
@@ -184,7 +185,7 @@
             }
             SendOutcome::Lost(cause) => {
                 self.mark_may_have_run(&server.id);
-                return self.handle_lost_attempt(&server, &cause);
+                return self.handle_lost_attempt(&server, &cause).await;
             }
         };
         let result = self.handle_response(responder, &server, connection, response, sent_at).await;
@@ -330,7 +331,7 @@
             ResponseKind::Invalid(cause) => {
                 self.mark_may_have_run(&server.id);
                 drop(connection);
-                self.handle_lost_attempt(server, cause)
+                self.handle_lost_attempt(server, cause).await
             }
             ResponseKind::Valid => {
                 self.mark_may_have_run(&server.id);
@@ -350,7 +351,7 @@
                     }
                     ForwardOutcome::Incomplete(cause) => {
                         drop(connection);
-                        self.handle_lost_attempt(server, &cause)
+                        self.handle_lost_attempt(server, &cause).await
                     }
                 }
             }
@@ -358,8 +359,9 @@
     }
 
     /// Retries or refuses after an attempt that may have run but got no complete answer.
-    fn handle_lost_attempt(&mut self, server: &ServerEntry, cause: &str) -> AttemptResult {
+    async fn handle_lost_attempt(&mut self, server: &ServerEntry, cause: &str) -> AttemptResult {
         self.record_failure(server, "answer", cause);
+        self.check_ended(server).await;
         let server_count = u32::try_from(self.may_have_run_on.len()).unwrap_or(u32::MAX);
         let has_server_left = server_count < self.admitted.route.attempts_max
             || self.node.servers.borrow().ready_by_id(&server.id).is_some();
@@ -374,6 +376,23 @@
         Err(Failure::Refused(Refusal::may_have_run(RefusalKind::BackendFailed, message)))
     }
 
+    /// Finds out whether the process of a server that broke off has ended.
+    async fn check_ended(&mut self, server: &ServerEntry) {
+        let time_left = self.admitted.deadline.saturating_duration_since(Instant::now());
+        if time_left < SEND_TIME_MIN || !ended::has_ended(self.node, server).await {
+            return;
+        }
+        log::info!(
+            "event=server_ended server={} address={} started_unix_ms={} request={} \
+             fingerprint={:016x}",
+            server.id,
+            server.address,
+            server.started_unix_ms,
+            self.admitted.context.id,
+            self.admitted.fingerprint,
+        );
+    }
+
     fn mark_may_have_run(&mut self, server: &BackendId) {
         self.admitted.limit_reservation.commit();
         if !self.may_have_run_on.contains(server) {
@@ -405,10 +424,13 @@
             self.node.metrics.added_seconds.observe(added.as_secs_f64());
         }
         log::info!(
-            "event=sent request={} program={} route={} version={} team={} server={} time_left_ms={} \
+            "event=sent request={} program={} fingerprint={:016x} path={} body_bytes={} route={} version={} team={} server={} time_left_ms={} \
              reused={} via={} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
+            self.admitted.fingerprint,
+            self.admitted.target,
+            self.admitted.body.len(),
             self.admitted.route.name,
             self.node.table().version(),
             self.admitted.team.as_ref().map_or("-", |team| team.name.as_str()),
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -15,7 +15,7 @@
 
 use dandelionfront_coordination::Refusal;
 
-use self::admission::RefusedRequest;
+use self::admission::{RefusedRequest, RequestLabels};
 use crate::front::connection::Responder;
 use crate::front::connection::caller::CallerRequest;
 use crate::front::process::FrontNode;
@@ -32,19 +32,18 @@
 ) -> io::Result<()> {
     let admitted = match admission::admit(node, request).await {
         Ok(admitted) => admitted,
-        Err(RefusedRequest { id, program, refusal }) => {
-            return refuse(node, request, responder, (&id, program.as_deref()), &refusal).await;
+        Err(RefusedRequest { labels, refusal }) => {
+            return refuse(node, request, responder, &labels, &refusal).await;
         }
     };
-    let id = admitted.context.id.clone();
-    let program = admitted.context.program.as_ref().map(|program| program.id.clone());
+    let labels = admitted.labels();
     match attempt::run(node, admitted, responder).await {
         Ok(()) => Ok(()),
         Err(attempt::Failure::Refused(refusal)) if !responder.is_head_sent() => {
-            refuse(node, request, responder, (&id, program.as_deref()), &refusal).await
+            refuse(node, request, responder, &labels, &refusal).await
         }
         Err(attempt::Failure::Refused(refusal)) => {
-            log::info!("event=broken_off request={id} cause=\"{refusal}\"");
+            log::info!("event=broken_off request={} cause=\"{refusal}\"", labels.id);
             node.metrics.answers_broken_off.inc();
             Err(io::Error::other(refusal.to_string()))
         }
@@ -56,18 +55,21 @@
     node: &FrontNode,
     request: &CallerRequest,
     responder: &mut Responder<'_>,
-    (id, program): (&str, Option<&str>),
+    labels: &RequestLabels,
     refusal: &Refusal,
 ) -> io::Result<()> {
     node.metrics.count_refusal(refusal.kind);
     log::info!(
-        "event=refused request={id} program={} path={} kind={} status={} elapsed_ms={} \
-         message=\"{refusal}\"",
-        program.unwrap_or("-"),
+        "event=refused request={} program={} team={} fingerprint={} path={} kind={} status={} \
+         elapsed_ms={} message=\"{refusal}\"",
+        labels.id,
+        labels.program.as_deref().unwrap_or("-"),
+        labels.team.as_deref().unwrap_or("-"),
+        labels.fingerprint.map_or("-".to_owned(), |fingerprint| format!("{fingerprint:016x}")),
         request.head.path(),
         refusal.kind.label(),
         refusal.kind.http_status(),
         request.arrived_at.elapsed().as_millis(),
     );
-    responder.refuse(id, refusal).await
+    responder.refuse(&labels.id, refusal).await
 }
