--- a/crates/standins/src/site/faulty.rs
+++ b/crates/standins/src/site/faulty.rs
@@ -105,7 +105,8 @@
 
     fn serve(&self, connection: &TcpStream) -> io::Result<()> {
         let mut reader = BufReader::new(connection);
-        let Some(id) = read_request(&mut reader)? else { return Ok(()) };
+        let Some(request) = read_request(&mut reader)? else { return Ok(()) };
+        let id = request.id;
         self.requests.fetch_add(1, Ordering::SeqCst);
         let ok = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: f\r\n");
         let stream = format!("{ok}content-type: text/event-stream\r\n\r\n");
--- a/crates/standins/src/site/repeater.rs
+++ b/crates/standins/src/site/repeater.rs
@@ -72,7 +72,7 @@
         let mut reader = BufReader::new(connection);
         let mut writer = connection;
         let mut previous: Option<String> = None;
-        while let Some(id) = read_request(&mut reader)? {
+        while let Some(ReceivedRequest { id, .. }) = read_request(&mut reader)? {
             if let Some(copy) = previous {
                 *lock(&self.copies) += 1;
                 writer.write_all(copy.as_bytes())?;
@@ -100,9 +100,19 @@
     }
 }
 
-/// Reads a request with a declared length; returns its id, or `None` at the end of the connection.
-pub(super) fn read_request(reader: &mut BufReader<&TcpStream>) -> io::Result<Option<String>> {
-    let (mut id, mut length) = (None, 0);
+/// A request as read from a connection.
+pub(super) struct ReceivedRequest {
+    /// Its id; empty if it has none.
+    pub(super) id: String,
+    /// Path and query, in lower case.
+    pub(super) target: String,
+}
+
+/// Reads a request with a declared length; returns `None` at the end of the connection.
+pub(super) fn read_request(
+    reader: &mut BufReader<&TcpStream>,
+) -> io::Result<Option<ReceivedRequest>> {
+    let (mut id, mut target, mut length) = (None, None, 0);
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -112,7 +122,9 @@
         if line.is_empty() {
             break;
         }
-        if let Some((name, value)) = line.split_once(':') {
+        if target.is_none() {
+            target = Some(line.split(' ').nth(1).unwrap_or_default().to_owned());
+        } else if let Some((name, value)) = line.split_once(':') {
             match name {
                 "request-id" => id = Some(value.trim().to_owned()),
                 "content-length" => length = value.trim().parse().unwrap_or_default(),
@@ -121,5 +133,6 @@
         }
     }
     io::copy(&mut reader.take(length), &mut io::sink())?;
-    Ok(Some(id.unwrap_or_default()))
+    let (id, target) = (id.unwrap_or_default(), target.unwrap_or_default());
+    Ok(Some(ReceivedRequest { id, target }))
 }
