Refuse requests that crash the servers which run them, at all nodes

A crash counted against the server alone, and every repetition was new to the node that got it.

A node that loses a request finds out whether the server's process has ended and tells all nodes; every node keeps the same table. After three crashes a request is refused with 503, not run, for ten minutes. A crash counts only against the request with the most crashes among those lost in it, and only if it was sent after its previous crash; a request that completes at any node is cleared. Repetitions of a turn differ in their prompts, so requests of one team and path are refused together if several bodies were lost and none completes. Losses of requests with two crashes or more are repeated with the nodes' reports, for nodes that were out of reach or started since. Requests that were lost together are sent to different servers. A server that has ended no longer counts as one that may run the request, nor binds it.

Ruled out: a count of crashes alone (bystanders were aboard up to seven), the exact body alone (24 of 25 bodies came from one program each), a keeper per request (each request would have to ask it).

--- a/crates/coordination/src/crashes.rs
+++ b/crates/coordination/src/crashes.rs
@@ -1,25 +1,383 @@
 //! Requests that crash the backend servers which run them.
+//!
+//! A server that ends takes all its requests with it, and nobody sees which of them ended it. Every
+//! node therefore reports to all others which of its requests a server lost when it ended, and keeps
+//! a [`CrashTable`] of all reports. A request that was lost in [`CRASHES_MAX`] crashes is refused
+//! for a while, before it reaches another server.
+//!
+//! Requests that merely ran beside it are told apart in three ways. A crash counts only against the
+//! request with the most crashes among those that were lost in it. It counts only if the request
+//! was sent after its previous crash, so that servers that fail together count once. And a request
+//! that completes, at any node, is cleared of all crashes before.
+//!
+//! Turns of programs contain their program's prompt, so repetitions of a deadly turn may differ in
+//! their bodies. If several different bodies with the same team, method and path were lost and none
+//! with this path completes, all of them are refused.
 
+use std::collections::{HashMap, HashSet};
+use std::hash::Hash;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-/// Hash of what the repetitions of a request share: its team, method, path with query, and body.
-pub type RequestFingerprint = u64;
+use crate::servers::ServerEntry;
+
+/// Hash of properties of a request.
+pub type RequestHash = u64;
+
+/// Hash of a backend server's identifier and start time.
+pub type ServerRun = u64;
+
+/// Number of crashes from which a request is refused.
+pub const CRASHES_MAX: u32 = 3;
+/// Number of crashes from which a request is refused even if others were lost in as many.
+const TIED_CRASHES_MAX: u32 = 6;
+/// Number of crashes of other bodies from which all requests with the same path are refused.
+const OTHER_BODIES_CRASHES_MIN: u32 = 2;
+/// Time after its last crash for which a request with [`CRASHES_MAX`] crashes is refused; doubles
+/// with each further crash.
+const QUARANTINE_MIN: Duration = Duration::from_secs(600);
+/// Time for which a crash is remembered, which also limits the time of a refusal.
+pub const CRASH_RETENTION: Duration = Duration::from_secs(3_600);
+/// Maximum number of lost requests that are remembered over all crashes; the oldest crashes are
+/// forgotten first.
+const LOST_REQUESTS_MAX: usize = 16_384;
+/// Maximum number of lost requests that are remembered of one crash.
+const CRASH_REQUESTS_MAX: usize = 512;
+/// Tolerance in comparisons of times that different nodes report.
+const TIME_TOLERANCE: Duration = Duration::from_millis(25);
+
+/// What identifies a request and its repetitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RequestKeys {
+    /// Hash of team, method, path with query, and body.
+    pub exact: RequestHash,
+    /// Hash of team, method, and path with query.
+    pub path: RequestHash,
+}
+
+impl RequestKeys {
+    /// Creates the keys of a request; `target` is its path with query, and `team` is empty on
+    /// routes that are open to all.
+    #[must_use]
+    pub fn new(team: &str, method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in [team, method, target] {
+            hasher.update(part.as_bytes());
+            // Separates the parts, which contain no zero byte.
+            hasher.update(&[0]);
+        }
+        let path = hasher.digest();
+        hasher.update(body);
+        Self { exact: hasher.digest(), path }
+    }
+}
 
-/// Returns the fingerprint of a request; `target` is its path with query, and `team` is empty on
-/// routes that are open to all.
+/// Returns the hash of a backend server's identifier and start time.
 #[must_use]
-pub fn request_fingerprint(
-    team: &str,
-    method: &str,
-    target: &str,
-    body: &[u8],
-) -> RequestFingerprint {
+pub fn server_run(server: &ServerEntry) -> ServerRun {
     let mut hasher = Xxh3::new();
-    for part in [team.as_bytes(), method.as_bytes(), target.as_bytes()] {
-        hasher.update(part);
-        // Separates the parts, which contain no zero byte.
-        hasher.update(&[0]);
-    }
-    hasher.update(body);
+    hasher.update(&server.started_unix_ms.to_le_bytes());
+    hasher.update(server.id.as_bytes());
     hasher.digest()
 }
+
+/// A request that a backend server lost when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRequest {
+    /// The server.
+    pub server: ServerRun,
+    /// The request.
+    pub request: RequestKeys,
+    /// Time since the server ended, in milliseconds.
+    pub age_ms: u32,
+    /// Time from sending the request to the end of the server, in milliseconds.
+    pub sent_before_ms: u32,
+}
+
+/// What is known of a request lost in a crash.
+#[derive(Debug)]
+struct LostState {
+    sent_at: Duration,
+    /// Whether a request with the same exact key has completed since.
+    is_exact_cleared: bool,
+    /// Whether a request with the same path key has completed since.
+    is_path_cleared: bool,
+}
+
+#[derive(Debug)]
+struct Crash {
+    happened_at: Duration,
+    lost: HashMap<RequestKeys, LostState>,
+}
+
+/// Evidence against the requests with one key.
+#[derive(Debug, Clone, Copy, Default)]
+struct Evidence {
+    /// Crashes in which they were lost, each sent after the previous one.
+    crashes: u32,
+    /// Those of them in which no other key has as many.
+    attributed: u32,
+    last_crash_at: Duration,
+}
+
+impl Evidence {
+    fn is_sufficient(self) -> bool {
+        self.attributed >= CRASHES_MAX || self.crashes >= TIED_CRASHES_MAX
+    }
+
+    fn refused_until(self) -> Duration {
+        let doublings = self.crashes.saturating_sub(CRASHES_MAX).min(8);
+        self.last_crash_at + (QUARANTINE_MIN * 2_u32.pow(doublings)).min(CRASH_RETENTION)
+    }
+}
+
+/// Crashes of backend servers and the requests lost in them, as known to one node.
+///
+/// Times are steady times of this node, shifted by [`CRASH_RETENTION`] so that crashes before its
+/// start have one too.
+#[derive(Debug, Default)]
+pub struct CrashTable {
+    crashes: HashMap<ServerRun, Crash>,
+    by_exact: HashMap<RequestHash, Evidence>,
+    by_path: HashMap<RequestHash, Evidence>,
+    /// Times until which requests are refused, by exact key and by path key.
+    refused: HashMap<RequestHash, Duration>,
+}
+
+impl CrashTable {
+    /// Records requests that servers have lost; returns whether any was not known.
+    pub fn note_lost(&mut self, lost: &[LostRequest], now: Duration) -> bool {
+        let mut is_changed = false;
+        for lost in lost {
+            is_changed |= self.insert(*lost, now);
+        }
+        if is_changed {
+            self.limit_size();
+            self.judge();
+        }
+        is_changed
+    }
+
+    fn insert(&mut self, lost: LostRequest, now: Duration) -> bool {
+        let age = Duration::from_millis(lost.age_ms.into());
+        if age >= CRASH_RETENTION {
+            return false;
+        }
+        let happened_at = shifted(now).saturating_sub(age);
+        let crash = self
+            .crashes
+            .entry(lost.server)
+            .or_insert_with(|| Crash { happened_at, lost: HashMap::new() });
+        if crash.lost.len() >= CRASH_REQUESTS_MAX || crash.lost.contains_key(&lost.request) {
+            return false;
+        }
+        let sent_before = Duration::from_millis(lost.sent_before_ms.into());
+        let sent_at = crash.happened_at.saturating_sub(sent_before);
+        let state = LostState { sent_at, is_exact_cleared: false, is_path_cleared: false };
+        crash.lost.insert(lost.request, state);
+        true
+    }
+
+    /// Clears a request that has completed; returns whether it was lost in a crash before.
+    pub fn note_completed(&mut self, request: RequestKeys) -> bool {
+        if !self.is_suspect(request) {
+            return false;
+        }
+        for (keys, state) in self.crashes.values_mut().flat_map(|crash| &mut crash.lost) {
+            state.is_exact_cleared |= keys.exact == request.exact;
+            state.is_path_cleared |= keys.path == request.path;
+        }
+        self.judge();
+        true
+    }
+
+    /// Returns whether a request, or one with the same team, method and path, was lost in a crash
+    /// and has not completed since.
+    #[must_use]
+    pub fn is_suspect(&self, request: RequestKeys) -> bool {
+        self.by_exact.contains_key(&request.exact) || self.by_path.contains_key(&request.path)
+    }
+
+    /// Returns the number of crashes that a request, or those with the same team, method and path,
+    /// were lost in.
+    #[must_use]
+    pub fn crashes(&self, request: RequestKeys) -> u32 {
+        let crashes = |evidence: Option<&Evidence>| evidence.map_or(0, |it| it.crashes);
+        crashes(self.by_exact.get(&request.exact)).max(crashes(self.by_path.get(&request.path)))
+    }
+
+    /// Returns the time for which a request is still refused.
+    #[must_use]
+    pub fn refused_for(&self, request: RequestKeys, now: Duration) -> Option<Duration> {
+        let until = |key| self.refused.get(key).copied();
+        let until = until(&request.exact).max(until(&request.path))?;
+        until.checked_sub(shifted(now)).filter(|time_left| !time_left.is_zero())
+    }
+
+    /// Returns lost requests that other nodes should know of, at most `count`: those of requests
+    /// with more than one crash, the newest first.
+    #[must_use]
+    pub fn repeated_losses(&self, count: usize, now: Duration) -> Vec<LostRequest> {
+        self.newest_losses(count, now, |keys| self.crashes(*keys) > 1)
+    }
+
+    /// Returns the lost requests that show why `request` is refused, at most `count`.
+    #[must_use]
+    pub fn losses_of(&self, request: RequestKeys, count: usize, now: Duration) -> Vec<LostRequest> {
+        self.newest_losses(count, now, |keys| {
+            keys.exact == request.exact || keys.path == request.path
+        })
+    }
+
+    fn newest_losses(
+        &self,
+        count: usize,
+        now: Duration,
+        is_wanted: impl Fn(&RequestKeys) -> bool,
+    ) -> Vec<LostRequest> {
+        let mut losses: Vec<LostRequest> = Vec::new();
+        for (server, crash) in &self.crashes {
+            for (keys, state) in &crash.lost {
+                let is_cleared = state.is_exact_cleared && state.is_path_cleared;
+                if !is_cleared && is_wanted(keys) {
+                    losses.push(LostRequest {
+                        server: *server,
+                        request: *keys,
+                        age_ms: millis_u32(shifted(now).saturating_sub(crash.happened_at)),
+                        sent_before_ms: millis_u32(crash.happened_at.saturating_sub(state.sent_at)),
+                    });
+                }
+            }
+        }
+        losses.sort_unstable_by_key(|lost| (lost.age_ms, lost.server, lost.request.exact));
+        losses.truncate(count);
+        losses
+    }
+
+    /// Returns which of the given requests have completed since the reported crash.
+    #[must_use]
+    pub fn completed_since(&self, lost: &[LostRequest]) -> Vec<RequestKeys> {
+        let is_completed = |lost: &&LostRequest| {
+            let crash = self.crashes.get(&lost.server);
+            let state = crash.and_then(|crash| crash.lost.get(&lost.request));
+            state.is_some_and(|state| state.is_exact_cleared)
+        };
+        lost.iter().filter(is_completed).map(|lost| lost.request).collect()
+    }
+
+    /// Discards old crashes.
+    pub fn prune(&mut self, now: Duration) {
+        let count = self.crashes.len();
+        let now = shifted(now);
+        self.crashes.retain(|_, crash| now < crash.happened_at + CRASH_RETENTION);
+        if self.crashes.len() < count {
+            self.judge();
+        }
+    }
+
+    /// Returns the number of lost requests that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.crashes.values().map(|crash| crash.lost.len()).sum()
+    }
+
+    /// Returns whether no crash is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    fn limit_size(&mut self) {
+        let mut excess = self.len().saturating_sub(LOST_REQUESTS_MAX);
+        while excess > 0 {
+            let oldest =
+                self.crashes.iter().min_by_key(|(server, crash)| (crash.happened_at, **server));
+            let Some(oldest) = oldest.map(|(server, _)| *server) else { return };
+            let removed = self.crashes.remove(&oldest);
+            excess = excess.saturating_sub(removed.map_or(0, |crash| crash.lost.len()));
+        }
+    }
+
+    /// Weighs the evidence anew.
+    fn judge(&mut self) {
+        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
+        crashes.sort_unstable_by_key(|crash| crash.happened_at);
+        let exact = |(keys, state): (&RequestKeys, &LostState)| {
+            (!state.is_exact_cleared).then_some((keys.exact, state.sent_at))
+        };
+        let path = |(keys, state): (&RequestKeys, &LostState)| {
+            (!state.is_path_cleared).then_some((keys.path, state.sent_at))
+        };
+        let by_exact = evidence(&crashes, exact);
+        let by_path = evidence(&crashes, path);
+        let mut refused = HashMap::new();
+        for (key, evidence) in by_exact.iter().filter(|(_, evidence)| evidence.is_sufficient()) {
+            refused.insert(*key, evidence.refused_until());
+        }
+        let bodies: HashSet<RequestKeys> =
+            crashes.iter().flat_map(|crash| crash.lost.keys().copied()).collect();
+        for (key, evidence) in by_path.iter().filter(|(_, evidence)| evidence.is_sufficient()) {
+            let crashes_of =
+                |keys: &RequestKeys| by_exact.get(&keys.exact).map_or(0, |it| it.crashes);
+            let of_path = bodies.iter().filter(|keys| keys.path == *key);
+            let main_body_crashes = of_path.map(crashes_of).max().unwrap_or_default();
+            if evidence.crashes >= main_body_crashes + OTHER_BODIES_CRASHES_MIN {
+                refused.insert(*key, evidence.refused_until());
+            }
+        }
+        (self.by_exact, self.by_path, self.refused) = (by_exact, by_path, refused);
+    }
+}
+
+/// Weighs the evidence of `crashes`, in order of time; `key_of` returns the key of a lost request
+/// and the time at which it was sent, unless it is cleared.
+fn evidence<'a>(
+    crashes: &[&'a Crash],
+    key_of: impl Fn((&'a RequestKeys, &'a LostState)) -> Option<(RequestHash, Duration)>,
+) -> HashMap<RequestHash, Evidence> {
+    // Time at which each key was last sent before each crash.
+    let lost: Vec<(Duration, HashMap<RequestHash, Duration>)> = crashes
+        .iter()
+        .map(|crash| {
+            let mut sent: HashMap<RequestHash, Duration> = HashMap::new();
+            for (key, sent_at) in crash.lost.iter().filter_map(&key_of) {
+                let latest = sent.entry(key).or_default();
+                *latest = sent_at.max(*latest);
+            }
+            (crash.happened_at, sent)
+        })
+        .collect();
+    let mut counted: HashMap<RequestHash, Evidence> = HashMap::new();
+    for (happened_at, sent) in &lost {
+        for (key, sent_at) in sent {
+            let evidence = counted.entry(*key).or_default();
+            if evidence.crashes == 0 || *sent_at + TIME_TOLERANCE > evidence.last_crash_at {
+                evidence.crashes += 1;
+                evidence.last_crash_at = *happened_at;
+            }
+        }
+    }
+    let mut last_attributed: HashMap<RequestHash, Duration> = HashMap::new();
+    for (happened_at, sent) in &lost {
+        let most = sent.keys().map(|key| counted[key].crashes).max().unwrap_or_default();
+        let mut suspects = sent.iter().filter(|(key, _)| counted[*key].crashes == most);
+        if let (Some((key, sent_at)), None) = (suspects.next(), suspects.next()) {
+            let previous = last_attributed.get(key);
+            if previous.is_none_or(|previous| *sent_at + TIME_TOLERANCE > *previous) {
+                last_attributed.insert(*key, *happened_at);
+                counted.entry(*key).or_default().attributed += 1;
+            }
+        }
+    }
+    counted
+}
+
+fn shifted(now: Duration) -> Duration {
+    now + CRASH_RETENTION
+}
+
+fn millis_u32(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -55,6 +55,8 @@
     NoBackend,
     /// No node knows the software version that began the stream to resume.
     StreamUnknown,
+    /// Several backend servers ended while they ran the request.
+    RequestQuarantined,
     /// The backend server failed before an answer was complete.
     BackendFailed,
     /// The platform or its store cannot be read or written.
@@ -97,6 +99,7 @@
     RefusalRow(RefusalKind::LimitUnavailable, "limit_unavailable", 503, Some(1_000)),
     RefusalRow(RefusalKind::NoBackend, "no_backend", 503, Some(1_000)),
     RefusalRow(RefusalKind::StreamUnknown, "stream_unknown", 503, None),
+    RefusalRow(RefusalKind::RequestQuarantined, "request_quarantined", 503, None),
     RefusalRow(RefusalKind::BackendFailed, "backend_failed", 502, Some(500)),
     RefusalRow(RefusalKind::PlatformUnavailable, "platform_unavailable", 503, Some(2_000)),
     RefusalRow(RefusalKind::NotOwner, "not_owner", 503, Some(200)),
--- a/crates/daemon/src/front/connection/peers/mod.rs
+++ b/crates/daemon/src/front/connection/peers/mod.rs
@@ -5,6 +5,7 @@
 //! answered: the receiver writes the release to the store, and the requesting node repeats the
 //! request while it waits.
 
+mod crashes;
 mod leaving;
 mod loads;
 mod membership;
@@ -20,6 +21,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use dandelionfront_coordination::crashes::{LostRequest, RequestKeys};
 use dandelionfront_coordination::ledger::{ClaimantId, ReleaseRequester};
 use dandelionfront_coordination::load::{LoadKeeper, NodeLoad, ServerHash};
 use dandelionfront_coordination::servers::LeavingServer;
@@ -29,6 +31,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use self::crashes::CrashOutbox;
 use self::loads::PendingQuery;
 use self::origin_query::OriginQueries;
 use self::permits::{Permits, ServerLimit};
@@ -117,6 +120,10 @@
         /// Time until the next permit; `None` if the permit is granted.
         wait_ms: Option<u32>,
     },
+    /// Requests that backend servers lost when they ended.
+    RequestsLost(Vec<LostRequest>),
+    /// Requests that have completed after they were lost in a crash.
+    RequestsCompleted(Vec<RequestKeys>),
 }
 
 /// The node's socket for messages to and from the other nodes.
@@ -138,6 +145,7 @@
     origins: RefCell<StreamOrigins>,
     origin_queries: OriginQueries,
     permits: Permits,
+    crash_outbox: CrashOutbox,
 }
 
 impl Peers {
@@ -160,6 +168,7 @@
             origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
             permits: Permits::default(),
+            crash_outbox: CrashOutbox::default(),
         })
     }
 
@@ -236,6 +245,10 @@
                 Ok(Message::StreamReply { session, sought, origin }) => {
                     self.origin_queries.apply((session, sought), sender, origin.as_ref());
                 }
+                Ok(Message::RequestsLost(lost)) => self.apply_lost(node, sender, &lost),
+                Ok(Message::RequestsCompleted(completed)) => {
+                    crashes::apply_completed(node, &completed);
+                }
                 Err(error) => {
                     log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
                 }
--- a/crates/daemon/src/front/connection/peers/reports.rs
+++ b/crates/daemon/src/front/connection/peers/reports.rs
@@ -40,6 +40,7 @@
             }
             let receivers = left.split_off(left.len().saturating_sub(batch));
             self.send_report(node, &receivers, false).await;
+            self.repeat_losses(node, &receivers);
             tokio::time::sleep(REPORT_INTERVAL_MIN).await;
         }
     }
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -150,6 +150,7 @@
         let now = node.clock.monotonic_now();
         node.peers.prune(now);
         node.servers.borrow_mut().prune_leaving(now);
+        node.crashes.borrow_mut().prune(now);
         node.ledgers.evict_idle(now.saturating_sub(PROGRAM_IDLE_MAX));
     }
 }
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dandelionfront_coordination::crashes::{CrashTable, RequestKeys};
 use dandelionfront_coordination::freshness::Freshness;
 use dandelionfront_coordination::ledger::{Ledgers, ReleaseRequester};
 use dandelionfront_coordination::limits::UsageLimiter;
@@ -52,6 +53,8 @@
     pub servers: RefCell<ServerList>,
     /// Load, recent failures and limits of backend servers.
     pub placement: RefCell<Placement>,
+    /// Crashes of backend servers and the requests lost in them.
+    pub crashes: RefCell<CrashTable>,
     /// Use of shared parts of prompts.
     pub prompts: RefCell<SharedPrompts>,
     /// Limits of the teams, which apply over all nodes.
@@ -107,6 +110,7 @@
             store_reachability,
             servers: RefCell::default(),
             placement: RefCell::default(),
+            crashes: RefCell::default(),
             prompts: RefCell::default(),
             limiter: RefCell::default(),
             ledgers: Ledgers::new(Rc::clone(&rows), clock.monotonic_clock(), claimant, requester),
@@ -176,6 +180,26 @@
         refusal.retry_after_ms(u64::try_from(delay.as_millis()).unwrap_or(u64::MAX))
     }
 
+    /// Checks that a request, or those with its path, did not end several backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails while the request is refused because of the servers that ended.
+    pub fn require_harmless(&self, request: RequestKeys) -> Result<(), Refusal> {
+        let crashes = self.crashes.borrow();
+        let Some(refused_for) = crashes.refused_for(request, self.clock.monotonic_now()) else {
+            return Ok(());
+        };
+        let message = format!(
+            "{} backend servers ended while they ran this request or others with its path; change \
+             the request, or retry after the pause",
+            crashes.crashes(request)
+        );
+        let refused_for_ms = u64::try_from(refused_for.as_millis()).unwrap_or(u64::MAX);
+        let refusal = Refusal::not_run(RefusalKind::RequestQuarantined, message);
+        Err(refusal.retry_after_ms(refused_for_ms))
+    }
+
     /// Takes a token from the limit of `team`; returns the delay before the request may be sent.
     ///
     /// # Errors
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use dandelionfront_coordination::crashes::{RequestFingerprint, request_fingerprint};
+use dandelionfront_coordination::crashes::RequestKeys;
 use dandelionfront_coordination::ids::TeamId;
 use dandelionfront_coordination::limits::usage::RequestClass;
 use dandelionfront_coordination::prompts::SharedPart;
@@ -38,8 +38,8 @@
     pub method: Method,
     /// Path and query as received.
     pub target: String,
-    /// Identity of the request, which its repetitions share.
-    pub fingerprint: RequestFingerprint,
+    /// What its repetitions share.
+    pub keys: RequestKeys,
     /// Headers to forward.
     pub headers: HeaderMap,
     /// Body to forward.
@@ -69,7 +69,7 @@
             id: self.context.id.clone(),
             program: self.context.program.as_ref().map(|program| program.id.clone()),
             team: self.team.as_ref().map(|team| team.name.clone()),
-            fingerprint: Some(self.fingerprint),
+            keys: Some(self.keys),
         }
     }
 }
@@ -133,8 +133,8 @@
     pub program: Option<String>,
     /// Team of the request's key, if it is known.
     pub team: Option<TeamId>,
-    /// Fingerprint, if the request's team is known or its route is open to all.
-    pub fingerprint: Option<RequestFingerprint>,
+    /// Keys, if the request's team is known or its route is open to all.
+    pub keys: Option<RequestKeys>,
 }
 
 /// A request that was refused at admission.
@@ -150,7 +150,7 @@
     table: Rc<RoutingTable>,
     route: Route,
     team: Option<AdmittedTeam>,
-    fingerprint: RequestFingerprint,
+    keys: RequestKeys,
 }
 
 /// Admits a request or refuses it.
@@ -171,7 +171,7 @@
         Err(refusal) => return Err(RefusedRequest { labels, refusal }),
     };
     labels.team = identified.team.as_ref().map(|team| team.name.clone());
-    labels.fingerprint = Some(identified.fingerprint);
+    labels.keys = Some(identified.keys);
     let result = admit_identified(node, request, context, identified).await;
     result.map_err(|refusal| RefusedRequest { labels, refusal })
 }
@@ -186,8 +186,8 @@
     let team = find_team(node, &table, request, &route)?;
     let team_name = team.as_ref().map_or("", |team| team.name.as_str());
     let (method, target) = (request.head.method().as_str(), target(request));
-    let fingerprint = request_fingerprint(team_name, method, target, &request.body);
-    Ok(Identified { table, route, team, fingerprint })
+    let keys = RequestKeys::new(team_name, method, target, &request.body);
+    Ok(Identified { table, route, team, keys })
 }
 
 /// Returns the path and query of a request.
@@ -201,11 +201,12 @@
     context: RequestContext,
     identified: Identified,
 ) -> Result<Admitted, Refusal> {
-    let Identified { table, route, team, fingerprint } = identified;
+    let Identified { table, route, team, keys } = identified;
     if context.id.is_empty() {
         let message = "the request has no Request-Id; send a new one with each attempt";
         return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
     }
+    node.require_harmless(keys)?;
     let time_limit = context.deadline.unwrap_or(TIME_LIMIT_DEFAULT).min(route.timeout);
     let deadline = request.arrived_at + time_limit;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
@@ -243,7 +244,7 @@
         headers: forwarded_headers(request, team.as_ref(), &route),
         method: request.head.method().clone(),
         target: target(request).to_owned(),
-        fingerprint,
+        keys,
         context,
         service,
         stream,
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dandelionfront_coordination::crashes::{LostRequest, server_run};
 use dandelionfront_coordination::ids::BackendId;
 use dandelionfront_coordination::placement::server_hash;
 use dandelionfront_coordination::servers::ServerEntry;
@@ -65,6 +66,8 @@
     refused_by: Vec<BackendId>,
     /// Servers that may have run the request, in the order of their first possible run.
     pub(super) may_have_run_on: Vec<BackendId>,
+    /// Servers that ended while they may have run the request.
+    pub(super) ended: Vec<BackendId>,
     /// Attempts that may have run and got no complete answer.
     lost_count: u32,
     /// Id of the last event that the caller has received, initially from its `Last-Event-ID`.
@@ -119,6 +122,7 @@
         excluded: Vec::new(),
         refused_by: Vec::new(),
         may_have_run_on: Vec::new(),
+        ended: Vec::new(),
         lost_count: 0,
         last_event,
         busy_wait_until,
@@ -144,6 +148,9 @@
             return Err(self.deadline_failure());
         }
         self.recheck_key()?;
+        self.node
+            .require_harmless(self.admitted.keys)
+            .map_err(|refusal| self.failure_before_send(refusal))?;
         let Some(server) = self.choose_server().await else { return self.wait_for_server().await };
         self.check_overload(&server)?;
         if !self.take_permit(&server).await {
@@ -185,7 +192,7 @@
             }
             SendOutcome::Lost(cause) => {
                 self.mark_may_have_run(&server.id);
-                return self.handle_lost_attempt(&server, &cause).await;
+                return self.handle_lost_attempt(&server, &cause, sent_at).await;
             }
         };
         let result = self.handle_response(responder, &server, connection, response, sent_at).await;
@@ -331,7 +338,7 @@
             ResponseKind::Invalid(cause) => {
                 self.mark_may_have_run(&server.id);
                 drop(connection);
-                self.handle_lost_attempt(server, cause).await
+                self.handle_lost_attempt(server, cause, sent_at).await
             }
             ResponseKind::Valid => {
                 self.mark_may_have_run(&server.id);
@@ -345,13 +352,14 @@
                 match outcome? {
                     ForwardOutcome::Complete => {
                         self.node.placement.borrow_mut().note_success(&server.id);
+                        self.node.peers.note_completed(self.node, self.admitted.keys);
                         self.node.pool.put(server.address, connection);
                         self.log_answered(server, status, sent_at);
                         Ok(Some(Ok(())))
                     }
                     ForwardOutcome::Incomplete(cause) => {
                         drop(connection);
-                        self.handle_lost_attempt(server, &cause).await
+                        self.handle_lost_attempt(server, &cause, sent_at).await
                     }
                 }
             }
@@ -359,11 +367,15 @@
     }
 
     /// Retries or refuses after an attempt that may have run but got no complete answer.
-    async fn handle_lost_attempt(&mut self, server: &ServerEntry, cause: &str) -> AttemptResult {
+    async fn handle_lost_attempt(
+        &mut self,
+        server: &ServerEntry,
+        cause: &str,
+        sent_at: Instant,
+    ) -> AttemptResult {
         self.record_failure(server, "answer", cause);
-        self.check_ended(server).await;
-        let server_count = u32::try_from(self.may_have_run_on.len()).unwrap_or(u32::MAX);
-        let has_server_left = server_count < self.admitted.route.attempts_max
+        self.check_ended(server, sent_at).await;
+        let has_server_left = self.running_servers().count() < self.attempts_max()
             || self.node.servers.borrow().ready_by_id(&server.id).is_some();
         self.lost_count += 1;
         let has_attempts_left = self.lost_count < LOST_ATTEMPTS_MAX;
@@ -376,21 +388,38 @@
         Err(Failure::Refused(Refusal::may_have_run(RefusalKind::BackendFailed, message)))
     }
 
-    /// Finds out whether the process of a server that broke off has ended.
-    async fn check_ended(&mut self, server: &ServerEntry) {
+    /// Finds out whether the process of a server that broke off has ended, and if so, reports the
+    /// request as lost.
+    async fn check_ended(&mut self, server: &ServerEntry, sent_at: Instant) {
+        let sent_before_ms = u32::try_from(sent_at.elapsed().as_millis()).unwrap_or(u32::MAX);
         let time_left = self.admitted.deadline.saturating_duration_since(Instant::now());
         if time_left < SEND_TIME_MIN || !ended::has_ended(self.node, server).await {
             return;
         }
         log::info!(
             "event=server_ended server={} address={} started_unix_ms={} request={} \
-             fingerprint={:016x}",
+             fingerprint={:016x} sent_before_ms={sent_before_ms}",
             server.id,
             server.address,
             server.started_unix_ms,
             self.admitted.context.id,
-            self.admitted.fingerprint,
+            self.admitted.keys.exact,
         );
+        self.ended.push(server.id.clone());
+        let request = self.admitted.keys;
+        let lost = LostRequest { server: server_run(server), request, age_ms: 0, sent_before_ms };
+        self.node.peers.note_lost(self.node, lost);
+    }
+
+    /// Returns the servers that may have run the request and have not ended since, in the order of
+    /// their first possible run.
+    pub(super) fn running_servers(&self) -> impl Iterator<Item = &BackendId> {
+        self.may_have_run_on.iter().filter(|server| !self.ended.contains(server))
+    }
+
+    /// Returns the maximum number of servers that may run the request.
+    pub(super) fn attempts_max(&self) -> usize {
+        usize::try_from(self.admitted.route.attempts_max).unwrap_or(usize::MAX)
     }
 
     fn mark_may_have_run(&mut self, server: &BackendId) {
@@ -428,7 +457,7 @@
              reused={} via={} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
-            self.admitted.fingerprint,
+            self.admitted.keys.exact,
             self.admitted.target,
             self.admitted.body.len(),
             self.admitted.route.name,
--- a/crates/daemon/src/front/request/choice.rs
+++ b/crates/daemon/src/front/request/choice.rs
@@ -26,14 +26,17 @@
             let is_blocked = placement.limits().blocked_for(server_hash(id), now).is_some();
             return servers.ready_by_id(id).filter(|_| !is_blocked).cloned();
         }
+        // Requests that were lost together share prompts; sent to the same server again, they would
+        // be lost together again.
+        let is_suspect = self.node.crashes.borrow().is_suspect(self.admitted.keys);
         let policy = match self.admitted.turn {
-            Some(_) => PlacementPolicy::Affinity,
-            None => PlacementPolicy::TwoChoices,
+            Some(_) if !is_suspect => PlacementPolicy::Affinity,
+            _ => PlacementPolicy::TwoChoices,
         };
         let placement_request = PlacementRequest {
             policy,
-            key: &self.admitted.placement_key,
-            shared_part: self.admitted.shared_part,
+            key: if is_suspect { &self.admitted.context.id } else { &self.admitted.placement_key },
+            shared_part: self.admitted.shared_part.filter(|_| !is_suspect),
             may_repeat: self.admitted.route.repeat.may_repeat(),
             excluded: &self.excluded,
         };
@@ -63,21 +66,22 @@
     /// Returns the ready servers of the service; only those of the software version that began the
     /// stream, if it has begun.
     fn eligible<'b>(&'b self, servers: &'b ServerList) -> impl Iterator<Item = &'b ServerEntry> {
-        servers.ready(&self.admitted.service).filter(|server| self.may_continue_at(server))
+        servers
+            .ready(&self.admitted.service)
+            .filter(|server| self.may_continue_at(server) && !self.ended.contains(&server.id))
     }
 
     fn may_continue_at(&self, server: &ServerEntry) -> bool {
         self.origin.as_ref().is_none_or(|origin| origin.software == server.software)
     }
 
-    /// Returns the server that was added last to `may_have_run_on`, if the route's limit on the
-    /// number of servers is reached and that server is ready.
+    /// Returns the last server that may run the request, if the route's limit on the number of
+    /// servers is reached and that server is ready.
     fn pinned_server(&self) -> Option<&BackendId> {
-        let server_count = u32::try_from(self.may_have_run_on.len()).unwrap_or(u32::MAX);
-        let last = self.may_have_run_on.last()?;
+        let last = self.running_servers().last()?;
         let servers = self.node.servers.borrow();
         let is_ready = servers.ready_by_id(last).is_some_and(|server| self.may_continue_at(server));
-        (server_count >= self.admitted.route.attempts_max && is_ready).then_some(last)
+        (self.running_servers().count() >= self.attempts_max() && is_ready).then_some(last)
     }
 
     /// Takes a permit for a request to `server` if it has named a limit; returns `false` if there is
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -65,7 +65,7 @@
         labels.id,
         labels.program.as_deref().unwrap_or("-"),
         labels.team.as_deref().unwrap_or("-"),
-        labels.fingerprint.map_or("-".to_owned(), |fingerprint| format!("{fingerprint:016x}")),
+        labels.keys.map_or("-".to_owned(), |keys| format!("{:016x}", keys.exact)),
         request.head.path(),
         refusal.kind.label(),
         refusal.kind.http_status(),
