Weigh paths before bodies against requests lost in crashes

Requests with one path now compete as one, then its bodies with one another, and a tied request is refused only if nobody lost with it has more. A node leaves the retry of a request to its caller once two servers have ended with it, as each copy of a deadly request was tried four times. Copies of the same request count as soon as servers end one after the other; other requests with its path still only if sent after the previous crash.

--- /dev/null
+++ b/crates/coordination/src/crashes/evidence.rs
@@ -0,0 +1,239 @@
+//! Evidence that requests crash the backend servers which run them.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use super::{CRASH_RETENTION, CRASHES_MAX, Crash, LostState, RequestHash, RequestKeys};
+
+/// Number of crashes from which a request is refused even if others were lost in as many.
+const TIED_CRASHES_MAX: u32 = 6;
+/// Number of crashes of other bodies from which all requests with the same path are refused.
+const OTHER_BODIES_CRASHES_MIN: u32 = 2;
+/// Time after its last crash for which a request with [`CRASHES_MAX`] crashes is refused; doubles
+/// with each further crash.
+const QUARANTINE_MIN: Duration = Duration::from_secs(600);
+/// Tolerance in comparisons of times that different nodes report.
+const TIME_TOLERANCE: Duration = Duration::from_millis(25);
+
+/// Evidence by exact key and by path key, and the requests that it suffices to refuse.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    by_exact: CrashesByKey,
+    by_path: CrashesByKey,
+    /// Times until which requests are refused, by exact key or path key.
+    refused_until: HashMap<RequestHash, Duration>,
+}
+
+impl Evidence {
+    /// Weighs the evidence of `crashes`, in order of time.
+    pub(super) fn weigh(crashes: &[&Crash]) -> Self {
+        let mut lost_in: Vec<Vec<Loss>> = crashes.iter().map(|crash| Loss::all_of(crash)).collect();
+        let by_exact = count(lost_in.iter().flatten(), KeyKind::Exact);
+        let by_path = count(lost_in.iter().flatten(), KeyKind::Path);
+        for losses in &mut lost_in {
+            rank(losses, &by_exact, &by_path);
+        }
+        let losses: Vec<Loss> = lost_in.into_iter().flatten().collect();
+        let mut refused_until = HashMap::new();
+        for key in sufficient(&losses, KeyKind::Exact) {
+            refused_until.insert(key, by_exact[&key].refused_until());
+        }
+        for key in sufficient(&losses, KeyKind::Path) {
+            let bodies = losses.iter().filter(|loss| loss.keys.path == key);
+            let main_body = bodies.map(|loss| count_of(&by_exact, loss.keys.exact)).max();
+            let crashes = by_path[&key];
+            if crashes.count >= main_body.unwrap_or_default() + OTHER_BODIES_CRASHES_MIN {
+                refused_until.insert(key, crashes.refused_until());
+            }
+        }
+        Self { by_exact, by_path, refused_until }
+    }
+
+    /// Returns the number of crashes in which a request, or those with its path, were lost.
+    pub(super) fn crashes(&self, request: RequestKeys) -> u32 {
+        count_of(&self.by_exact, request.exact).max(count_of(&self.by_path, request.path))
+    }
+
+    /// Returns the keys of refused requests.
+    pub(super) fn refused(&self) -> impl Iterator<Item = RequestHash> {
+        self.refused_until.keys().copied()
+    }
+
+    /// Returns whether requests with a key are refused.
+    pub(super) fn is_refused(&self, key: RequestHash) -> bool {
+        self.refused_until.contains_key(&key)
+    }
+
+    /// Returns the time until which a request is refused, if it is.
+    pub(super) fn refused_until(&self, request: RequestKeys) -> Option<Duration> {
+        let until = |key| self.refused_until.get(&key).copied();
+        until(request.exact).max(until(request.path))
+    }
+}
+
+/// Crashes in which requests with the same key were lost; servers that fail together count once.
+#[derive(Debug, Clone, Copy, Default)]
+struct Crashes {
+    count: u32,
+    last_at: Duration,
+}
+
+type CrashesByKey = HashMap<RequestHash, Crashes>;
+
+impl Crashes {
+    fn add(&mut self, loss: &Loss, kind: KeyKind) {
+        // Copies of one request rarely run on several servers, but different requests with the same
+        // path do. Those count if they were sent after the previous counted crash.
+        let is_repeated = match kind {
+            KeyKind::Exact => loss.happened_at > self.last_at + TIME_TOLERANCE,
+            KeyKind::Path => loss.sent_at + TIME_TOLERANCE > self.last_at,
+        };
+        if self.count == 0 || is_repeated && loss.happened_at > self.last_at {
+            self.count += 1;
+            self.last_at = loss.happened_at;
+        }
+    }
+
+    fn refused_until(self) -> Duration {
+        let doublings = self.count.saturating_sub(CRASHES_MAX).min(8);
+        self.last_at + (QUARANTINE_MIN * 2_u32.pow(doublings)).min(CRASH_RETENTION)
+    }
+}
+
+/// Kind of a key.
+#[derive(Debug, Clone, Copy)]
+enum KeyKind {
+    Exact,
+    Path,
+}
+
+/// Number of a request's crashes, compared with those of the others lost in the same crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// Others have more.
+    Lower,
+    /// Others have as many.
+    Tied,
+    /// Others have fewer.
+    Highest,
+}
+
+/// A request lost in a crash.
+#[derive(Debug)]
+struct Loss {
+    keys: RequestKeys,
+    is_exact_cleared: bool,
+    is_path_cleared: bool,
+    sent_at: Duration,
+    happened_at: Duration,
+    /// Standing of the requests with its path among all.
+    path_standing: Standing,
+    /// Standing of the request itself.
+    exact_standing: Standing,
+}
+
+impl Loss {
+    fn all_of(crash: &Crash) -> Vec<Self> {
+        let new = |(keys, state): (&RequestKeys, &LostState)| Self {
+            keys: *keys,
+            is_exact_cleared: state.is_exact_cleared,
+            is_path_cleared: state.is_path_cleared,
+            sent_at: state.sent_at,
+            happened_at: crash.happened_at,
+            path_standing: Standing::Lower,
+            exact_standing: Standing::Lower,
+        };
+        crash.lost.iter().map(new).collect()
+    }
+
+    /// Returns a key, unless a request with it has completed since.
+    fn key(&self, kind: KeyKind) -> Option<RequestHash> {
+        match kind {
+            KeyKind::Exact => (!self.is_exact_cleared).then_some(self.keys.exact),
+            KeyKind::Path => (!self.is_path_cleared).then_some(self.keys.path),
+        }
+    }
+
+    /// Returns the standing of the requests with a key.
+    fn standing(&self, kind: KeyKind) -> Standing {
+        match kind {
+            KeyKind::Exact => self.exact_standing,
+            KeyKind::Path => self.path_standing,
+        }
+    }
+}
+
+/// Counts the crashes of each key; `losses` are in order of time.
+fn count<'a>(losses: impl Iterator<Item = &'a Loss>, kind: KeyKind) -> CrashesByKey {
+    let mut crashes = CrashesByKey::new();
+    for loss in losses {
+        if let Some(key) = loss.key(kind) {
+            crashes.entry(key).or_default().add(loss, kind);
+        }
+    }
+    crashes
+}
+
+fn count_of(crashes: &CrashesByKey, key: RequestHash) -> u32 {
+    crashes.get(&key).map_or(0, |crashes| crashes.count)
+}
+
+/// Compares the requests lost in one crash: the paths with one another, and the bodies of each path.
+fn rank(losses: &mut [Loss], by_exact: &CrashesByKey, by_path: &CrashesByKey) {
+    let mut paths = Ranking::default();
+    let mut bodies: HashMap<RequestHash, Ranking> = HashMap::new();
+    for loss in &*losses {
+        let of_exact = loss.key(KeyKind::Exact).map_or(0, |key| count_of(by_exact, key));
+        let of_path = loss.key(KeyKind::Path).map_or(0, |key| count_of(by_path, key));
+        paths.add(loss.keys.path, of_exact.max(of_path));
+        bodies.entry(loss.keys.path).or_default().add(loss.keys.exact, of_exact);
+    }
+    let paths = paths.standings();
+    let bodies: HashMap<_, _> =
+        bodies.into_iter().map(|(path, bodies)| (path, bodies.standings())).collect();
+    for loss in losses {
+        loss.path_standing = paths[&loss.keys.path];
+        let of_body = bodies[&loss.keys.path][&loss.keys.exact];
+        loss.exact_standing = match (loss.path_standing, of_body) {
+            (Standing::Highest, standing) | (standing, Standing::Highest) => standing,
+            (Standing::Tied, Standing::Tied) => Standing::Tied,
+            _ => Standing::Lower,
+        };
+    }
+}
+
+/// Highest score of each key.
+#[derive(Debug, Default)]
+struct Ranking {
+    scores: HashMap<RequestHash, u32>,
+}
+
+impl Ranking {
+    fn add(&mut self, key: RequestHash, score: u32) {
+        let known = self.scores.entry(key).or_default();
+        *known = score.max(*known);
+    }
+
+    /// Returns the standing of each key.
+    fn standings(&self) -> HashMap<RequestHash, Standing> {
+        let highest = self.scores.values().copied().max().unwrap_or_default();
+        let holders = self.scores.values().filter(|score| **score == highest).count();
+        let standing = |score: u32| match score {
+            _ if score < highest => Standing::Lower,
+            _ if holders > 1 => Standing::Tied,
+            _ => Standing::Highest,
+        };
+        self.scores.iter().map(|(key, score)| (*key, standing(*score))).collect()
+    }
+}
+
+/// Returns the keys with sufficient evidence.
+fn sufficient(losses: &[Loss], kind: KeyKind) -> HashSet<RequestHash> {
+    let is_highest = |loss: &&Loss| loss.standing(kind) == Standing::Highest;
+    let is_not_lower = |loss: &&Loss| loss.standing(kind) != Standing::Lower;
+    let attributed = count(losses.iter().filter(is_highest), kind);
+    let unexplained = count(losses.iter().filter(is_not_lower), kind);
+    let attributed = attributed.into_iter().filter(|(_, it)| it.count >= CRASHES_MAX);
+    let unexplained = unexplained.into_iter().filter(|(_, it)| it.count >= TIED_CRASHES_MAX);
+    attributed.chain(unexplained).map(|(key, _)| key).collect()
+}
--- a/crates/coordination/src/crashes.rs
+++ b/crates/coordination/src/crashes/mod.rs
@@ -6,21 +6,22 @@
 //! for a while, before it reaches another server.
 //!
 //! Requests that merely ran beside it are told apart in three ways. A crash counts only against the
-//! request with the most crashes among those that were lost in it. It counts only if the request
-//! was sent after its previous crash, so that servers that fail together count once. And a request
-//! that completes, at any node, is cleared of all crashes before.
+//! request with the most crashes among those that were lost in it. Servers that fail together count
+//! once. And a request that completes, at any node, is cleared of all crashes before.
 //!
 //! Turns of programs contain their program's prompt, so repetitions of a deadly turn may differ in
 //! their bodies. If several different bodies with the same team, method and path were lost and none
 //! with this path completes, all of them are refused.
 
-use std::collections::{HashMap, HashSet};
-use std::hash::Hash;
+mod evidence;
+
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use self::evidence::Evidence;
 use crate::servers::ServerEntry;
 
 /// Hash of properties of a request.
@@ -31,13 +32,6 @@
 
 /// Number of crashes from which a request is refused.
 pub const CRASHES_MAX: u32 = 3;
-/// Number of crashes from which a request is refused even if others were lost in as many.
-const TIED_CRASHES_MAX: u32 = 6;
-/// Number of crashes of other bodies from which all requests with the same path are refused.
-const OTHER_BODIES_CRASHES_MIN: u32 = 2;
-/// Time after its last crash for which a request with [`CRASHES_MAX`] crashes is refused; doubles
-/// with each further crash.
-const QUARANTINE_MIN: Duration = Duration::from_secs(600);
 /// Time for which a crash is remembered, which also limits the time of a refusal.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(3_600);
 /// Maximum number of lost requests that are remembered over all crashes; the oldest crashes are
@@ -45,8 +39,6 @@
 const LOST_REQUESTS_MAX: usize = 16_384;
 /// Maximum number of lost requests that are remembered of one crash.
 const CRASH_REQUESTS_MAX: usize = 512;
-/// Tolerance in comparisons of times that different nodes report.
-const TIME_TOLERANCE: Duration = Duration::from_millis(25);
 
 /// What identifies a request and its repetitions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -100,6 +92,8 @@
 #[derive(Debug)]
 struct LostState {
     sent_at: Duration,
+    /// Whether this node had sent it.
+    is_own: bool,
     /// Whether a request with the same exact key has completed since.
     is_exact_cleared: bool,
     /// Whether a request with the same path key has completed since.
@@ -112,27 +106,6 @@
     lost: HashMap<RequestKeys, LostState>,
 }
 
-/// Evidence against the requests with one key.
-#[derive(Debug, Clone, Copy, Default)]
-struct Evidence {
-    /// Crashes in which they were lost, each sent after the previous one.
-    crashes: u32,
-    /// Those of them in which no other key has as many.
-    attributed: u32,
-    last_crash_at: Duration,
-}
-
-impl Evidence {
-    fn is_sufficient(self) -> bool {
-        self.attributed >= CRASHES_MAX || self.crashes >= TIED_CRASHES_MAX
-    }
-
-    fn refused_until(self) -> Duration {
-        let doublings = self.crashes.saturating_sub(CRASHES_MAX).min(8);
-        self.last_crash_at + (QUARANTINE_MIN * 2_u32.pow(doublings)).min(CRASH_RETENTION)
-    }
-}
-
 /// Crashes of backend servers and the requests lost in them, as known to one node.
 ///
 /// Times are steady times of this node, shifted by [`CRASH_RETENTION`] so that crashes before its
@@ -140,18 +113,27 @@
 #[derive(Debug, Default)]
 pub struct CrashTable {
     crashes: HashMap<ServerRun, Crash>,
-    by_exact: HashMap<RequestHash, Evidence>,
-    by_path: HashMap<RequestHash, Evidence>,
-    /// Times until which requests are refused, by exact key and by path key.
-    refused: HashMap<RequestHash, Duration>,
+    evidence: Evidence,
+    /// Exact keys or path keys that the evidence has become sufficient for.
+    newly_refused: Vec<RequestHash>,
 }
 
 impl CrashTable {
-    /// Records requests that servers have lost; returns whether any was not known.
+    /// Records requests that servers have lost, as told by other nodes; returns whether any was not
+    /// known.
     pub fn note_lost(&mut self, lost: &[LostRequest], now: Duration) -> bool {
+        self.note(lost, false, now)
+    }
+
+    /// Records a request of this node that a server has lost; returns whether that was not known.
+    pub fn note_own_loss(&mut self, lost: LostRequest, now: Duration) -> bool {
+        self.note(&[lost], true, now)
+    }
+
+    fn note(&mut self, lost: &[LostRequest], is_own: bool, now: Duration) -> bool {
         let mut is_changed = false;
         for lost in lost {
-            is_changed |= self.insert(*lost, now);
+            is_changed |= self.insert(*lost, is_own, now);
         }
         if is_changed {
             self.limit_size();
@@ -160,7 +142,7 @@
         is_changed
     }
 
-    fn insert(&mut self, lost: LostRequest, now: Duration) -> bool {
+    fn insert(&mut self, lost: LostRequest, is_own: bool, now: Duration) -> bool {
         let age = Duration::from_millis(lost.age_ms.into());
         if age >= CRASH_RETENTION {
             return false;
@@ -175,7 +157,7 @@
         }
         let sent_before = Duration::from_millis(lost.sent_before_ms.into());
         let sent_at = crash.happened_at.saturating_sub(sent_before);
-        let state = LostState { sent_at, is_exact_cleared: false, is_path_cleared: false };
+        let state = LostState { sent_at, is_own, is_exact_cleared: false, is_path_cleared: false };
         crash.lost.insert(lost.request, state);
         true
     }
@@ -197,25 +179,39 @@
     /// and has not completed since.
     #[must_use]
     pub fn is_suspect(&self, request: RequestKeys) -> bool {
-        self.by_exact.contains_key(&request.exact) || self.by_path.contains_key(&request.path)
+        self.crashes(request) > 0
+    }
+
+    /// Returns whether this node sent a request, or one with the same team, method and path, that
+    /// was lost in a crash.
+    #[must_use]
+    pub fn is_own(&self, request: RequestKeys) -> bool {
+        let lost = self.crashes.values().flat_map(|crash| &crash.lost);
+        lost.filter(|(_, state)| state.is_own).any(|(keys, _)| keys.path == request.path)
     }
 
     /// Returns the number of crashes that a request, or those with the same team, method and path,
     /// were lost in.
     #[must_use]
     pub fn crashes(&self, request: RequestKeys) -> u32 {
-        let crashes = |evidence: Option<&Evidence>| evidence.map_or(0, |it| it.crashes);
-        crashes(self.by_exact.get(&request.exact)).max(crashes(self.by_path.get(&request.path)))
+        self.evidence.crashes(request)
     }
 
     /// Returns the time for which a request is still refused.
     #[must_use]
     pub fn refused_for(&self, request: RequestKeys, now: Duration) -> Option<Duration> {
-        let until = |key| self.refused.get(key).copied();
-        let until = until(&request.exact).max(until(&request.path))?;
+        let until = self.evidence.refused_until(request)?;
         until.checked_sub(shifted(now)).filter(|time_left| !time_left.is_zero())
     }
 
+    /// Returns a request for each key that is refused since the last call.
+    pub fn take_newly_refused(&mut self) -> Vec<RequestKeys> {
+        let newly_refused = std::mem::take(&mut self.newly_refused);
+        let lost = || self.crashes.values().flat_map(|crash| crash.lost.keys());
+        let find = |key: RequestHash| lost().find(|keys| keys.exact == key || keys.path == key);
+        newly_refused.into_iter().filter_map(find).copied().collect()
+    }
+
     /// Returns lost requests that other nodes should know of, at most `count`: those of requests
     /// with more than one crash, the newest first.
     #[must_use]
@@ -300,78 +296,14 @@
         }
     }
 
-    /// Weighs the evidence anew.
     fn judge(&mut self) {
         let mut crashes: Vec<&Crash> = self.crashes.values().collect();
         crashes.sort_unstable_by_key(|crash| crash.happened_at);
-        let exact = |(keys, state): (&RequestKeys, &LostState)| {
-            (!state.is_exact_cleared).then_some((keys.exact, state.sent_at))
-        };
-        let path = |(keys, state): (&RequestKeys, &LostState)| {
-            (!state.is_path_cleared).then_some((keys.path, state.sent_at))
-        };
-        let by_exact = evidence(&crashes, exact);
-        let by_path = evidence(&crashes, path);
-        let mut refused = HashMap::new();
-        for (key, evidence) in by_exact.iter().filter(|(_, evidence)| evidence.is_sufficient()) {
-            refused.insert(*key, evidence.refused_until());
-        }
-        let bodies: HashSet<RequestKeys> =
-            crashes.iter().flat_map(|crash| crash.lost.keys().copied()).collect();
-        for (key, evidence) in by_path.iter().filter(|(_, evidence)| evidence.is_sufficient()) {
-            let crashes_of =
-                |keys: &RequestKeys| by_exact.get(&keys.exact).map_or(0, |it| it.crashes);
-            let of_path = bodies.iter().filter(|keys| keys.path == *key);
-            let main_body_crashes = of_path.map(crashes_of).max().unwrap_or_default();
-            if evidence.crashes >= main_body_crashes + OTHER_BODIES_CRASHES_MIN {
-                refused.insert(*key, evidence.refused_until());
-            }
-        }
-        (self.by_exact, self.by_path, self.refused) = (by_exact, by_path, refused);
-    }
-}
-
-/// Weighs the evidence of `crashes`, in order of time; `key_of` returns the key of a lost request
-/// and the time at which it was sent, unless it is cleared.
-fn evidence<'a>(
-    crashes: &[&'a Crash],
-    key_of: impl Fn((&'a RequestKeys, &'a LostState)) -> Option<(RequestHash, Duration)>,
-) -> HashMap<RequestHash, Evidence> {
-    // Time at which each key was last sent before each crash.
-    let lost: Vec<(Duration, HashMap<RequestHash, Duration>)> = crashes
-        .iter()
-        .map(|crash| {
-            let mut sent: HashMap<RequestHash, Duration> = HashMap::new();
-            for (key, sent_at) in crash.lost.iter().filter_map(&key_of) {
-                let latest = sent.entry(key).or_default();
-                *latest = sent_at.max(*latest);
-            }
-            (crash.happened_at, sent)
-        })
-        .collect();
-    let mut counted: HashMap<RequestHash, Evidence> = HashMap::new();
-    for (happened_at, sent) in &lost {
-        for (key, sent_at) in sent {
-            let evidence = counted.entry(*key).or_default();
-            if evidence.crashes == 0 || *sent_at + TIME_TOLERANCE > evidence.last_crash_at {
-                evidence.crashes += 1;
-                evidence.last_crash_at = *happened_at;
-            }
-        }
-    }
-    let mut last_attributed: HashMap<RequestHash, Duration> = HashMap::new();
-    for (happened_at, sent) in &lost {
-        let most = sent.keys().map(|key| counted[key].crashes).max().unwrap_or_default();
-        let mut suspects = sent.iter().filter(|(key, _)| counted[*key].crashes == most);
-        if let (Some((key, sent_at)), None) = (suspects.next(), suspects.next()) {
-            let previous = last_attributed.get(key);
-            if previous.is_none_or(|previous| *sent_at + TIME_TOLERANCE > *previous) {
-                last_attributed.insert(*key, *happened_at);
-                counted.entry(*key).or_default().attributed += 1;
-            }
-        }
+        let evidence = Evidence::weigh(&crashes);
+        let is_new = |key: &RequestHash| !self.evidence.is_refused(*key);
+        self.newly_refused.extend(evidence.refused().filter(is_new));
+        self.evidence = evidence;
     }
-    counted
 }
 
 fn shifted(now: Duration) -> Duration {
--- a/crates/daemon/src/front/connection/peers/crashes.rs
+++ b/crates/daemon/src/front/connection/peers/crashes.rs
@@ -33,7 +33,9 @@
 impl Peers {
     /// Records that a server lost a request of this node when it ended, and tells the other nodes.
     pub fn note_lost(&self, node: &Rc<FrontNode>, lost: LostRequest) {
-        record(node, &[lost], None);
+        let now = node.clock.monotonic_now();
+        node.crashes.borrow_mut().note_own_loss(lost, now);
+        announce_refused(node, "answer");
         self.collect(node, |outbox| outbox.lost.borrow_mut().push(lost));
     }
 
@@ -94,45 +96,44 @@
         }
     }
 
-    pub(super) fn apply_lost(&self, node: &FrontNode, sender: SocketAddr, lost: &[LostRequest]) {
-        record(node, lost, Some(sender));
+    pub(super) fn apply_lost(
+        &self,
+        node: &Rc<FrontNode>,
+        sender: SocketAddr,
+        lost: &[LostRequest],
+    ) {
+        let now = node.clock.monotonic_now();
+        node.crashes.borrow_mut().note_lost(lost, now);
+        announce_refused(node, &sender.to_string());
         // The sender has missed that these have completed.
         let completed = node.crashes.borrow().completed_since(lost);
         self.send_completed(sender, &completed);
     }
 }
 
-/// Records lost requests and logs those that are refused from now on.
-fn record(node: &FrontNode, lost: &[LostRequest], sender: Option<SocketAddr>) {
+/// Logs the requests that are refused from now on.
+fn announce_refused(node: &Rc<FrontNode>, source: &str) {
     let now = node.clock.monotonic_now();
     let mut crashes = node.crashes.borrow_mut();
-    let accepted: Vec<RequestKeys> = lost
-        .iter()
-        .map(|lost| lost.request)
-        .filter(|request| crashes.refused_for(*request, now).is_none())
-        .collect();
-    if !crashes.note_lost(lost, now) {
-        return;
-    }
-    for request in accepted {
-        if let Some(refused_for) = crashes.refused_for(request, now) {
-            log::warn!(
-                "event=request_quarantined fingerprint={:016x} path_key={:016x} crashes={} \
-                 refused_for_ms={} source={}",
-                request.exact,
-                request.path,
-                crashes.crashes(request),
-                refused_for.as_millis(),
-                sender.map_or("answer".to_owned(), |sender| sender.to_string()),
-            );
-        }
+    for request in crashes.take_newly_refused() {
+        log::warn!(
+            "event=request_quarantined fingerprint={:016x} path_key={:016x} crashes={} \
+             refused_for_ms={} source={source}",
+            request.exact,
+            request.path,
+            crashes.crashes(request),
+            crashes.refused_for(request, now).unwrap_or_default().as_millis(),
+        );
     }
 }
 
-/// Records that a request has completed at another node.
-pub(super) fn apply_completed(node: &FrontNode, completed: &[RequestKeys]) {
-    let mut crashes = node.crashes.borrow_mut();
+/// Records that requests have completed at another node.
+pub(super) fn apply_completed(node: &Rc<FrontNode>, completed: &[RequestKeys], sender: SocketAddr) {
     for request in completed {
-        crashes.note_completed(*request);
+        if node.crashes.borrow_mut().note_completed(*request) {
+            let fingerprint = request.exact;
+            log::info!("event=request_cleared fingerprint={fingerprint:016x} source={sender}");
+        }
     }
+    announce_refused(node, &sender.to_string());
 }
--- a/crates/daemon/src/front/connection/peers/mod.rs
+++ b/crates/daemon/src/front/connection/peers/mod.rs
@@ -247,7 +247,7 @@
                 }
                 Ok(Message::RequestsLost(lost)) => self.apply_lost(node, sender, &lost),
                 Ok(Message::RequestsCompleted(completed)) => {
-                    crashes::apply_completed(node, &completed);
+                    crashes::apply_completed(node, &completed, sender);
                 }
                 Err(error) => {
                     log::info!("event=datagram_malformed sender={sender} cause=\"{error}\"");
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -378,7 +378,7 @@
         let has_server_left = self.running_servers().count() < self.attempts_max()
             || self.node.servers.borrow().ready_by_id(&server.id).is_some();
         self.lost_count += 1;
-        let has_attempts_left = self.lost_count < LOST_ATTEMPTS_MAX;
+        let has_attempts_left = self.lost_count < LOST_ATTEMPTS_MAX && !self.may_be_deadly();
         if self.admitted.route.repeat.may_repeat() && has_server_left && has_attempts_left {
             self.node.metrics.count_retry(RetryReason::AttemptLost);
             self.excluded.clear();
@@ -411,6 +411,13 @@
         self.node.peers.note_lost(self.node, lost);
     }
 
+    /// Returns whether servers ended with the request so often that only the caller may send it
+    /// again.
+    fn may_be_deadly(&self) -> bool {
+        let crashes = self.node.crashes.borrow().crashes(self.admitted.keys);
+        !self.ended.is_empty() && crashes >= CRASHES_BEFORE_CALLER_RETRIES
+    }
+
     /// Returns the servers that may have run the request and have not ended since, in the order of
     /// their first possible run.
     pub(super) fn running_servers(&self) -> impl Iterator<Item = &BackendId> {
@@ -454,7 +461,7 @@
         }
         log::info!(
             "event=sent request={} program={} fingerprint={:016x} path={} body_bytes={} route={} version={} team={} server={} time_left_ms={} \
-             reused={} via={} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={}",
+             reused={} via={} load={:.2} limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={} previous_turn={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
             self.admitted.keys.exact,
@@ -473,6 +480,7 @@
             server.software,
             self.last_event.map_or("-".to_owned(), |event| event.to_string()),
             self.admitted.context.resumes.as_deref().unwrap_or("-"),
+            self.admitted.context.previous_turn.as_deref().unwrap_or("-"),
         );
     }
 
@@ -492,3 +500,6 @@
 const BUSY_RETRY_AFTER_MS: u64 = 150;
 /// Number of lost attempts after which a request is refused even if it may run again.
 const LOST_ATTEMPTS_MAX: u32 = 4;
+/// Number of servers that must have ended with a request for a node to leave its retry to the
+/// caller, so that copies of a deadly request end fewer servers before all nodes refuse it.
+const CRASHES_BEFORE_CALLER_RETRIES: u32 = 2;
