Test that permits hold the limits of servers where placement can't

Three new tests limit all servers of the service, send 20 requests at a time, kill nodes and stop them for a while.

--- a/crates/daemon/tests/server_limits.rs
+++ b/crates/daemon/tests/server_limits.rs
@@ -4,6 +4,7 @@
 
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use serde_json::json;
 use support::http::{Reply, eventually};
 use support::site::{Call, EVENTS_PER_STREAM, Site, SiteNode, SiteRunner};
@@ -14,6 +15,8 @@
 const LIMIT_PER_S: f64 = 2.0;
 /// Factor by which a server may get more than its limit in a period.
 const OVERRUN: f64 = 1.5;
+/// Requests that are sent at the same time where all servers have limits.
+const CONCURRENT_REQUESTS: usize = 20;
 /// Requests that a server may get beyond `OVERRUN` times its limit.
 const SLACK: f64 = 5.0;
 
@@ -171,3 +174,79 @@
     let got = got as f64;
     assert!(got <= allowed(began), "{got} requests, {} allowed", allowed(began));
 }
+
+/// Sends requests at `nodes` in turn, some at the same time, of which each is served or refused with
+/// a delay; panics on any other answer.
+async fn send_beyond_limit(site: &Site, nodes: &[usize], round: &str, count: usize) {
+    let requests: Vec<usize> = (0..count).collect();
+    for requests in requests.chunks(CONCURRENT_REQUESTS) {
+        let replies = join_all(requests.iter().map(|request| async move {
+            let node = nodes[request % nodes.len()];
+            send(site, node, &format!("{round}-{request}"), "/plain/1").await
+        }));
+        for reply in replies.await {
+            let is_refused = reply.status == 503 && reply.retry_after.is_some();
+            assert!(reply.status == 200 || is_refused, "{}: {}", reply.status, reply.body);
+        }
+    }
+}
+
+/// Panics if one of the servers got more requests than its limit allows since `began`.
+async fn assert_each_within_limit(site: &Site, began: Instant, before: &[usize]) {
+    for (server, before) in site.services.iter().zip(before) {
+        let ran = site.recorded_requests(std::slice::from_ref(server)).await.len() - before;
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred requests")]
+        let ran = ran as f64;
+        assert!(ran <= allowed(began), "{}: {ran} requests, {} allowed", server.id, allowed(began));
+    }
+}
+
+async fn executions_of_each(site: &Site) -> Vec<usize> {
+    let mut counts = Vec::new();
+    for server in &site.services {
+        counts.push(site.recorded_requests(std::slice::from_ref(server)).await.len());
+    }
+    counts
+}
+
+/// Guards against limits that hold only because placement prefers other servers.
+#[ntex::test]
+async fn permits_hold_the_limits_if_all_servers_have_one() {
+    let site = Site::start(NODES).await;
+    set_limit(&site, &site.services, Some(LIMIT_PER_S)).await;
+    teach(&site, &site.services, "/plain/1").await;
+    let (began, before) = (Instant::now(), executions_of_each(&site).await);
+    send_beyond_limit(&site, &[0, 1, 2, 3], "all", 160).await;
+    assert_each_within_limit(&site, began, &before).await;
+}
+
+/// Guards against a second burst from the keeper that takes over, if placement has no other server.
+#[ntex::test]
+async fn permits_hold_the_limits_of_all_servers_while_nodes_are_killed() {
+    let mut site = Site::start(NODES).await;
+    set_limit(&site, &site.services, Some(LIMIT_PER_S)).await;
+    teach(&site, &site.services, "/plain/1").await;
+    let (began, before) = (Instant::now(), executions_of_each(&site).await);
+    for round in 0..3 {
+        let nodes: Vec<usize> = (0..site.nodes.len()).collect();
+        send_beyond_limit(&site, &nodes, &format!("killed-{round}"), 60).await;
+        site.nodes.pop();
+    }
+    assert_each_within_limit(&site, began, &before).await;
+}
+
+/// Guards against a second burst from a keeper that stood still, if placement has no other server.
+#[ntex::test]
+async fn permits_hold_the_limits_of_all_servers_while_nodes_stand_still() {
+    let site = Site::start(NODES).await;
+    set_limit(&site, &site.services, Some(LIMIT_PER_S)).await;
+    teach(&site, &site.services, "/plain/1").await;
+    let (began, before) = (Instant::now(), executions_of_each(&site).await);
+    for paused in 0..NODES {
+        site.nodes[paused].process.signal("STOP");
+        let others: Vec<usize> = (0..NODES).filter(|node| *node != paused).collect();
+        send_beyond_limit(&site, &others, &format!("paused-{paused}"), 40).await;
+        site.nodes[paused].process.signal("CONT");
+    }
+    assert_each_within_limit(&site, began, &before).await;
+}
