--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,4 +4,5 @@
 pub mod fleet;
 pub mod http;
 pub mod process;
+pub mod raw;
 pub mod site;
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -23,7 +23,7 @@
 /// Key of team `small`, which has a burst of two requests and a rate of one in 100 seconds.
 pub const SMALL_KEY: &str = "key-of-small";
 /// Host of all routes.
-const HOST: &str = "calls.example";
+pub const HOST: &str = "calls.example";
 /// Number of settings files written by this process.
 static SETTINGS_FILES: AtomicU64 = AtomicU64::new(0);
 /// Longest wait until a node has started or failed to start.
@@ -378,6 +378,35 @@
         SiteRunner { id, address }
     }
 
+    /// Replaces the backend servers of `service` with those at `addresses`, and waits until all nodes
+    /// know them. Their ids are `scripted-0`, `scripted-1` and so on.
+    pub async fn replace_servers(&self, service: &str, addresses: &[SocketAddr]) {
+        let (replaced, kept) = match service {
+            "geo" => (&self.engines, &self.services),
+            _ => (&self.services, &self.engines),
+        };
+        for server in replaced {
+            self.put_row("servers", &server.id, None).await;
+        }
+        self.wait_server_count(kept.len()).await;
+        for (number, address) in addresses.iter().enumerate() {
+            let id = format!("scripted-{number}");
+            self.put_server(&id, &address.to_string(), service, "ready").await;
+        }
+        self.wait_server_count(kept.len() + addresses.len()).await;
+    }
+
+    /// Waits until each node knows `count` backend servers.
+    async fn wait_server_count(&self, count: usize) {
+        let expected = format!("dandelionfront_servers {count}\n");
+        for node in 0..self.nodes.len() {
+            eventually("the node has the new list of servers", async || {
+                self.metrics(node).await.contains(&expected).then_some(())
+            })
+            .await;
+        }
+    }
+
     /// Creates a request to a node.
     pub fn request(&self, node: usize, call: &Call<'_>) -> ClientRequest {
         request_to(&self.http, &self.nodes[node].listen, call)
--- a/crates/standins/src/site/crashing.rs
+++ b/crates/standins/src/site/crashing.rs
@@ -112,7 +112,7 @@
         connection.set_nonblocking(false)?;
         let mut reader = BufReader::new(connection);
         let mut writer = connection;
-        while let Some(ReceivedRequest { id, target }) = read_request(&mut reader)? {
+        while let Some(ReceivedRequest { id, target, .. }) = read_request(&mut reader)? {
             lock(&self.received).push(target.clone());
             let is_deadly = target.contains(&self.settings.deadly_path)
                 && !self.is_harmless.load(Ordering::SeqCst);
--- a/crates/standins/src/site/repeater.rs
+++ b/crates/standins/src/site/repeater.rs
@@ -106,13 +106,15 @@
     pub(super) id: String,
     /// Path and query, in lower case.
     pub(super) target: String,
+    /// Id of the last event that its sender has, if it resumes a stream.
+    pub(super) last_event: Option<u64>,
 }
 
 /// Reads a request with a declared length; returns `None` at the end of the connection.
 pub(super) fn read_request(
     reader: &mut BufReader<&TcpStream>,
 ) -> io::Result<Option<ReceivedRequest>> {
-    let (mut id, mut target, mut length) = (None, None, 0);
+    let (mut id, mut target, mut last_event, mut length) = (None, None, None, 0);
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -127,6 +129,7 @@
         } else if let Some((name, value)) = line.split_once(':') {
             match name {
                 "request-id" => id = Some(value.trim().to_owned()),
+                "last-event-id" => last_event = value.trim().parse().ok(),
                 "content-length" => length = value.trim().parse().unwrap_or_default(),
                 _ => {}
             }
@@ -134,5 +137,5 @@
     }
     io::copy(&mut reader.take(length), &mut io::sink())?;
     let (id, target) = (id.unwrap_or_default(), target.unwrap_or_default());
-    Ok(Some(ReceivedRequest { id, target }))
+    Ok(Some(ReceivedRequest { id, target, last_event }))
 }
--- /dev/null
+++ b/crates/standins/src/site/scripted.rs
@@ -0,0 +1,171 @@
+//! Stand-in for a backend server that answers each request with scripted bytes.
+//!
+//! The bytes are written as they are, because no HTTP server library sends answers that are doubled,
+//! cut short or unframed.
+
+use std::io::{self, BufReader, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use rustix::net::sockopt;
+
+use super::repeater::read_request;
+use super::runner::event_data;
+use crate::http::lock;
+
+/// Time before a reset, in which the peer reads what was written; a reset discards the rest.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+
+/// One step of a script.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Writes the text, with `{id}` replaced by the id of the request and `{previous}` by that of the
+    /// request before it on the same connection.
+    Write(String),
+    /// Waits.
+    Pause(Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+impl Step {
+    /// Creates a step that writes `text`.
+    pub fn write(text: impl Into<String>) -> Self {
+        Self::Write(text.into())
+    }
+}
+
+/// Steps in answer to one request. The connection stays open after the last one, unless it closes or
+/// resets the connection.
+pub type Script = Vec<Step>;
+
+/// A request that the stand-in received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScriptedRequest {
+    /// Its id; empty if it has none.
+    pub id: String,
+    /// Number of its connection, from 0 in the order of their acceptance.
+    pub connection: usize,
+    /// Number of the last event that its sender has, if it resumes a stream.
+    pub last_event: Option<u64>,
+}
+
+/// The scripted backend server stand-in.
+#[derive(Debug)]
+pub struct ScriptedServer {
+    scripts: Vec<Script>,
+    received: Mutex<Vec<ScriptedRequest>>,
+}
+
+impl ScriptedServer {
+    /// Starts the stand-in on new threads; returns it and the bound address. Request number `n` over
+    /// all connections is answered by `scripts[n]`, and by the last script from then on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `scripts` is empty.
+    pub fn spawn(listen: SocketAddr, scripts: Vec<Script>) -> io::Result<(Arc<Self>, SocketAddr)> {
+        assert!(!scripts.is_empty(), "give at least one script");
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let server = Arc::new(Self { scripts, received: Mutex::default() });
+        let accepting = Arc::clone(&server);
+        thread::spawn(move || {
+            for (number, connection) in listener.incoming().flatten().enumerate() {
+                let serving = Arc::clone(&accepting);
+                // A connection ends with an error when the node closes it.
+                thread::spawn(move || drop(serving.serve(&connection, number)));
+            }
+        });
+        Ok((server, address))
+    }
+
+    /// Returns the requests received, in order of arrival.
+    pub fn received(&self) -> Vec<ScriptedRequest> {
+        lock(&self.received).clone()
+    }
+
+    fn serve(&self, connection: &TcpStream, number: usize) -> io::Result<()> {
+        let mut reader = BufReader::new(connection);
+        let mut previous = String::new();
+        while let Some(request) = read_request(&mut reader)? {
+            let script = {
+                let mut received = lock(&self.received);
+                let script = self.scripts.get(received.len()).or(self.scripts.last());
+                received.push(ScriptedRequest {
+                    id: request.id.clone(),
+                    connection: number,
+                    last_event: request.last_event,
+                });
+                script.cloned().unwrap_or_default()
+            };
+            for step in script {
+                match step {
+                    Step::Write(text) => {
+                        let text = text.replace("{id}", &request.id);
+                        let text = text.replace("{previous}", &previous);
+                        let mut writer = connection;
+                        writer.write_all(text.as_bytes())?;
+                    }
+                    Step::Pause(duration) => thread::sleep(duration),
+                    Step::Close => return connection.shutdown(Shutdown::Both),
+                    Step::Reset => {
+                        thread::sleep(RESET_DELAY);
+                        return Ok(sockopt::set_socket_linger(connection, Some(Duration::ZERO))?);
+                    }
+                }
+            }
+            previous = request.id;
+        }
+        Ok(())
+    }
+}
+
+/// Returns an answer with the given status line and body, framed by its length.
+#[must_use]
+pub fn answer(status: &str, fields: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nrequest-id: {{id}}\r\n{fields}content-length: {}\r\n\r\n{body}",
+        body.len(),
+    )
+}
+
+/// Returns the events `from` to `to` of a stream.
+#[must_use]
+pub fn events(from: u64, to: u64) -> String {
+    let event = |id| format!("id: {id}\ndata: {}\n\n", event_data(id));
+    (from..=to).map(event).collect()
+}
+
+/// Returns the head of a stream in chunks.
+#[must_use]
+pub fn chunked_stream_head() -> String {
+    format!("{}transfer-encoding: chunked\r\n\r\n", stream_head_fields())
+}
+
+/// Returns the head of a stream that ends with its connection.
+#[must_use]
+pub fn unframed_stream_head() -> String {
+    format!("{}connection: close\r\n\r\n", stream_head_fields())
+}
+
+fn stream_head_fields() -> &'static str {
+    "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: s\r\ncontent-type: text/event-stream\r\n"
+}
+
+/// Returns `text` as one chunk of a body.
+#[must_use]
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// End of a body in chunks.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
