Log how an answer was framed and which request it named

They did not say whether the head of a response was with the caller, how an answer was framed, whether it or a refusal named its request, nor on what kind of connection it came. event=answer_faulty, event=not_run and event=answered say so now, and faulty answers are counted by fault. The classification of heads moves from outbound.rs to inbound.rs, with its causes as an enum. No logic is changed.

--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -6,6 +6,7 @@
 use dandelionfront_coordination::moves::MoveCause;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
+use crate::front::request::AnswerFault;
 use crate::registry::MetricRegistry;
 
 /// Reason for a retry; also the label of the retry counter.
@@ -47,6 +48,7 @@
     registry: MetricRegistry,
     refusals: IntCounterVec,
     retries: IntCounterVec,
+    faulty_answers: IntCounterVec,
     session_moves: IntCounterVec,
     /// Turns of sessions whose previous turn this node sent too.
     pub session_turns: IntCounter,
@@ -128,6 +130,11 @@
         let metrics = Self {
             refusals: registry.counter_vec("refusals_total", "Refusals by reason", "reason"),
             retries: registry.counter_vec("retries_total", "Further attempts by reason", "reason"),
+            faulty_answers: registry.counter_vec(
+                "faulty_answers_total",
+                "Answers of backend servers that did not reach the caller whole, by fault",
+                "fault",
+            ),
             session_moves: registry.counter_vec(
                 "session_moves_total",
                 "Turns sent to another backend server than the turn before, by cause",
@@ -236,6 +243,11 @@
         self.retries.with_label_values(&[reason.label()]).inc();
     }
 
+    /// Counts an answer that did not reach the caller whole.
+    pub fn count_faulty_answer(&self, fault: AnswerFault) {
+        self.faulty_answers.with_label_values(&[fault.label()]).inc();
+    }
+
     /// Counts the earlier turns read for a turn.
     pub fn count_history_reads(&self, reads: HistoryReads) {
         let HistoryReads { own, node, store } = reads;
--- a/crates/daemon/src/front/request/announcements.rs
+++ b/crates/daemon/src/front/request/announcements.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use super::attempt::Attempts;
-use super::outbound::ResponseKind;
+use super::inbound::ResponseKind;
 
 impl Attempts<'_> {
     /// Records what `server` says of itself in an answer: whether it is leaving, and its limit.
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -19,7 +19,8 @@
 
 use super::admission::Admitted;
 use super::in_flight::InFlightGuard;
-use super::outbound::{self, ResponseKind};
+use super::inbound::{self, AnswerFault, AnswerHead, ResponseKind};
+use super::outbound;
 use super::{body, stream};
 use crate::front::connection::backend::{BackendConnection, SendOutcome};
 use crate::front::connection::ended;
@@ -366,17 +367,19 @@
         response: Response<Incoming>,
         sent_at: Instant,
     ) -> AttemptResult {
-        if let Some(seconds) = outbound::keep_alive_seconds(&response) {
+        if let Some(seconds) = inbound::keep_alive_seconds(&response) {
             connection.set_keep_alive(seconds);
         }
-        let kind = outbound::classify(&response, &self.admitted.context.id);
+        let head = AnswerHead::read(&response, &self.admitted.context.id);
+        let kind = inbound::classify(&response, head);
         self.note_announcements(server, &response, &kind);
         match kind {
             ResponseKind::NotRun(status) => {
                 log::info!(
-                    "event=not_run request={} server={} status={status}",
+                    "event=not_run request={} server={} {head} reused={}",
                     self.admitted.context.id,
                     server.id,
+                    connection.is_reused,
                 );
                 if status == StatusCode::MISDIRECTED_REQUEST {
                     self.record_failure(server, "other_server", "address used by another server");
@@ -389,15 +392,15 @@
                 }
                 Ok(None)
             }
-            ResponseKind::Invalid(cause) => {
+            ResponseKind::Invalid(fault) => {
                 self.mark_may_have_run(&server.id);
+                self.log_faulty_answer(responder, server, &connection, head, fault);
                 drop(connection);
-                self.handle_lost_attempt(server, cause, sent_at).await
+                self.handle_lost_attempt(server, &fault.to_string(), sent_at).await
             }
             ResponseKind::Valid => {
                 self.mark_may_have_run(&server.id);
-                let status = response.status();
-                let is_stream = status.is_success() && self.admitted.route.repeat.is_stream();
+                let is_stream = head.status.is_success() && self.admitted.route.repeat.is_stream();
                 let outcome = if is_stream {
                     stream::forward_events(self, responder, server, response).await
                 } else {
@@ -408,10 +411,12 @@
                         self.node.placement.borrow_mut().note_success(&server.id);
                         self.node.peers.note_completed(self.node, self.admitted.keys);
                         self.node.pool.put(server.address, connection);
-                        self.log_answered(server, status, sent_at);
+                        self.log_answered(server, head, sent_at);
                         Ok(Some(Ok(())))
                     }
                     ForwardOutcome::Incomplete(cause) => {
+                        let fault = AnswerFault::Incomplete;
+                        self.log_faulty_answer(responder, server, &connection, head, fault);
                         drop(connection);
                         self.handle_lost_attempt(server, &cause, sent_at).await
                     }
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod frames;
 mod in_flight;
+mod inbound;
 mod outbound;
 mod sent;
 mod stream;
@@ -17,6 +18,8 @@
 
 use dandelionfront_coordination::Refusal;
 
+pub use self::inbound::AnswerFault;
+
 use self::admission::{RefusedRequest, RequestLabels};
 use crate::front::connection::Responder;
 use crate::front::connection::caller::CallerRequest;
--- a/crates/daemon/src/front/request/sent.rs
+++ b/crates/daemon/src/front/request/sent.rs
@@ -5,12 +5,13 @@
 use dandelionfront_coordination::ranking::server_hash;
 use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_coordination::speed::slowdown;
-use http::StatusCode;
 
 use super::announcements::limit_text;
 use super::attempt::Attempts;
+use super::inbound::{AnswerFault, AnswerHead};
 use super::turn::RunningTurn;
 use crate::front::connection::backend::BackendConnection;
+use crate::front::connection::responder::Responder;
 
 impl Attempts<'_> {
     /// Records that an attempt is being sent.
@@ -78,14 +79,35 @@
         self.node.placement.borrow().limits().in_force(server_hash(&server.id), now)
     }
 
-    pub(super) fn log_answered(&self, server: &ServerEntry, status: StatusCode, sent_at: Instant) {
+    pub(super) fn log_answered(&self, server: &ServerEntry, head: AnswerHead, sent_at: Instant) {
         log::info!(
-            "event=answered request={} server={} status={} backend_ms={} total_ms={}",
+            "event=answered request={} server={} {head} backend_ms={} total_ms={}",
             self.admitted.context.id,
             server.id,
-            status.as_u16(),
             sent_at.elapsed().as_millis(),
             self.admitted.arrived_at.elapsed().as_millis(),
         );
     }
+
+    /// Records an answer that does not reach the caller, or of which only a part does.
+    pub(super) fn log_faulty_answer(
+        &self,
+        responder: &Responder<'_>,
+        server: &ServerEntry,
+        connection: &BackendConnection,
+        head: AnswerHead,
+        fault: AnswerFault,
+    ) {
+        self.node.metrics.count_faulty_answer(fault);
+        log::info!(
+            "event=answer_faulty request={} server={} fault={} {head} reused={} head_sent={} \
+             last_event={}",
+            self.admitted.context.id,
+            server.id,
+            fault.label(),
+            connection.is_reused,
+            responder.is_head_sent(),
+            self.last_event.map_or("-".to_owned(), |event| event.to_string()),
+        );
+    }
 }
