--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -6,24 +6,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use dandelionfront_coordination::crashes::{LostRequest, server_run};
 use dandelionfront_coordination::ids::BackendId;
 use dandelionfront_coordination::moves::LastServer;
 use dandelionfront_coordination::pauses::PauseCount;
 use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_coordination::streams::{ORIGIN_REFRESH, StreamOrigin};
 use dandelionfront_coordination::{Refusal, RefusalKind};
-use http::{Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
 use super::admission::Admitted;
 use super::in_flight::InFlightGuard;
-use super::inbound::{self, AnswerFault, AnswerHead, ResponseKind};
 use super::outbound;
-use super::{body, stream};
 use crate::front::connection::backend::{BackendConnection, SendOutcome};
-use crate::front::connection::ended;
 use crate::front::connection::responder::Responder;
 use crate::front::connection::tunnel;
 use crate::front::process::{FrontNode, RetryReason};
@@ -39,7 +33,7 @@
 /// Divisor of a request's remaining time; the quotient is the maximum wait for a busy service.
 const BUSY_WAIT_DIVISOR: u32 = 3;
 /// Minimum remaining time for sending a request; with less, no answer would arrive in time.
-const SEND_TIME_MIN: Duration = Duration::from_millis(5);
+pub(super) const SEND_TIME_MIN: Duration = Duration::from_millis(5);
 
 /// Reason why the caller did not get a complete answer from a backend server.
 pub enum Failure {
@@ -67,13 +61,13 @@
     /// them until the list is cleared.
     pub(super) excluded: Vec<BackendId>,
     /// Servers that answered that they did not run the request.
-    refused_by: Vec<BackendId>,
+    pub(super) refused_by: Vec<BackendId>,
     /// Servers that may have run the request, in the order of their first possible run.
     pub(super) may_have_run_on: Vec<BackendId>,
     /// Servers that ended while they may have run the request.
     pub(super) ended: Vec<BackendId>,
     /// Attempts that may have run and got no complete answer.
-    lost_count: u32,
+    pub(super) lost_count: u32,
     /// Id of the last event that the caller has received, initially from its `Last-Event-ID`.
     pub(super) last_event: Option<u64>,
     /// Time until which the request may wait for a busy service.
@@ -124,7 +118,7 @@
 }
 
 /// Result of one attempt: `Ok(None)` if another attempt follows; any other value ends the request.
-type AttemptResult = Result<Option<Result<(), Failure>>, Failure>;
+pub(super) type AttemptResult = Result<Option<Result<(), Failure>>, Failure>;
 
 impl Attempts<'_> {
     async fn attempt_once(&mut self, responder: &mut Responder<'_>) -> AttemptResult {
@@ -359,125 +353,6 @@
         opened
     }
 
-    async fn handle_response(
-        &mut self,
-        responder: &mut Responder<'_>,
-        server: &ServerEntry,
-        mut connection: BackendConnection,
-        response: Response<Incoming>,
-        sent_at: Instant,
-    ) -> AttemptResult {
-        if let Some(seconds) = inbound::keep_alive_seconds(&response) {
-            connection.set_keep_alive(seconds);
-        }
-        let head = AnswerHead::read(&response, &self.admitted.context.id);
-        let kind = inbound::classify(&response, head);
-        self.note_announcements(server, &response, &kind);
-        match kind {
-            ResponseKind::NotRun(status) => {
-                log::info!(
-                    "event=not_run request={} server={} {head} reused={}",
-                    self.admitted.context.id,
-                    server.id,
-                    connection.is_reused,
-                );
-                if status == StatusCode::MISDIRECTED_REQUEST {
-                    self.record_failure(server, "other_server", "address used by another server");
-                }
-                self.node.metrics.count_retry(RetryReason::BackendBusy);
-                self.excluded.push(server.id.clone());
-                self.refused_by.push(server.id.clone());
-                if body::discard(response).await {
-                    self.node.pool.put(server.address, connection);
-                }
-                Ok(None)
-            }
-            ResponseKind::Invalid(fault) => {
-                self.mark_may_have_run(&server.id);
-                self.log_faulty_answer(responder, server, &connection, head, fault);
-                drop(connection);
-                self.handle_lost_attempt(server, &fault.to_string(), sent_at).await
-            }
-            ResponseKind::Valid => {
-                self.mark_may_have_run(&server.id);
-                let is_stream = head.status.is_success() && self.admitted.route.repeat.is_stream();
-                let outcome = if is_stream {
-                    stream::forward_events(self, responder, server, response).await
-                } else {
-                    body::forward_body(self, responder, response).await
-                };
-                match outcome? {
-                    ForwardOutcome::Complete => {
-                        self.node.placement.borrow_mut().note_success(&server.id);
-                        self.node.peers.note_completed(self.node, self.admitted.keys);
-                        self.node.pool.put(server.address, connection);
-                        self.log_answered(server, head, sent_at);
-                        Ok(Some(Ok(())))
-                    }
-                    ForwardOutcome::Incomplete(cause) => {
-                        let fault = AnswerFault::Incomplete;
-                        self.log_faulty_answer(responder, server, &connection, head, fault);
-                        drop(connection);
-                        self.handle_lost_attempt(server, &cause, sent_at).await
-                    }
-                }
-            }
-        }
-    }
-
-    /// Retries or refuses after an attempt that may have run but got no complete answer.
-    async fn handle_lost_attempt(
-        &mut self,
-        server: &ServerEntry,
-        cause: &str,
-        sent_at: Instant,
-    ) -> AttemptResult {
-        self.record_failure(server, "answer", cause);
-        self.check_ended(server, sent_at).await;
-        let has_server_left = self.running_servers().count() < self.attempts_max()
-            || self.node.servers.borrow().ready_by_id(&server.id).is_some();
-        self.lost_count += 1;
-        let has_attempts_left = self.lost_count < LOST_ATTEMPTS_MAX && !self.may_be_deadly();
-        if self.admitted.route.repeat.may_repeat() && has_server_left && has_attempts_left {
-            self.node.metrics.count_retry(RetryReason::AttemptLost);
-            self.excluded.clear();
-            return Ok(None);
-        }
-        let message = format!("the backend server broke off ({cause}); check the effect first");
-        Err(Failure::Refused(Refusal::may_have_run(RefusalKind::BackendFailed, message)))
-    }
-
-    /// Finds out whether the process of a server that broke off has ended, and if so, reports the
-    /// request as lost.
-    async fn check_ended(&mut self, server: &ServerEntry, sent_at: Instant) {
-        let sent_before_ms = u32::try_from(sent_at.elapsed().as_millis()).unwrap_or(u32::MAX);
-        let time_left = self.admitted.deadline.saturating_duration_since(Instant::now());
-        if time_left < SEND_TIME_MIN || !ended::has_ended(self.node, server).await {
-            return;
-        }
-        log::info!(
-            "event=server_ended server={} address={} started_unix_ms={} request={} \
-             fingerprint={:016x} sent_before_ms={sent_before_ms}",
-            server.id,
-            server.address,
-            server.started_unix_ms,
-            self.admitted.context.id,
-            self.admitted.keys.exact,
-        );
-        self.node.note_server_ended(server);
-        self.ended.push(server.id.clone());
-        let request = self.admitted.keys;
-        let lost = LostRequest { server: server_run(server), request, age_ms: 0, sent_before_ms };
-        self.node.peers.note_lost(self.node, lost);
-    }
-
-    /// Returns whether servers ended with the request so often that only the caller may send it
-    /// again.
-    fn may_be_deadly(&self) -> bool {
-        let crashes = self.node.crashes.borrow().crashes(self.admitted.keys);
-        !self.ended.is_empty() && crashes >= CRASHES_BEFORE_CALLER_RETRIES
-    }
-
     /// Returns the servers that may have run the request and have not ended since, in the order of
     /// their first possible run.
     pub(super) fn running_servers(&self) -> impl Iterator<Item = &BackendId> {
@@ -489,14 +364,14 @@
         usize::try_from(self.admitted.route.attempts_max).unwrap_or(usize::MAX)
     }
 
-    fn mark_may_have_run(&mut self, server: &BackendId) {
+    pub(super) fn mark_may_have_run(&mut self, server: &BackendId) {
         self.admitted.limit_reservation.commit();
         if !self.may_have_run_on.contains(server) {
             self.may_have_run_on.push(server.clone());
         }
     }
 
-    fn record_failure(&self, server: &ServerEntry, step: &str, cause: &str) {
+    pub(super) fn record_failure(&self, server: &ServerEntry, step: &str, cause: &str) {
         let now = self.node.clock.monotonic_now();
         let pause = self.node.placement.borrow_mut().note_failure(&server.id, now);
         log::info!(
@@ -512,8 +387,3 @@
 
 /// `Retry-After` delay for callers when every server is busy.
 const BUSY_RETRY_AFTER_MS: u64 = 150;
-/// Number of lost attempts after which a request is refused even if it may run again.
-const LOST_ATTEMPTS_MAX: u32 = 4;
-/// Number of servers that must have ended with a request for a node to leave its retry to the
-/// caller, so that copies of a deadly request end fewer servers before all nodes refuse it.
-const CRASHES_BEFORE_CALLER_RETRIES: u32 = 2;
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -9,6 +9,7 @@
 mod in_flight;
 mod inbound;
 mod outbound;
+mod outcome;
 mod sent;
 mod stream;
 mod turn;
