Write no second head into a response that has begun

Cause: every answer that was no success went to forward_body, whatever the caller had received. After a stream that broke off, head and body of the next server's error were written into the chunked body. What has been sent to the caller was not part of what decides on an answer. Change: a response has a form, stream or body, from its head on. Only the events of a further answer continue a stream; an error in their place counts as a lost attempt, without blame on the server unless its status is 5xx. A body that has begun is never continued. The responder refuses to encode a second head, so that no other way to one is left.

--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -27,11 +27,20 @@
     Chunked,
 }
 
+/// Form of a response, which its head settles.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseForm {
+    /// An event stream, which the events of further answers may continue.
+    Stream,
+    /// A body, which belongs to a single answer.
+    Body,
+}
+
 /// Writes one response to a caller's connection.
 pub struct Responder<'a> {
     io: &'a Io,
     codec: &'a Codec,
-    is_head_sent: bool,
+    begun: Option<ResponseForm>,
     is_complete: bool,
     closes_connection: bool,
 }
@@ -40,7 +49,7 @@
     /// Creates a responder to the request that was last read from `io`.
     #[must_use]
     pub fn new(io: &'a Io, codec: &'a Codec) -> Self {
-        Self { io, codec, is_head_sent: false, is_complete: false, closes_connection: false }
+        Self { io, codec, begun: None, is_complete: false, closes_connection: false }
     }
 
     /// Announces in the response head that the connection closes after the response.
@@ -57,7 +66,13 @@
     /// Returns whether the response head was written to the connection's buffer.
     #[must_use]
     pub fn is_head_sent(&self) -> bool {
-        self.is_head_sent
+        self.begun.is_some()
+    }
+
+    /// Returns what the response has begun as; `None` until its head is sent.
+    #[must_use]
+    pub fn begun(&self) -> Option<ResponseForm> {
+        self.begun
     }
 
     /// Returns whether the complete response was written to the connection's buffer.
@@ -71,11 +86,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when the head cannot be encoded.
+    /// Fails when the head cannot be encoded or a head was already sent.
     pub fn send_head(
         &mut self,
         status: StatusCode,
         received: &HeaderMap,
+        form: ResponseForm,
         length: BodyLength,
     ) -> io::Result<()> {
         let connection =
@@ -89,10 +105,19 @@
                 response.headers_mut().append(name.clone(), value);
             }
         }
-        self.encode_head(response, length)
+        self.encode_head(response, form, length)
     }
 
-    fn encode_head(&mut self, mut response: Response<()>, length: BodyLength) -> io::Result<()> {
+    fn encode_head(
+        &mut self,
+        mut response: Response<()>,
+        form: ResponseForm,
+        length: BodyLength,
+    ) -> io::Result<()> {
+        // The caller would read a second head as a part of the body.
+        if self.begun.is_some() {
+            return Err(io::Error::other("the head of the response was already sent"));
+        }
         if self.closes_connection {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
@@ -101,7 +126,7 @@
             BodyLength::Known(bytes) => BodySize::Sized(bytes),
             BodyLength::Chunked => BodySize::Stream,
         };
-        self.is_head_sent = true;
+        self.begun = Some(form);
         self.io.encode(Message::Item((response, size)), self.codec).map_err(io::Error::other)
     }
 
@@ -134,7 +159,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed.
+    /// Fails when the connection is closed or a response head was already sent.
     pub async fn refuse(&mut self, request_id: &str, refusal: &Refusal) -> io::Result<()> {
         let status = StatusCode::from_u16(refusal.kind.http_status());
         let mut response =
@@ -151,7 +176,7 @@
             fields.insert(RETRY_AFTER, value);
         }
         let body = Bytes::from(refusal_json(refusal));
-        self.encode_head(response, BodyLength::Known(body.len() as u64))?;
+        self.encode_head(response, ResponseForm::Body, BodyLength::Known(body.len() as u64))?;
         self.send_chunk(body).await?;
         self.finish().await
     }
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -49,6 +49,8 @@
     Complete,
     /// The answer ended early or was invalid; holds the cause.
     Incomplete(String),
+    /// Nothing was sent to the caller, because the answer does not continue the begun response.
+    Unrelated,
 }
 
 /// State of a request across its attempts.
@@ -174,7 +176,7 @@
             }
             SendOutcome::Lost(cause) => {
                 self.mark_may_have_run(&server.id);
-                return self.handle_lost_attempt(&server, &cause, sent_at).await;
+                return self.handle_lost_attempt(responder, &server, &cause, sent_at).await;
             }
         };
         let result = self.handle_response(responder, &server, connection, response, sent_at).await;
--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::{Attempts, Failure, ForwardOutcome};
 use super::frames::next_chunk;
-use crate::front::connection::responder::{BodyLength, Responder};
+use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 
 /// Answers up to this size are read completely before anything is sent to the caller, so that a
 /// truncated answer can still be replaced by another attempt.
@@ -46,7 +46,7 @@
         if buffered.len() > BUFFERED_MAX_BYTES {
             if !is_chunked {
                 responder
-                    .send_head(head.status, &head.headers, BodyLength::Chunked)
+                    .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Chunked)
                     .map_err(Failure::CallerGone)?;
                 is_chunked = true;
             }
@@ -62,7 +62,7 @@
             _ => rest.len() as u64,
         };
         responder
-            .send_head(head.status, &head.headers, BodyLength::Known(length))
+            .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Known(length))
             .map_err(Failure::CallerGone)?;
     }
     send_rest(responder, rest).await?;
--- a/crates/daemon/src/front/request/inbound.rs
+++ b/crates/daemon/src/front/request/inbound.rs
@@ -33,6 +33,8 @@
     FalsePromise,
     /// Its body ended early, or not at all before the deadline.
     Incomplete,
+    /// It does not continue the stream that the caller has begun to receive.
+    Unrelated,
 }
 
 impl AnswerFault {
@@ -46,6 +48,7 @@
             Self::Unsigned => "unsigned",
             Self::FalsePromise => "false_promise",
             Self::Incomplete => "incomplete",
+            Self::Unrelated => "unrelated",
         }
     }
 }
@@ -59,6 +62,7 @@
             Self::Unsigned => "it bears no signature",
             Self::FalsePromise => "it promises what the backend server did not",
             Self::Incomplete => "it is incomplete",
+            Self::Unrelated => "it does not continue the stream",
         })
     }
 }
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -13,7 +13,7 @@
 use super::{body, stream};
 use crate::front::connection::backend::BackendConnection;
 use crate::front::connection::ended;
-use crate::front::connection::responder::Responder;
+use crate::front::connection::responder::{Responder, ResponseForm};
 use crate::front::process::RetryReason;
 
 /// Number of lost attempts after which a request is refused even if it may run again.
@@ -61,16 +61,11 @@
                 self.mark_may_have_run(&server.id);
                 self.log_faulty_answer(responder, server, &connection, head, fault);
                 drop(connection);
-                self.handle_lost_attempt(server, &fault.to_string(), sent_at).await
+                self.handle_lost_attempt(responder, server, &fault.to_string(), sent_at).await
             }
             ResponseKind::Valid => {
                 self.mark_may_have_run(&server.id);
-                let is_stream = head.status.is_success() && self.admitted.route.repeat.is_stream();
-                let outcome = if is_stream {
-                    stream::forward_events(self, responder, server, response).await
-                } else {
-                    body::forward_body(self, responder, response).await
-                };
+                let outcome = self.forward(responder, server, head, response).await;
                 match outcome? {
                     ForwardOutcome::Complete => {
                         self.node.placement.borrow_mut().note_success(&server.id);
@@ -83,27 +78,82 @@
                         let fault = AnswerFault::Incomplete;
                         self.log_faulty_answer(responder, server, &connection, head, fault);
                         drop(connection);
-                        self.handle_lost_attempt(server, &cause, sent_at).await
+                        self.handle_lost_attempt(responder, server, &cause, sent_at).await
+                    }
+                    ForwardOutcome::Unrelated => {
+                        let fault = AnswerFault::Unrelated;
+                        self.log_faulty_answer(responder, server, &connection, head, fault);
+                        drop(connection);
+                        self.handle_unrelated_answer(responder, server, head)
                     }
                 }
             }
         }
     }
 
+    /// Forwards a valid answer, unless the caller's response has begun as a stream and the answer
+    /// is not the rest of it.
+    async fn forward(
+        &mut self,
+        responder: &mut Responder<'_>,
+        server: &ServerEntry,
+        head: AnswerHead,
+        response: Response<Incoming>,
+    ) -> Result<ForwardOutcome, Failure> {
+        if head.status.is_success() && self.admitted.route.repeat.is_stream() {
+            stream::forward_events(self, responder, server, response).await
+        } else if responder.is_head_sent() {
+            Ok(ForwardOutcome::Unrelated)
+        } else {
+            body::forward_body(self, responder, response).await
+        }
+    }
+
     /// Retries or refuses after an attempt that may have run but got no complete answer.
     pub(super) async fn handle_lost_attempt(
         &mut self,
+        responder: &Responder<'_>,
         server: &ServerEntry,
         cause: &str,
         sent_at: Instant,
     ) -> AttemptResult {
         self.record_failure(server, "answer", cause);
         self.check_ended(server, sent_at).await;
+        self.retry_or_give_up(responder, server, cause)
+    }
+
+    /// Retries a stream, or gives it up, after an answer that does not continue it.
+    fn handle_unrelated_answer(
+        &mut self,
+        responder: &Responder<'_>,
+        server: &ServerEntry,
+        head: AnswerHead,
+    ) -> AttemptResult {
+        let cause = format!("it answered {} in place of the rest of the stream", head.status);
+        // Any other status says something of the request, not of the server.
+        if head.status.is_server_error() {
+            self.record_failure(server, "answer", &cause);
+        }
+        let result = self.retry_or_give_up(responder, server, &cause);
+        self.excluded.push(server.id.clone());
+        result
+    }
+
+    /// Lets another attempt follow an attempt that may have run, or returns its failure.
+    fn retry_or_give_up(
+        &mut self,
+        responder: &Responder<'_>,
+        server: &ServerEntry,
+        cause: &str,
+    ) -> AttemptResult {
         let has_server_left = self.running_servers().count() < self.attempts_max()
             || self.node.servers.borrow().ready_by_id(&server.id).is_some();
         self.lost_count += 1;
         let has_attempts_left = self.lost_count < LOST_ATTEMPTS_MAX && !self.may_be_deadly();
-        if self.admitted.route.repeat.may_repeat() && has_server_left && has_attempts_left {
+        // Only the events of a stream can be continued by another answer.
+        let is_replaceable = responder.begun() != Some(ResponseForm::Body);
+        let may_repeat = self.admitted.route.repeat.may_repeat() && is_replaceable;
+        if may_repeat && has_server_left && has_attempts_left {
             self.node.metrics.count_retry(RetryReason::AttemptLost);
             self.excluded.clear();
             return Ok(None);
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -12,7 +12,7 @@
 
 use super::attempt::{Attempts, Failure, ForwardOutcome};
 use super::frames::next_chunk;
-use crate::front::connection::responder::{BodyLength, Responder};
+use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 
 /// Time after which the caller, and not the server, determines the pace of a stream.
 const CALLER_DELAY_MAX: Duration = Duration::from_millis(5);
@@ -27,7 +27,7 @@
     let (head, mut body) = response.into_parts();
     if !responder.is_head_sent() {
         responder
-            .send_head(head.status, &head.headers, BodyLength::Chunked)
+            .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Chunked)
             .map_err(Failure::CallerGone)?;
     }
     let mut splitter = EventSplitter::default();
