Believe a refusal only if it names its request

Cause: classify took "not run" from any answer with the header, also from one that names no request, such as a second copy or a refusal written ahead of the answer on a kept connection. An id beside a foreign one was believed too. Change: every answer, refusals included, must name its request and no other; else the attempt may have run.

--- a/crates/daemon/src/front/request/inbound.rs
+++ b/crates/daemon/src/front/request/inbound.rs
@@ -72,7 +72,7 @@
 pub enum Echo {
     /// The request to which an answer is expected.
     Own,
-    /// Another request.
+    /// Another request, also beside its own.
     Other,
     /// None.
     Missing,
@@ -124,10 +124,13 @@
     /// Reads the head of an answer to the request with the given id.
     #[must_use]
     pub fn read(response: &Response<Incoming>, request_id: &str) -> Self {
-        let echo = match response.headers().get(headers::REQUEST_ID) {
-            None => Echo::Missing,
-            Some(echoed) if echoed.as_bytes() == request_id.as_bytes() => Echo::Own,
-            Some(_) => Echo::Other,
+        let mut echoed = response.headers().get_all(headers::REQUEST_ID).iter().peekable();
+        let echo = if echoed.peek().is_none() {
+            Echo::Missing
+        } else if echoed.all(|id| id.as_bytes() == request_id.as_bytes()) {
+            Echo::Own
+        } else {
+            Echo::Other
         };
         let body = response.body();
         let framing = if body.is_end_stream() || body.size_hint().exact().is_some() {
@@ -154,15 +157,15 @@
 pub fn classify(response: &Response<Incoming>, head: AnswerHead) -> ResponseKind {
     let fields = response.headers();
     let status = head.status;
-    if head.echo == Echo::Other {
-        return ResponseKind::Invalid(AnswerFault::OtherRequest);
+    // What names no request may have been sent for an earlier one, refusals included.
+    match head.echo {
+        Echo::Own => {}
+        Echo::Other => return ResponseKind::Invalid(AnswerFault::OtherRequest),
+        Echo::Missing => return ResponseKind::Invalid(AnswerFault::NoRequest),
     }
     if fields.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseKind::NotRun(status);
     }
-    if head.echo == Echo::Missing {
-        return ResponseKind::Invalid(AnswerFault::NoRequest);
-    }
     if fields.contains_key(header::CONTENT_ENCODING) {
         return ResponseKind::Invalid(AnswerFault::Encoded);
     }
--- a/crates/standins/src/site/runner.rs
+++ b/crates/standins/src/site/runner.rs
@@ -134,11 +134,13 @@
     if header("expect-instance") != runner.settings.id {
         let mut response = HttpResponse::build(ntex::http::StatusCode::MISDIRECTED_REQUEST);
         runner.announce(&mut response);
+        response.header("request-id", id);
         return response.header("instance-id", runner.settings.id.clone()).finish();
     }
     if runner.consume_fault(|faults| &mut faults.refuse) {
         let mut response = HttpResponse::ServiceUnavailable();
         runner.announce(&mut response);
+        response.header("request-id", id);
         return response.header("not-executed", "1").finish();
     }
     let path = request.uri().path_and_query().map_or("", |path| path.as_str());
