Retry a refused request at the same server on a new connection only

What callers may see: "not run" for a repeatable request or resumable stream that a server runs. Cause: such a request may go to the server that refused it again, on a kept connection, where a second copy of the refusal carries its own id. Requests that must not repeat already kept off (may_reuse); the same holds for all now. Price: a new connection for a request that comes back to a server that refused it.

--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -337,7 +337,7 @@
         let idle_max = if may_repeat { REPEATABLE_IDLE_MAX } else { AT_MOST_ONCE_IDLE_MAX };
         // On a reused connection, a second copy of the server's refusal could arrive and would be
         // taken for the answer to this attempt, because both carry the id of the request.
-        let may_reuse = may_repeat || !self.refused_by.contains(&server.id);
+        let may_reuse = !self.refused_by.contains(&server.id);
         if may_reuse && let Some(connection) = self.node.pool.take(server.address, idle_max) {
             return Ok(connection);
         }
