--- a/crates/daemon/src/front/request/inbound.rs
+++ b/crates/daemon/src/front/request/inbound.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use dandelionfront_platform::headers;
-use http::{Response, StatusCode, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
 
 /// Classification of a response by its head.
@@ -25,6 +25,8 @@
     OtherRequest,
     /// It names no request.
     NoRequest,
+    /// It is an interim response where only a final one is valid.
+    Interim,
     /// Its body is encoded.
     Encoded,
     /// It is a success without a signature.
@@ -44,6 +46,7 @@
         match self {
             Self::OtherRequest => "other_request",
             Self::NoRequest => "no_request",
+            Self::Interim => "interim",
             Self::Encoded => "encoded",
             Self::Unsigned => "unsigned",
             Self::FalsePromise => "false_promise",
@@ -58,6 +61,7 @@
         formatter.write_str(match self {
             Self::OtherRequest => "it names another request",
             Self::NoRequest => "it names no request",
+            Self::Interim => "it is an interim response",
             Self::Encoded => "its body is encoded",
             Self::Unsigned => "it bears no signature",
             Self::FalsePromise => "it promises what the backend server did not",
@@ -166,7 +170,11 @@
     if fields.contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseKind::NotRun(status);
     }
-    if fields.contains_key(header::CONTENT_ENCODING) {
+    // Only 101 gets here, and no request asks for another protocol.
+    if status.is_informational() {
+        return ResponseKind::Invalid(AnswerFault::Interim);
+    }
+    if fields.contains_key(header::CONTENT_ENCODING) || has_other_encoding_than_chunked(fields) {
         return ResponseKind::Invalid(AnswerFault::Encoded);
     }
     // Only the presence of the signature is checked.
@@ -181,6 +189,12 @@
     ResponseKind::Valid
 }
 
+/// Returns whether the `Transfer-Encoding` of a response names more than chunks.
+fn has_other_encoding_than_chunked(fields: &HeaderMap) -> bool {
+    let mut encodings = fields.get_all(header::TRANSFER_ENCODING).iter();
+    encodings.any(|value| !value.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Returns the idle timeout in seconds from the `Keep-Alive` header of a response.
 #[must_use]
 pub fn keep_alive_seconds(response: &Response<Incoming>) -> Option<u64> {
