Forward only events with an id

What callers saw in the tests that follow: the head of a second answer as an event, after the events of a stream that ends with its connection. Cause: a block of lines without an id passed as an event; only ids were checked, where there were any. Change: an event without an id breaks the attempt off, so that a resumable stream is resumed; comments still pass.

--- a/crates/coordination/src/events.rs
+++ b/crates/coordination/src/events.rs
@@ -13,6 +13,15 @@
     pub data: Vec<u8>,
 }
 
+impl StreamEvent {
+    /// Returns whether the event consists of comments and empty lines only, as sent to keep a
+    /// connection open.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        self.raw.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | b"\r" | [b':', ..]))
+    }
+}
+
 /// Maximum size of an incomplete event in the buffer; events of model engines are below 1 kB.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
 
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -81,21 +81,26 @@
     Ok(ForwardOutcome::Complete)
 }
 
-/// Forwards one event; the inner error is the cause if the event's id does not follow the last one.
+/// Forwards one event; the inner error is the cause if it is not the next one of the stream.
 async fn forward_event(
     attempts: &mut Attempts<'_>,
     responder: &mut Responder<'_>,
     server: &ServerEntry,
     event: StreamEvent,
 ) -> Result<Result<(), String>, Failure> {
-    if let Some(id) = event.id {
-        if let Some(last) = attempts.last_event
-            && id != last + 1
-        {
-            return Ok(Err(format!("event {id} follows event {last}")));
-        }
-        attempts.last_event = Some(id);
+    if event.is_comment() {
+        responder.send_chunk(Bytes::from(event.raw)).await.map_err(Failure::CallerGone)?;
+        return Ok(Ok(()));
+    }
+    let Some(id) = event.id else {
+        return Ok(Err("it sent an event without an id".to_owned()));
+    };
+    if let Some(last) = attempts.last_event
+        && id != last + 1
+    {
+        return Ok(Err(format!("event {id} follows event {last}")));
     }
+    attempts.last_event = Some(id);
     if !std::mem::replace(&mut attempts.has_forwarded_event, true) {
         let elapsed = attempts.admitted.arrived_at.elapsed();
         attempts.node.metrics.first_event_seconds.observe(elapsed.as_secs_f64());
