Take the end of an unframed answer for its end only if its server runs on

What callers saw in the tests that follow: a part of an answer without length and chunks, as a whole one, when its server's process ended: the system then closes the connections as the process does at the end of an answer. Change: before such an end is passed on, the server is probed as after a broken-off answer (the connection is kept for later requests); if nothing listens, the attempt is lost. An unframed stream without any event is broken off too. Not covered: a server that ends and listens again before the probe, and one that closes early while it runs; nothing in the protocol tells these apart (an end between two events counts as whole on the users' pages).

--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -1,12 +1,14 @@
 //! Forwards answers that are not event streams.
 
 use bytes::{Bytes, BytesMut};
+use dandelionfront_coordination::servers::ServerEntry;
 use http::{Method, Response};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 
 use super::attempt::{Attempts, Failure, ForwardOutcome};
-use super::frames::next_chunk;
+use super::frames::AnswerBody;
+use super::inbound::Framing;
 use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 
 /// Answers up to this size are read completely before anything is sent to the caller, so that a
@@ -31,13 +33,16 @@
 pub async fn forward_body(
     attempts: &mut Attempts<'_>,
     responder: &mut Responder<'_>,
+    server: &ServerEntry,
+    framing: Framing,
     response: Response<Incoming>,
 ) -> Result<ForwardOutcome, Failure> {
-    let (head, mut body) = response.into_parts();
+    let (head, incoming) = response.into_parts();
+    let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     let mut buffered = BytesMut::new();
     let mut is_chunked = false;
     loop {
-        let data = match next_chunk(&mut body, attempts.admitted.deadline).await {
+        let data = match body.next_chunk(attempts.node, server).await {
             Ok(Some(data)) => data,
             Ok(None) => break,
             Err(cause) => return Ok(ForwardOutcome::Incomplete(cause)),
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -101,11 +101,11 @@
         response: Response<Incoming>,
     ) -> Result<ForwardOutcome, Failure> {
         if head.status.is_success() && self.admitted.route.repeat.is_stream() {
-            stream::forward_events(self, responder, server, response).await
+            stream::forward_events(self, responder, server, head.framing, response).await
         } else if responder.is_head_sent() {
             Ok(ForwardOutcome::Unrelated)
         } else {
-            body::forward_body(self, responder, response).await
+            body::forward_body(self, responder, server, head.framing, response).await
         }
     }
 
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -11,7 +11,8 @@
 use hyper::body::Incoming;
 
 use super::attempt::{Attempts, Failure, ForwardOutcome};
-use super::frames::next_chunk;
+use super::frames::AnswerBody;
+use super::inbound::Framing;
 use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 
 /// Time after which the caller, and not the server, determines the pace of a stream.
@@ -22,9 +23,11 @@
     attempts: &mut Attempts<'_>,
     responder: &mut Responder<'_>,
     server: &ServerEntry,
+    framing: Framing,
     response: Response<Incoming>,
 ) -> Result<ForwardOutcome, Failure> {
-    let (head, mut body) = response.into_parts();
+    let (head, incoming) = response.into_parts();
+    let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     if !responder.is_head_sent() {
         responder
             .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Chunked)
@@ -37,7 +40,7 @@
         placement.load(server, attempts.node.clock.monotonic_now())
     };
     loop {
-        let data = match next_chunk(&mut body, attempts.admitted.deadline).await {
+        let data = match body.next_chunk(attempts.node, server).await {
             Ok(Some(data)) => data,
             Ok(None) => break,
             Err(cause) => return Ok(ForwardOutcome::Incomplete(cause)),
@@ -68,6 +71,9 @@
     if splitter.has_partial() {
         return Ok(ForwardOutcome::Incomplete("it ended within an event".to_owned()));
     }
+    if framing == Framing::Unframed && attempts.last_event.is_none() {
+        return Ok(ForwardOutcome::Incomplete("it ended without an event".to_owned()));
+    }
     let deadline = attempts.admitted.deadline;
     let named_server = attempts.may_sessions_stay().then(|| server.id.clone());
     if let Some(turn) = &mut attempts.admitted.turn
