Do not wait for the body of a refusal

A refused request waited until its deadline for a short declared body that never came, and was then refused although another server was free. The body is read beside the next attempt now, within a second, to keep the connection.

--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -1,32 +1,54 @@
 //! Forwards answers that are not event streams.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use dandelionfront_coordination::servers::ServerEntry;
 use http::{Method, Response};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use super::attempt::{Attempts, Failure, ForwardOutcome};
 use super::frames::AnswerBody;
 use super::inbound::Framing;
+use crate::front::connection::backend::BackendConnection;
 use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
+use crate::front::process::FrontNode;
 
 /// Answers up to this size are read completely before anything is sent to the caller, so that a
 /// truncated answer can still be replaced by another attempt.
 const BUFFERED_MAX_BYTES: usize = 256 * 1024;
+/// Maximum time for which a refusal's body is read to make its connection reusable.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a body that is read and discarded to make its connection reusable.
 const DISCARD_MAX_BYTES: u64 = 16 * 1024;
 
-/// Discards a short body; returns whether its end was reached, so that the connection is reusable.
-pub async fn discard(response: Response<Incoming>) -> bool {
+/// Discards the short body of a refusal and keeps the connection, without delaying the request's
+/// next attempt; closes the connection if the body is long or does not arrive soon.
+pub fn discard(
+    node: &Rc<FrontNode>,
+    address: SocketAddr,
+    connection: BackendConnection,
+    response: Response<Incoming>,
+) {
     let body = response.into_body();
     if body.is_end_stream() {
-        return true;
+        node.pool.put(address, connection);
+        return;
     }
-    match body.size_hint().exact() {
-        Some(bytes) if bytes <= DISCARD_MAX_BYTES => body.collect().await.is_ok(),
-        _ => false,
+    if body.size_hint().exact().is_none_or(|bytes| bytes > DISCARD_MAX_BYTES) {
+        return;
     }
+    let node = Rc::clone(node);
+    spawn_local(async move {
+        if let Ok(Ok(_)) = timeout(DISCARD_TIMEOUT, body.collect()).await {
+            node.pool.put(address, connection);
+        }
+    });
 }
 
 /// Forwards an answer once it is complete, or in large chunks if it exceeds `BUFFERED_MAX_BYTES`.
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -52,9 +52,7 @@
                 self.node.metrics.count_retry(RetryReason::BackendBusy);
                 self.excluded.push(server.id.clone());
                 self.refused_by.push(server.id.clone());
-                if body::discard(response).await {
-                    self.node.pool.put(server.address, connection);
-                }
+                body::discard(self.node, server.address, connection, response);
                 Ok(None)
             }
             ResponseKind::Invalid(fault) => {
