Let scripted servers repeat answers, answer early and end

A script can write its last answer once more (only on a connection that was used before), record that a request runs, answer before it reads the body, and close its address as a process that ends does. Several servers can share one order of scripts.

--- a/crates/standins/src/site/repeater.rs
+++ b/crates/standins/src/site/repeater.rs
@@ -104,17 +104,28 @@
 pub(super) struct ReceivedRequest {
     /// Its id; empty if it has none.
     pub(super) id: String,
+    /// Method, in lower case.
+    pub(super) method: String,
     /// Path and query, in lower case.
     pub(super) target: String,
     /// Id of the last event that its sender has, if it resumes a stream.
     pub(super) last_event: Option<u64>,
+    /// Length of its body, in bytes.
+    pub(super) length: u64,
 }
 
 /// Reads a request with a declared length; returns `None` at the end of the connection.
 pub(super) fn read_request(
     reader: &mut BufReader<&TcpStream>,
 ) -> io::Result<Option<ReceivedRequest>> {
-    let (mut id, mut target, mut last_event, mut length) = (None, None, None, 0);
+    let Some(request) = read_head(reader)? else { return Ok(None) };
+    io::copy(&mut reader.take(request.length), &mut io::sink())?;
+    Ok(Some(request))
+}
+
+/// Reads a request up to its body; returns `None` at the end of the connection.
+pub(super) fn read_head(reader: &mut BufReader<&TcpStream>) -> io::Result<Option<ReceivedRequest>> {
+    let (mut id, mut start, mut last_event, mut length) = (None, None, None, 0);
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -124,8 +135,9 @@
         if line.is_empty() {
             break;
         }
-        if target.is_none() {
-            target = Some(line.split(' ').nth(1).unwrap_or_default().to_owned());
+        if start.is_none() {
+            let mut words = line.split(' ').map(str::to_owned);
+            start = Some((words.next().unwrap_or_default(), words.next().unwrap_or_default()));
         } else if let Some((name, value)) = line.split_once(':') {
             match name {
                 "request-id" => id = Some(value.trim().to_owned()),
@@ -135,7 +147,6 @@
             }
         }
     }
-    io::copy(&mut reader.take(length), &mut io::sink())?;
-    let (id, target) = (id.unwrap_or_default(), target.unwrap_or_default());
-    Ok(Some(ReceivedRequest { id, target, last_event }))
+    let (id, (method, target)) = (id.unwrap_or_default(), start.unwrap_or_default());
+    Ok(Some(ReceivedRequest { id, method, target, last_event, length }))
 }
--- a/crates/standins/src/site/scripted.rs
+++ b/crates/standins/src/site/scripted.rs
@@ -3,15 +3,16 @@
 //! The bytes are written as they are, because no HTTP server library sends answers that are doubled,
 //! cut short or unframed.
 
-use std::io::{self, BufReader, Write as _};
+use std::io::{self, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
-use rustix::net::sockopt;
+use rustix::net::{self, sockopt};
 
-use super::repeater::read_request;
+use super::repeater::{ReceivedRequest, read_head};
 use super::runner::event_data;
 use crate::http::lock;
 
@@ -24,8 +25,17 @@
     /// Writes the text, with `{id}` replaced by the id of the request and `{previous}` by that of the
     /// request before it on the same connection.
     Write(String),
+    /// Writes once more what was written in answer to the request before it on the same connection;
+    /// nothing if there was none.
+    RepeatPrevious,
+    /// Reads the rest of the request. A script without this step begins when the request was read.
+    ReadBody,
+    /// Records that the request runs.
+    Run,
     /// Waits.
     Pause(Duration),
+    /// Closes the address, as when the process ends: new connections are refused.
+    StopListening,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -52,6 +62,8 @@
     pub connection: usize,
     /// Number of the last event that its sender has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Method and path.
+    pub line: String,
 }
 
 /// The scripted backend server stand-in.
@@ -59,6 +71,10 @@
 pub struct ScriptedServer {
     scripts: Vec<Script>,
     received: Mutex<Vec<ScriptedRequest>>,
+    run: Mutex<Vec<String>>,
+    bodies: Mutex<Vec<Vec<u8>>>,
+    finished: AtomicUsize,
+    connections: AtomicUsize,
 }
 
 impl ScriptedServer {
@@ -74,18 +90,38 @@
     /// Panics when `scripts` is empty.
     pub fn spawn(listen: SocketAddr, scripts: Vec<Script>) -> io::Result<(Arc<Self>, SocketAddr)> {
         assert!(!scripts.is_empty(), "give at least one script");
-        let listener = TcpListener::bind(listen)?;
+        let server = Arc::new(Self {
+            scripts,
+            received: Mutex::default(),
+            run: Mutex::default(),
+            bodies: Mutex::default(),
+            finished: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+        });
+        let address = server.listen(listen)?;
+        Ok((server, address))
+    }
+
+    /// Starts a further server, whose requests are answered in one order with those of the others;
+    /// returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn listen(self: &Arc<Self>, listen: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = Arc::new(TcpListener::bind(listen)?);
         let address = listener.local_addr()?;
-        let server = Arc::new(Self { scripts, received: Mutex::default() });
-        let accepting = Arc::clone(&server);
+        let accepting = Arc::clone(self);
         thread::spawn(move || {
-            for (number, connection) in listener.incoming().flatten().enumerate() {
-                let serving = Arc::clone(&accepting);
+            // Fails once the address is closed.
+            while let Ok((connection, _)) = listener.accept() {
+                let number = accepting.connections.fetch_add(1, Ordering::Relaxed);
+                let (serving, listener) = (Arc::clone(&accepting), Arc::clone(&listener));
                 // A connection ends with an error when the node closes it.
-                thread::spawn(move || drop(serving.serve(&connection, number)));
+                thread::spawn(move || drop(serving.serve(&connection, number, &listener)));
             }
         });
-        Ok((server, address))
+        Ok(address)
     }
 
     /// Returns the requests received, in order of arrival.
@@ -93,29 +129,54 @@
         lock(&self.received).clone()
     }
 
-    fn serve(&self, connection: &TcpStream, number: usize) -> io::Result<()> {
+    /// Returns the ids of the requests that ran, in order of execution.
+    pub fn executed(&self) -> Vec<String> {
+        lock(&self.run).clone()
+    }
+
+    /// Returns the bodies that were read, in the order of their ends.
+    pub fn bodies(&self) -> Vec<Vec<u8>> {
+        lock(&self.bodies).clone()
+    }
+
+    /// Returns the number of scripts of which every step was taken.
+    pub fn finished_count(&self) -> usize {
+        self.finished.load(Ordering::Relaxed)
+    }
+
+    fn serve(
+        &self,
+        connection: &TcpStream,
+        number: usize,
+        listener: &TcpListener,
+    ) -> io::Result<()> {
         let mut reader = BufReader::new(connection);
-        let mut previous = String::new();
-        while let Some(request) = read_request(&mut reader)? {
-            let script = {
-                let mut received = lock(&self.received);
-                let script = self.scripts.get(received.len()).or(self.scripts.last());
-                received.push(ScriptedRequest {
-                    id: request.id.clone(),
-                    connection: number,
-                    last_event: request.last_event,
-                });
-                script.cloned().unwrap_or_default()
-            };
+        let mut writer = connection;
+        let (mut previous, mut previous_text) = (String::new(), String::new());
+        while let Some(request) = read_head(&mut reader)? {
+            let script = self.receive(&request, number);
+            let mut is_body_read = !script.contains(&Step::ReadBody);
+            if is_body_read {
+                self.read_body(&mut reader, request.length)?;
+            }
+            let mut written = String::new();
             for step in script {
                 match step {
                     Step::Write(text) => {
                         let text = text.replace("{id}", &request.id);
                         let text = text.replace("{previous}", &previous);
-                        let mut writer = connection;
                         writer.write_all(text.as_bytes())?;
+                        written += &text;
+                    }
+                    Step::RepeatPrevious => writer.write_all(previous_text.as_bytes())?,
+                    Step::ReadBody if is_body_read => {}
+                    Step::ReadBody => {
+                        self.read_body(&mut reader, request.length)?;
+                        is_body_read = true;
                     }
+                    Step::Run => lock(&self.run).push(request.id.clone()),
                     Step::Pause(duration) => thread::sleep(duration),
+                    Step::StopListening => net::shutdown(listener, net::Shutdown::Both)?,
                     Step::Close => return connection.shutdown(Shutdown::Both),
                     Step::Reset => {
                         thread::sleep(RESET_DELAY);
@@ -123,10 +184,31 @@
                     }
                 }
             }
-            previous = request.id;
+            self.finished.fetch_add(1, Ordering::Relaxed);
+            (previous, previous_text) = (request.id, written);
         }
         Ok(())
     }
+
+    /// Records a request whose head was read; returns its script.
+    fn receive(&self, request: &ReceivedRequest, connection: usize) -> Script {
+        let mut received = lock(&self.received);
+        let script = self.scripts.get(received.len()).or(self.scripts.last());
+        received.push(ScriptedRequest {
+            id: request.id.clone(),
+            connection,
+            last_event: request.last_event,
+            line: format!("{} {}", request.method, request.target),
+        });
+        script.cloned().unwrap_or_default()
+    }
+
+    fn read_body(&self, reader: &mut BufReader<&TcpStream>, length: u64) -> io::Result<()> {
+        let mut body = Vec::new();
+        reader.take(length).read_to_end(&mut body)?;
+        lock(&self.bodies).push(body);
+        Ok(())
+    }
 }
 
 /// Returns an answer with the given status line and body, framed by its length.
