--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub mod http;
 pub mod process;
 pub mod raw;
+pub mod scripted;
 pub mod site;
--- /dev/null
+++ b/crates/daemon/tests/unframed_streams.rs
@@ -0,0 +1,78 @@
+//! Streams without length and chunks, which end with their connection.
+
+mod support;
+
+use dandelionfront_standins::site::scripted::{events, unframed_stream_head};
+use dandelionfront_standins::site::{Script, Step};
+use support::raw::RawAnswer;
+use support::scripted::{ScriptedSite, whole};
+use support::site::EVENTS_PER_STREAM;
+
+/// Path of a stream that may be resumed.
+const RESUMABLE: &str = "/stream/talk/a";
+/// Path of a stream that must run once.
+const ONCE: &str = "/stream/kept/a";
+
+/// Returns an execution that writes `body` as a stream, and then takes the steps of `end`.
+fn run(body: &str, end: &[Step]) -> Script {
+    [&[Step::Run, Step::Write(unframed_stream_head() + body)], end].concat()
+}
+
+fn run_after(last: u64) -> Script {
+    run(&events(last + 1, EVENTS_PER_STREAM), &[Step::Close])
+}
+
+fn whole_stream() -> RawAnswer {
+    whole(events(1, EVENTS_PER_STREAM))
+}
+
+/// Sends streams of which a server breaks off the first one after event `last`, and checks that they
+/// are resumed by another server, or end as broken off if they must run once.
+async fn assert_broken_off_after(last: u64, begun: Script) {
+    let scripts = vec![begun, run_after(last)];
+    let scripted = ScriptedSite::start("geo", 2, scripts.clone()).await;
+    let reply = scripted.receive("POST", RESUMABLE, "r-1").await;
+    assert_eq!(reply, whole_stream());
+    let scripted = ScriptedSite::start("geo", 2, scripts).await;
+    let reply = scripted.receive("POST", ONCE, "r-1").await;
+    if let RawAnswer::BrokenOff { body, .. } = &reply {
+        assert_eq!(*body, events(1, last));
+    } else {
+        let told = (last, reply.status(), reply.run());
+        assert_eq!(told, (0, Some(502), Some("unknown".to_owned())), "{reply:?}");
+    }
+    assert_eq!(scripted.runs("r-1"), 1);
+}
+
+/// Guards against refusing a stream because it ends with its connection.
+#[ntex::test]
+async fn unframed_stream_is_whole() {
+    for path in [RESUMABLE, ONCE] {
+        let scripted = ScriptedSite::start("geo", 2, vec![run_after(0)]).await;
+        for id in ["r-0", "r-1"] {
+            assert_eq!(scripted.receive("POST", path, id).await, whole_stream());
+            assert_eq!(scripted.runs(id), 1);
+        }
+    }
+}
+
+/// Guards against a stream that ends inside an event as a whole one.
+#[ntex::test]
+async fn unframed_stream_that_ends_inside_an_event_is_broken_off() {
+    let third = events(3, 3);
+    for end in 1..third.len() {
+        // Covers the field names, the values and the line ends of the event.
+        if end % 3 == 0 || end + 2 > third.len() {
+            let begun = events(1, 2) + &third[..end];
+            assert_broken_off_after(2, run(&begun, &[Step::Close])).await;
+        }
+    }
+}
+
+/// Guards against taking the reset of a connection for the end of a stream.
+#[ntex::test]
+async fn unframed_stream_whose_connection_is_reset_is_broken_off() {
+    for last in [0, 2] {
+        assert_broken_off_after(last, run(&events(1, last), &[Step::Reset])).await;
+    }
+}
