Show that a refusal without an id is believed

Fails on the code before: a server runs a request that must run once and writes a refusal (503, 429 or 421) that names no request before its answer. Cause: classify() looks for the refusal before it misses the id.

--- a/crates/daemon/tests/cut_streams.rs
+++ b/crates/daemon/tests/cut_streams.rs
@@ -106,6 +106,23 @@
     }
 }
 
+/// Guards against a stream that runs twice, or whose caller is told that it did not run, on the word of
+/// a refusal that names no request.
+#[ntex::test]
+async fn refusal_of_a_stream_that_names_no_request_is_not_believed() {
+    for is_last in [false, true] {
+        let mut scripts =
+            vec![vec![Step::Run, Step::Write(refusal("")), Step::Write(stream_after(0))]];
+        if !is_last {
+            scripts.push(run_after(0));
+        }
+        let scripted = ScriptedSite::start("geo", 2, scripts).await;
+        let reply = scripted.receive("POST", ONCE, "r-1").await;
+        scripted.assert_honest("r-1", &reply, &whole_stream());
+        assert_eq!(scripted.runs("r-1"), 1);
+    }
+}
+
 /// Guards against taking a copy of the refusal of a resumed stream for a promise that it does not run.
 #[ntex::test]
 async fn resumed_stream_meets_a_copy_of_its_own_refusal() {
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -173,6 +173,22 @@
     }
 }
 
+/// Guards against "not run" on the word of a refusal that names no request, on a new connection.
+#[ntex::test]
+async fn refusal_that_names_no_request_is_not_believed() {
+    for early in refusals("") {
+        assert_not_believed(&early, false).await;
+    }
+}
+
+/// Guards against "not run" on the word of a refusal that names no request, on a kept connection.
+#[ntex::test]
+async fn refusal_that_names_no_request_is_not_believed_on_a_kept_connection() {
+    for early in refusals("") {
+        assert_not_believed(&early, true).await;
+    }
+}
+
 /// Returns the answer to `id` as its server writes it.
 fn answer_to(id: &str) -> String {
     own_answer().replace("{id}", id)
