--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -189,6 +189,34 @@
     }
 }
 
+/// Guards against taking an answer that names two requests for the own.
+#[ntex::test]
+async fn early_answer_that_names_two_requests_is_not_believed() {
+    for fields in
+        ["request-id: r-1\r\nrequest-id: r-9\r\n", "request-id: r-9\r\nrequest-id: r-1\r\n"]
+    {
+        for early in answers(fields) {
+            for is_kept in [false, true] {
+                assert_not_believed(&early, is_kept).await;
+            }
+        }
+    }
+}
+
+/// Guards against "not run" on the word of a refusal that names two requests.
+#[ntex::test]
+async fn refusal_that_names_two_requests_is_not_believed() {
+    for fields in
+        ["request-id: r-1\r\nrequest-id: r-9\r\n", "request-id: r-9\r\nrequest-id: r-1\r\n"]
+    {
+        for early in refusals(fields) {
+            for is_kept in [false, true] {
+                assert_not_believed(&early, is_kept).await;
+            }
+        }
+    }
+}
+
 /// Returns the answer to `id` as its server writes it.
 fn answer_to(id: &str) -> String {
     own_answer().replace("{id}", id)
