Show that copies of its own refusal hide that a request ran

Fails on the code before: a server refuses a repeatable request, and on the kept connection runs the next attempt, writes the refusal once more and closes. Cause: connect() avoids the kept connection only for requests that must run once.

--- a/crates/daemon/tests/cut_streams.rs
+++ b/crates/daemon/tests/cut_streams.rs
@@ -136,6 +136,21 @@
     assert_eq!(reply, whole_stream());
 }
 
+/// Guards against telling the caller of a stream that it did not run, because each further attempt
+/// meets a second copy of the refusal of the one before.
+#[ntex::test]
+async fn copies_of_its_own_refusal_do_not_hide_that_a_stream_ran() {
+    let refused = vec![Step::Write(refusal("request-id: {id}\r\n"))];
+    let again = vec![Step::Run, Step::RepeatPrevious, Step::Close];
+    // The copies go on for longer than a request waits for a busy service.
+    let scripts = std::iter::repeat_n([refused, again], 500).flatten().collect();
+    let scripted = ScriptedSite::start("geo", 1, scripts).await;
+    let reply = scripted.receive("POST", RESUMABLE, "r-1").await;
+    if !matches!(reply, RawAnswer::BrokenOff { .. }) {
+        scripted.assert_honest("r-1", &reply, &whole_stream());
+    }
+}
+
 /// Guards against a stream whose head was cut, at any point, as a stream without events.
 #[ntex::test]
 async fn stream_whose_head_is_cut_anywhere_is_not_whole() {
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -217,6 +217,23 @@
     }
 }
 
+/// Guards against telling the caller of a repeatable request that it did not run, because each further
+/// attempt meets a second copy of the refusal of the one before.
+#[ntex::test]
+async fn copies_of_its_own_refusal_do_not_hide_that_a_request_ran() {
+    let (method, path) = REPEATABLE;
+    for refusal in refusals("request-id: {id}\r\n") {
+        for end in [Step::Write(own_answer()), Step::Close] {
+            let again = vec![Step::Run, Step::RepeatPrevious, end];
+            // The copies go on for longer than a request waits for a busy service.
+            let scripts = std::iter::repeat_n([vec![Step::write(&refusal)], again], 500);
+            let scripted = ScriptedSite::start("desk", 1, scripts.flatten().collect()).await;
+            let reply = scripted.receive(method, path, "r-1").await;
+            scripted.assert_honest("r-1", &reply, &whole("r-1"));
+        }
+    }
+}
+
 /// Returns the answer to `id` as its server writes it.
 fn answer_to(id: &str) -> String {
     own_answer().replace("{id}", id)
