Show that a second answer is written into a large one

Fails on the code before: a repeatable request gets 300 KB of an answer that breaks off, and the head of the next server's 200 lies in the chunked body ("a chunk's size can't be read: HTTP/1.1 200 OK"). On a route of streams, a broken-off 500 of 300 KB is followed by events 1 to 4 and ends as a whole answer with status 500.

--- a/crates/daemon/tests/cut_streams.rs
+++ b/crates/daemon/tests/cut_streams.rs
@@ -15,6 +15,8 @@
 const RESUMABLE: &str = "/stream/talk/a";
 /// Path of a stream that must run once.
 const ONCE: &str = "/stream/kept/a";
+/// Size of a body of which the node forwards the begin before it has read the end.
+const LARGE_BYTES: usize = 300 * 1024;
 
 fn stream_after(last: u64) -> String {
     let rest = events(last + 1, EVENTS_PER_STREAM);
@@ -235,3 +237,21 @@
         assert_eq!(reply.body().replace(": wait\n\n", ""), events(1, EVENTS_PER_STREAM));
     }
 }
+
+/// Guards against a stream in the body of a large error that broke off.
+#[ntex::test]
+async fn large_error_that_broke_off_is_not_continued_by_a_stream() {
+    let large = "a".repeat(LARGE_BYTES);
+    let head = "HTTP/1.1 500 Internal Server Error\r\nrequest-id: {id}\r\n";
+    let sized = format!("{head}content-length: {}\r\n\r\n{large}", 2 * LARGE_BYTES);
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n{}", chunk(&large));
+    for begun in [sized, chunked] {
+        let scripted = ScriptedSite::start("geo", 1, vec![cut(begun), run_after(0)]).await;
+        let reply = scripted.receive("POST", RESUMABLE, "r-1").await;
+        if reply != whole_stream() {
+            let shown = format!("{reply:?}").replace(&large, "aaa...");
+            assert!(matches!(reply, RawAnswer::BrokenOff { status: Some(500), .. }), "{shown}");
+            assert!(reply.body().bytes().all(|byte| byte == b'a'), "{shown}");
+        }
+    }
+}
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use dandelionfront_standins::site::scripted::answer;
+use dandelionfront_standins::site::scripted::{answer, chunk};
 use dandelionfront_standins::site::{Script, Step};
 use serde_json::json;
 use support::http::eventually;
@@ -17,6 +17,8 @@
 const ONCE: (&str, &str) = ("POST", "/plain/x");
 /// Method and path of a request that may run again.
 const REPEATABLE: (&str, &str) = ("GET", "/lookup/x");
+/// Size of a body of which the node forwards the begin before it has read the end.
+const LARGE_BYTES: usize = 300 * 1024;
 
 /// Returns the steps of an execution that is answered with the id of the request as body.
 fn run() -> Script {
@@ -362,6 +364,25 @@
     assert_eq!(reply, whole("r-1"));
 }
 
+/// Guards against the head of a second answer in the body of a large one that broke off.
+#[ntex::test]
+async fn large_answer_that_broke_off_is_not_continued_by_another() {
+    let large = "a".repeat(LARGE_BYTES);
+    let sized = ok(&format!("content-length: {}\r\n", 2 * LARGE_BYTES)) + &large;
+    let chunked = ok("transfer-encoding: chunked\r\n") + &chunk(&large);
+    let error = answer("500 Internal Server Error", "", "broken");
+    for begun in [sized, chunked] {
+        for next in [run(), vec![Step::Run, Step::Write(error.clone())]] {
+            let scripts = vec![cut(&begun), next.clone()];
+            let scripted = ScriptedSite::start("desk", 1, scripts).await;
+            let reply = scripted.receive(REPEATABLE.0, REPEATABLE.1, "r-1").await;
+            let shown = format!("{reply:?}").replace(&large, "aaa...");
+            assert!(matches!(reply, RawAnswer::BrokenOff { status: Some(200), .. }), "{shown}");
+            assert!(reply.body().bytes().all(|byte| byte == b'a'), "{shown}");
+        }
+    }
+}
+
 /// Guards against other bytes where a server still reads the body of a request that it has answered.
 #[ntex::test]
 async fn next_request_begins_after_the_body_that_was_answered_early() {
