Show that a second answer goes into an unframed stream

Fails on the code before: the head of a second answer, after the last event or between two events, reaches the caller as an event without an id, and in the second case the stream ends as whole. An event without an id between events with ids is forwarded too (a chunked stream, five events).

--- a/crates/daemon/tests/cut_streams.rs
+++ b/crates/daemon/tests/cut_streams.rs
@@ -224,6 +224,16 @@
     }
 }
 
+/// Guards against an event without an id, of which nothing shows that it is the stream's own, between
+/// events with ids.
+#[ntex::test]
+async fn event_without_an_id_among_events_with_ids_is_not_forwarded() {
+    let other = "data: token-9\n\n";
+    let between = events(1, 2) + other + &events(3, EVENTS_PER_STREAM);
+    let body = chunk(&between) + LAST_CHUNK;
+    assert_broken_off_after(2, &(chunked_stream_head() + &body)).await;
+}
+
 /// Guards against dropping comments, with which servers keep a connection open.
 #[ntex::test]
 async fn comment_among_events_does_not_break_a_stream_off() {
--- a/crates/daemon/tests/unframed_streams.rs
+++ b/crates/daemon/tests/unframed_streams.rs
@@ -76,3 +76,29 @@
         assert_broken_off_after(last, run(&events(1, last), &[Step::Reset])).await;
     }
 }
+
+/// Guards against the head of a second answer and the events of its body in a caller's stream.
+#[ntex::test]
+async fn second_answer_after_an_unframed_stream_does_not_reach_the_caller() {
+    let error = "HTTP/1.1 500 Internal Server Error\r\nrequest-id: {id}\r\ncontent-length: 6\r\n\r\n\
+                 broken";
+    let last = events(1, EVENTS_PER_STREAM);
+    let copy = unframed_stream_head() + &last;
+    for second in [copy, unframed_stream_head() + "data: x\n\n", error.to_owned()] {
+        for path in [RESUMABLE, ONCE] {
+            let scripts =
+                vec![run(&(last.clone() + &second), &[Step::Close]), run_after(EVENTS_PER_STREAM)];
+            let scripted = ScriptedSite::start("geo", 2, scripts).await;
+            let reply = scripted.receive("POST", path, "r-1").await;
+            assert_eq!(reply.body(), last, "{second}: {reply:?}");
+            assert_eq!(reply.status(), Some(200));
+        }
+    }
+}
+
+/// Guards against a stream that goes on after the head of a second answer in its middle.
+#[ntex::test]
+async fn second_answer_within_an_unframed_stream_breaks_it_off() {
+    let second = unframed_stream_head() + &events(3, EVENTS_PER_STREAM);
+    assert_broken_off_after(2, run(&(events(1, 2) + &second), &[Step::Close])).await;
+}
