--- a/crates/daemon/tests/unframed_streams.rs
+++ b/crates/daemon/tests/unframed_streams.rs
@@ -77,6 +77,22 @@
     }
 }
 
+/// Guards against a stream that ends between two events because its server's process ended, as a
+/// whole one.
+#[ntex::test]
+async fn unframed_stream_of_a_server_that_ended_is_broken_off() {
+    let end = [Step::StopListening, Step::Close];
+    for last in [1, 3] {
+        assert_broken_off_after(last, run(&events(1, last), &end)).await;
+    }
+}
+
+/// Guards against a stream without any event as a whole one.
+#[ntex::test]
+async fn unframed_stream_without_events_is_broken_off() {
+    assert_broken_off_after(0, run("", &[Step::Close])).await;
+}
+
 /// Guards against the head of a second answer and the events of its body in a caller's stream.
 #[ntex::test]
 async fn second_answer_after_an_unframed_stream_does_not_reach_the_caller() {
