Show that a stream may begin with a later event

Fails on the code before: a stream without last-event-id begins with event 2 and ends as a whole 200 with events 2 to 4. It holds only if event ids begin with 1, as those of the stand-in do.

--- a/crates/daemon/tests/cut_streams.rs
+++ b/crates/daemon/tests/cut_streams.rs
@@ -224,6 +224,13 @@
     }
 }
 
+/// Guards against a stream that does not begin with its first event.
+#[ntex::test]
+async fn stream_that_begins_with_a_later_event_is_broken_off() {
+    let body = chunk(&events(2, EVENTS_PER_STREAM)) + LAST_CHUNK;
+    assert_broken_off_after(0, &(chunked_stream_head() + &body)).await;
+}
+
 /// Guards against an event without an id, of which nothing shows that it is the stream's own, between
 /// events with ids.
 #[ntex::test]
