Show that a silent refusal holds up a request

Fails on the code before: a refusal declares nine bytes that never arrive, and a request with another server at hand gets 503 not_run ("no backend server could take the request in time") after its deadline. Cause: discard() waits for the body without a limit.

--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -17,6 +17,8 @@
 const ONCE: (&str, &str) = ("POST", "/plain/x");
 /// Method and path of a request that may run again.
 const REPEATABLE: (&str, &str) = ("GET", "/lookup/x");
+/// Time for which a server stays silent, longer than any deadline of the tests.
+const LONGER_THAN_DEADLINE: Duration = Duration::from_secs(6);
 /// Size of a body of which the node forwards the begin before it has read the end.
 const LARGE_BYTES: usize = 300 * 1024;
 
@@ -397,6 +399,20 @@
     }
 }
 
+/// Guards against waiting for a refusal's body, so that the request does not reach another server
+/// before its deadline.
+#[ntex::test]
+async fn refusal_whose_body_never_arrives_does_not_hold_up_a_request() {
+    let refusal = refusal("503 Service Unavailable", "not-executed: 1\r\nrequest-id: {id}\r\n");
+    let refusal = refusal.replace("content-length: 0", "content-length: 9");
+    for (method, path) in [ONCE, REPEATABLE] {
+        let silent = vec![Step::write(&refusal), Step::Pause(LONGER_THAN_DEADLINE), Step::Close];
+        let scripted = ScriptedSite::start("desk", 2, vec![silent, run()]).await;
+        assert_eq!(scripted.receive(method, path, "r-1").await, whole("r-1"));
+        assert_eq!(scripted.runs("r-1"), 1);
+    }
+}
+
 /// Guards against other bytes where a server still reads the body of a request that it has answered.
 #[ntex::test]
 async fn next_request_begins_after_the_body_that_was_answered_early() {
