Show that odd framings and status 101 pass as answers

Fails on the code before: "transfer-encoding: gzip, chunked" gives a whole 200 with the coded bytes as they came, and 101 gives the caller a broken-off answer with status 101 instead of 502.

--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -326,6 +326,23 @@
     }
 }
 
+/// Guards against forwarding a compressed body as if it were plain.
+#[ntex::test]
+async fn answer_with_a_compressed_transfer_is_no_answer() {
+    let chunks = chunk("short") + "0\r\n\r\n";
+    assert_no_answer(&(ok("transfer-encoding: gzip, chunked\r\n") + &chunks)).await;
+    assert_no_answer(&(ok("transfer-encoding: gzip\r\n") + "short")).await;
+}
+
+/// Guards against forwarding a change of protocols for which no caller asked.
+#[ntex::test]
+async fn change_of_protocols_is_no_answer() {
+    for fields in ["", "connection: upgrade\r\nupgrade: other\r\n"] {
+        let text = "HTTP/1.1 101 Switching Protocols\r\nrequest-id: {id}\r\n".to_owned() + fields;
+        assert_no_answer(&(text + "\r\n")).await;
+    }
+}
+
 /// Guards against bytes after an answer without a body that become part of it or of the next one.
 #[ntex::test]
 async fn bytes_after_an_answer_without_body_reach_no_caller() {
