Reset tunnels whose node is killed

Callers of a node that is cut off from the backend servers saw an answer without length or chunks, or an event stream, end as if it were whole when the node that held its tunnel was killed in the middle of it. A part of a turn was stored as its whole output.

Cause: a tunnel was reset only when forwarding failed. When the process ends, the system closes its connections in order, and to the other node the end of the connection is the end of an unframed answer.

Both connections of a tunnel are now reset on close for as long as bytes are forwarded, and close in order only after both ends have closed.

Ruled out by reading: bytes of one tunnel that reach another request (each request opens a tunnel of its own, which the pool never takes back), and a reset passed on as an end (reset_reaches_the_cut_off_node_as_a_reset).

--- a/crates/daemon/src/front/connection/tunnel_server.rs
+++ b/crates/daemon/src/front/connection/tunnel_server.rs
@@ -82,8 +82,10 @@
     StatusCode::OK
 }
 
-/// Forwards bytes in both directions until both ends have closed; resets both connections if one
-/// fails, because an answer that ends with its connection would otherwise look complete.
+/// Forwards bytes in both directions until both ends have closed.
+///
+/// Any other end resets both connections, the end of this process too, because an answer that ends
+/// with its connection would otherwise look complete.
 async fn forward(
     upgraded: Upgraded,
     mut server: TcpStream,
@@ -95,17 +97,28 @@
         return;
     };
     let mut peer = parts.io.into_inner();
+    for stream in [&peer, &server] {
+        set_reset_on_close(stream, address, true);
+    }
     let result = match server.write_all(&parts.read_buf).await {
         Ok(()) => copy_bidirectional(&mut peer, &mut server).await.map(drop),
         Err(error) => Err(error),
     };
-    if let Err(error) = result {
-        log::debug!("event=tunnel_ended address={address} cause=\"{error}\"");
-        for stream in [&peer, &server] {
-            let reset = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
-            if let Err(error) = reset {
-                log::warn!("event=tunnel_not_reset address={address} cause=\"{error}\"");
+    match result {
+        Ok(()) => {
+            for stream in [&peer, &server] {
+                set_reset_on_close(stream, address, false);
             }
         }
+        Err(error) => log::debug!("event=tunnel_ended address={address} cause=\"{error}\""),
+    }
+}
+
+/// Sets whether the system resets a connection when its socket is closed, as it is when the process
+/// is killed, or sends what is left and closes in order.
+fn set_reset_on_close(stream: &TcpStream, address: SocketAddr, is_reset: bool) {
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(error) = sockopt::set_socket_linger(stream, linger) {
+        log::warn!("event=tunnel_linger_not_set address={address} cause=\"{error}\"");
     }
 }
--- a/crates/daemon/tests/stranded.rs
+++ b/crates/daemon/tests/stranded.rs
@@ -3,12 +3,21 @@
 mod support;
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
-use dandelionfront_standins::site::{FaultyAnswer, FaultyServer};
+use dandelionfront_standins::site::scripted::{events, unframed_stream_head};
+use dandelionfront_standins::site::{FaultyAnswer, FaultyServer, Script, ScriptedServer, Step};
 use serde_json::{Value, json};
 use support::http::eventually;
+use support::raw::RawAnswer;
 use support::site::{Call, EVENTS_PER_STREAM, Site, SiteRunner, free_address};
 
+/// Time for which a server that has sent a part of an answer keeps its connection open; longer than
+/// any request.
+const KEPT_OPEN: Duration = Duration::from_secs(30);
+
 /// Two nodes that know each other, each with a store of its own, so that the first can be cut off:
 /// its store names addresses at which nobody listens.
 struct Cut {
@@ -56,6 +65,28 @@
         self.neighbour.recorded_requests(servers).await
     }
 
+    /// Replaces the servers of `service` with a scripted one that only the neighbour reaches.
+    async fn start_scripted(&self, service: &str, script: Script) -> Arc<ScriptedServer> {
+        let any_port = "127.0.0.1:0".parse().expect("valid");
+        let (server, address) = ScriptedServer::spawn(any_port, vec![script]).expect("starts");
+        let addresses: [(&Site, SocketAddr); 2] =
+            [(&self.neighbour, address), (&self.stranded, free_address())];
+        for (site, address) in addresses {
+            // Both sites list the servers under the ids of `self.stranded`.
+            let engines = self.stranded.engines.iter().map(|server| ("geo", server));
+            let services = self.stranded.services.iter().map(|server| ("desk", server));
+            for (_, server) in engines.chain(services).filter(|(known, _)| *known == service) {
+                site.put_row("servers", &server.id, None).await;
+            }
+            site.put_server("scripted", &address.to_string(), service, "ready").await;
+            eventually("the node has the new list of servers", async || {
+                site.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
+            })
+            .await;
+        }
+        server
+    }
+
     /// Replaces the engines of both nodes with one that takes half a second for each event.
     async fn start_slow_engine(&self) -> SiteRunner {
         let engine = self.neighbour.start_engine(500).await;
@@ -148,6 +179,35 @@
     assert!(!matches!(answer, Ok((200, _))), "{answer:?}");
 }
 
+/// Guards against an unframed answer that looks complete although the node between was killed, whose
+/// kernel closes its connections in order.
+#[ntex::test]
+async fn answer_through_a_node_that_is_killed_does_not_look_complete() {
+    let answer_head = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: s\r\n\r\n";
+    // The node that is cut off passes on a part of a large answer.
+    let large_part = answer_head.to_owned() + &"part ".repeat(100_000);
+    let stream_part = unframed_stream_head() + &events(1, 2);
+    for (service, path, part, arrived) in [
+        ("desk", "/plain/x", large_part, "part "),
+        ("geo", "/stream/kept/1", stream_part, "token-2\n\n"),
+    ] {
+        let mut cut = Cut::start().await;
+        let script = vec![Step::Write(part), Step::Pause(KEPT_OPEN)];
+        let server = cut.start_scripted(service, script).await;
+        let call = Call { id: "killed", path, ..Call::default() };
+        let begun = cut.stranded.receive_raw_until(0, &call, arrived).await;
+        assert_eq!(server.received().len(), 1);
+        cut.neighbour.nodes[0].process.kill();
+        let answer = begun.finish().await;
+        assert!(matches!(answer, RawAnswer::BrokenOff { .. }), "{path}: looks complete");
+        let headers = [("previous-turn", "killed")];
+        let call =
+            Call { id: "next", path: "/stream/kept/1", headers: &headers, ..Call::default() };
+        let reply = cut.stranded.send(0, &call).await.expect("the node answers");
+        assert_eq!((reply.status, reply.kind()), (404, "turn_unknown".to_owned()));
+    }
+}
+
 /// Guards against a planned stop that cuts requests of another node.
 #[ntex::test]
 async fn planned_stop_of_the_node_between_cuts_no_stream() {
--- a/crates/daemon/tests/support/raw.rs
+++ b/crates/daemon/tests/support/raw.rs
@@ -103,9 +103,35 @@
     }
 }
 
+/// An answer of which the beginning has arrived.
+pub struct BegunAnswer {
+    connection: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl BegunAnswer {
+    /// Reads the rest of the answer.
+    pub async fn finish(mut self) -> RawAnswer {
+        let received = ntex::rt::spawn_blocking(move || {
+            let is_reset = read_rest(&mut self.connection, &mut self.bytes)?;
+            io::Result::Ok(RawAnswer::parse(&self.bytes, is_reset))
+        });
+        received.await.expect("no panic").expect("the connection ends")
+    }
+}
+
 impl Site {
     /// Sends a request to a node on a connection of its own, and reads until the connection ends.
     pub async fn receive_raw(&self, node: usize, call: &Call<'_>) -> RawAnswer {
+        self.receive_raw_until(node, call, "").await.finish().await
+    }
+
+    /// Sends a request to a node on a connection of its own, and reads until `part` has arrived.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the connection ends before.
+    pub async fn receive_raw_until(&self, node: usize, call: &Call<'_>, part: &str) -> BegunAnswer {
         let mut request = format!("{} {} HTTP/1.1\r\nhost: {HOST}\r\n", call.method, call.path);
         let fixed = [
             ("request-id", call.id),
@@ -118,23 +144,32 @@
         }
         let length = call.body.len();
         write!(request, "content-length: {length}\r\n\r\n{}", call.body).expect("a string");
-        let address = self.nodes[node].listen.clone();
-        let received = ntex::rt::spawn_blocking(move || exchange(&address, &request));
-        let (bytes, is_reset) = received.await.expect("no panic").expect("the node listens");
-        RawAnswer::parse(&bytes, is_reset)
+        let (address, part) = (self.nodes[node].listen.clone(), part.to_owned());
+        let begun = ntex::rt::spawn_blocking(move || begin_exchange(&address, &request, &part));
+        begun.await.expect("no panic").expect("the node answers")
     }
 }
 
-/// Sends `request` and returns the bytes that arrive until the connection ends, and whether it was
-/// reset.
-fn exchange(address: &str, request: &str) -> io::Result<(Vec<u8>, bool)> {
+/// Sends `request` and reads until `part` has arrived.
+fn begin_exchange(address: &str, request: &str, part: &str) -> io::Result<BegunAnswer> {
     let mut connection = TcpStream::connect(address)?;
     connection.set_read_timeout(Some(READ_TIMEOUT))?;
     connection.write_all(request.as_bytes())?;
-    let mut bytes = Vec::new();
-    match connection.read_to_end(&mut bytes) {
-        Ok(_) => Ok((bytes, false)),
-        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Ok((bytes, true)),
+    let (mut bytes, mut buffer) = (Vec::new(), [0; 8 * 1024]);
+    while !String::from_utf8_lossy(&bytes).contains(part) {
+        match connection.read(&mut buffer)? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            length => bytes.extend_from_slice(&buffer[..length]),
+        }
+    }
+    Ok(BegunAnswer { connection, bytes })
+}
+
+/// Reads the bytes that arrive until the connection ends; returns whether it was reset.
+fn read_rest(connection: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<bool> {
+    match connection.read_to_end(bytes) {
+        Ok(_) => Ok(false),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Ok(true),
         Err(error) => Err(error),
     }
 }
