Test several requests on one connection of a caller

After a refusal sent before the body was read (declared length, chunks, faulty chunk, long head, faulty field, two framings, two lengths), two whole requests in the rest of the bytes do not run and are not answered. Seven pipelined requests are answered in order, each with its own id. Nothing follows the head of an answer to HEAD, nor of 204 and 304, before the next answer. After a chunked answer that was broken off there is no last chunk and no next answer.

--- /dev/null
+++ b/crates/daemon/tests/one_connection.rs
@@ -0,0 +1,189 @@
+//! Several requests on one connection of a caller.
+
+mod support;
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use dandelionfront_standins::site::scripted::{chunk, chunked_stream_head, events};
+use dandelionfront_standins::site::{Script, ScriptedServer, Step};
+use support::site::{ALPHA_KEY, Site};
+
+/// Longest wait for the next bytes.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum size of a body in the configuration of the tests.
+const BODY_MAX_BYTES: usize = 65_536;
+
+/// Returns the head of a request.
+fn head(method: &str, path: &str, version: &str, id: &str, fields: &str) -> String {
+    format!(
+        "{method} {path} {version}\r\nhost: calls.example\r\nrequest-id: {id}\r\nkey: {ALPHA_KEY}\r\n\
+         deadline-ms: 4000\r\n{fields}\r\n"
+    )
+}
+
+/// Returns the head of the last request on a connection.
+fn last_head(method: &str, path: &str, id: &str) -> String {
+    head(method, path, "HTTP/1.1", id, "connection: close\r\n")
+}
+
+/// Sends bytes on a new connection; returns what arrives until it ends, and whether it was reset.
+async fn exchange(site: &Site, bytes: String) -> (String, bool) {
+    let address = site.nodes[0].listen.clone();
+    let received = ntex::rt::spawn_blocking(move || {
+        let mut connection = TcpStream::connect(address).expect("the node listens");
+        connection.set_read_timeout(Some(READ_TIMEOUT)).expect("valid");
+        connection.write_all(bytes.as_bytes()).expect("written");
+        let mut received = Vec::new();
+        let is_reset = match connection.read_to_end(&mut received) {
+            Ok(_) => false,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => true,
+            Err(error) => panic!("{error}"),
+        };
+        (String::from_utf8_lossy(&received).into_owned(), is_reset)
+    });
+    received.await.expect("no panic")
+}
+
+/// Takes an answer without a body off `text`; returns its head in lower case.
+fn take_head(text: &mut &str) -> String {
+    let (head, rest) = text.split_once("\r\n\r\n").expect("a head");
+    assert!(head.starts_with("HTTP/1."), "{head}");
+    *text = rest;
+    head.to_ascii_lowercase()
+}
+
+/// Takes an answer framed by its length off `text`; returns its head and body.
+fn take_answer(text: &mut &str) -> (String, String) {
+    let head = take_head(text);
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.expect("a length").parse().expect("a number");
+    let (body, rest) = text.split_at(length);
+    *text = rest;
+    (head, body.to_owned())
+}
+
+async fn start_scripted(service: &str, scripts: Vec<Script>) -> Site {
+    let site = Site::start(1).await;
+    let any_port = "127.0.0.1:0".parse().expect("valid");
+    let (_, address) = ScriptedServer::spawn(any_port, scripts).expect("starts");
+    site.replace_servers(service, &[address]).await;
+    site
+}
+
+/// Returns the answer of a server with additional fields and what follows its head.
+fn sealed(status: &str, rest: &str) -> Script {
+    let head = format!("HTTP/1.1 {status}\r\nrequest-id: {{id}}\r\nserver-seal: s\r\n{rest}");
+    vec![Step::Write(head)]
+}
+
+/// Guards against taking the rest of a refused request for a request of its own.
+#[ntex::test]
+async fn rest_of_a_refused_request_is_never_a_request() {
+    let site = Site::start(1).await;
+    let smuggled = head("POST", "/plain/x", "HTTP/1.1", "smuggled", "content-length: 0\r\n");
+    let padding = "x".repeat(BODY_MAX_BYTES + 1);
+    let too_long = format!("content-length: {}\r\n", BODY_MAX_BYTES + smuggled.len());
+    let refused = [
+        head("POST", "/plain/x", "HTTP/1.1", "declared", &too_long),
+        head("POST", "/plain/x", "HTTP/1.1", "chunks", "transfer-encoding: chunked\r\n")
+            + &chunk(&padding),
+        head("POST", "/plain/x", "HTTP/1.1", "faulty", "transfer-encoding: chunked\r\n") + "zz\r\n",
+        head("POST", "/plain/x", "HTTP/1.1", "head", &format!("x-more: {padding}\r\n")),
+        head("POST", "/plain/x", "HTTP/1.1", "field", "faulty field\r\n"),
+        head(
+            "POST",
+            "/plain/x",
+            "HTTP/1.1",
+            "two-framings",
+            "content-length: 4\r\ntransfer-encoding: chunked\r\n",
+        ),
+        head(
+            "POST",
+            "/plain/x",
+            "HTTP/1.1",
+            "two-lengths",
+            "content-length: 4\r\ncontent-length: 0\r\n",
+        ),
+    ];
+    for begin in refused {
+        let (received, _) = exchange(&site, begin.clone() + &smuggled + &smuggled).await;
+        let begin = &begin[..begin.len().min(200)];
+        // A reset may discard the refusal, but nothing else may be answered.
+        assert!(
+            received.lines().filter(|line| line.starts_with("HTTP/1.1 ")).count() <= 1,
+            "{begin}: {received}"
+        );
+        assert!(received.is_empty() || received.starts_with("HTTP/1.1 4"), "{begin}: {received}");
+    }
+    assert!(site.recorded_requests(&site.services).await.is_empty(), "a request ran");
+}
+
+/// Guards against answers to pipelined requests that come out of order or run into each other.
+#[ntex::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let site = Site::start(1).await;
+    let mut requests = String::new();
+    for number in 0..6 {
+        let id = format!("p-{number}");
+        requests += &match number % 3 {
+            0 => head("POST", "/plain/x", "HTTP/1.1", &id, "content-length: 2\r\n") + "in",
+            1 => head("GET", "/lookup/x", "HTTP/1.1", &id, ""),
+            _ => head("GET", "/unknown/x", "HTTP/1.1", &id, ""),
+        };
+    }
+    let (received, is_reset) =
+        exchange(&site, requests + &last_head("GET", "/lookup/x", "p-6")).await;
+    let mut rest = received.as_str();
+    for number in 0..=6 {
+        let (head, body) = take_answer(&mut rest);
+        assert!(head.contains(&format!("request-id: p-{number}")), "{head}");
+        assert_eq!(head.contains(" 200 "), number % 3 != 2, "{head}: {body}");
+    }
+    assert_eq!((rest, is_reset), ("", false));
+}
+
+/// Guards against bytes after the head of an answer that has no body, which a caller would take for
+/// its next answer.
+#[ntex::test]
+async fn nothing_follows_the_head_of_an_answer_without_a_body() {
+    let next = sealed("200 OK", "content-length: 4\r\n\r\nnext");
+    for (method, status, fields) in [
+        ("HEAD", "200 OK", "content-length: 10\r\n"),
+        ("HEAD", "200 OK", "content-length: 400000\r\n"),
+        ("HEAD", "200 OK", "transfer-encoding: chunked\r\n"),
+        ("HEAD", "500 Internal Server Error", "content-length: 10\r\n"),
+        ("GET", "204 No Content", ""),
+        ("GET", "204 No Content", "content-length: 0\r\n"),
+        ("GET", "304 Not Modified", "content-length: 10\r\n"),
+        ("GET", "304 Not Modified", ""),
+    ] {
+        let scripts = vec![sealed(status, &format!("{fields}\r\n")), next.clone()];
+        let site = start_scripted("desk", scripts).await;
+        let requests = head(method, "/lookup/x", "HTTP/1.1", "first", "")
+            + &last_head("GET", "/lookup/x", "second");
+        let (received, is_reset) = exchange(&site, requests).await;
+        let mut rest = received.as_str();
+        let first = take_head(&mut rest);
+        assert!(first.starts_with(&format!("http/1.1 {}", &status[..3])), "{received}");
+        assert!(first.contains("request-id: first"), "{first}");
+        let (second, body) = take_answer(&mut rest);
+        assert!(second.contains("request-id: second"), "{second}");
+        assert_eq!((body.as_str(), rest, is_reset), ("next", "", false), "{method} {status}");
+    }
+}
+
+/// Guards against a request that is read from a connection whose last answer was broken off.
+#[ntex::test]
+async fn no_answer_follows_one_that_was_broken_off() {
+    let begin = chunked_stream_head() + &chunk(&events(1, 2));
+    let site = start_scripted("geo", vec![vec![Step::Write(begin), Step::Close]]).await;
+    let requests = head("POST", "/stream/kept/1", "HTTP/1.1", "first", "content-length: 0\r\n")
+        + &last_head("GET", "/lookup/x", "second");
+    let (received, _) = exchange(&site, requests).await;
+    // Without a last chunk, the caller can tell the part from a whole body.
+    assert!(received.contains("token-2") && !received.contains("\r\n0\r\n"), "{received}");
+    assert!(!received.contains("second"), "{received}");
+    assert!(site.recorded_requests(&site.services).await.is_empty(), "the next request ran");
+}
