Show chunks for HTTP/1.0 callers and a forwarded 101

Three tests that fail: a caller of HTTP/1.0 gets `transfer-encoding: chunked` and the sizes of chunks in its body; its broken-off stream ends with an orderly close, not a reset (io.terminate() closes in order if no bytes are unread); a server's `101 Switching Protocols` is passed on as the answer, with `transfer-encoding: chunked`, which callers take for an interim one.

Not mended here: the framing is in responder.rs, the 101 in outbound.rs.

--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use dandelionfront_standins::site::scripted::{chunk, chunked_stream_head, events};
+use dandelionfront_standins::site::scripted::{LAST_CHUNK, chunk, chunked_stream_head, events};
 use dandelionfront_standins::site::{Script, ScriptedServer, Step};
 use support::site::{ALPHA_KEY, Site};
 
@@ -187,3 +187,35 @@
     assert!(!received.contains("second"), "{received}");
     assert!(site.recorded_requests(&site.services).await.is_empty(), "the next request ran");
 }
+
+/// Guards against framing in the body of an answer to an HTTP/1.0 caller, which knows no chunks.
+#[ntex::test]
+async fn stream_to_an_http_1_0_caller_ends_with_its_connection() {
+    let whole = chunk(&events(1, 4)) + LAST_CHUNK;
+    let site = start_scripted("geo", vec![vec![Step::Write(chunked_stream_head() + &whole)]]).await;
+    let request = head("POST", "/stream/talk/1", "HTTP/1.0", "old", "content-length: 0\r\n");
+    let (received, is_reset) = exchange(&site, request).await;
+    let mut rest = received.as_str();
+    let head = take_head(&mut rest);
+    assert!(!head.contains("transfer-encoding"), "{head}");
+    assert_eq!((rest, is_reset), (events(1, 4).as_str(), false));
+}
+
+/// Guards against an answer to an HTTP/1.0 caller that looks complete although it was broken off.
+#[ntex::test]
+async fn broken_off_stream_to_an_http_1_0_caller_is_reset() {
+    let begin = chunked_stream_head() + &chunk(&events(1, 2));
+    let site = start_scripted("geo", vec![vec![Step::Write(begin), Step::Close]]).await;
+    let request = head("POST", "/stream/kept/1", "HTTP/1.0", "old", "content-length: 0\r\n");
+    let (received, is_reset) = exchange(&site, request).await;
+    assert!(is_reset, "{received}");
+}
+
+/// Guards against a final answer that callers take for an interim one, after which they wait for
+/// another or take the next one.
+#[ntex::test]
+async fn switch_of_protocols_is_no_answer() {
+    let site = start_scripted("desk", vec![sealed("101 Switching Protocols", "\r\n")]).await;
+    let (received, _) = exchange(&site, last_head("POST", "/plain/x", "switch")).await;
+    assert!(received.starts_with("HTTP/1.1 502 "), "{received}");
+}
