Send each request to a backend server on a connection of its own

Callers of the own interface saw: "not run" (503) for model calls that the engine ran, after one refusal whose second copy came late; a 200 with an empty body for a service's answer that has no length and ends with its connection, also if that was reset in its middle; a 200 with the short body of an HTTP/1.0 answer that was cut; a 103 as the final answer.

The cause: the client for engines kept connections, and answers of engines name no request, so a second copy was taken for the next answer. The client takes an HTTP/1.1 answer without a length for an empty one, counts the end of an HTTP/1.0 connection as the end of any body, and takes an interim answer for the final one. Ruled out: cut heads, lengths and chunks of HTTP/1.1, which were errors before, and bytes after a framed answer.

Requests to engines and services now go over a connection each, by hyper, which ends an unframed body only at an orderly end of its connection. An id to be echoed was weighed: it needs every server to follow and does not help with the other faults. The body of a rejection is read within the idle time; it had no limit in time.

--- a/crates/daemon/src/backend/engine.rs
+++ b/crates/daemon/src/backend/engine.rs
@@ -3,15 +3,19 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind};
 use eventsource_stream::Eventsource as _;
 use futures_util::StreamExt as _;
-use ntex::client::{Client, ClientResponse};
+use http::header::CONTENT_TYPE;
+use http::{Method, Request, Response};
+use http_body_util::{BodyDataStream, BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
 use ntex::time::timeout;
 
 use super::chat::CompletionAssembler;
 use super::{BackendAnswer, BackendError};
-use crate::connection::clients::proves_not_sent;
+use crate::connection::exchange::{self, ExchangeError};
 use crate::consts::{DEADLINE_HEADER, JSON, PRIORITY_HEADER, PROGRAM_ID_HEADER, REQUEST_ID_HEADER};
 
 /// Data of the last event of a stream.
@@ -67,51 +71,83 @@
 /// Model engine that is called over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpEngine {
-    client: Client,
-    base_url: String,
+    address: String,
     idle_timeout: Duration,
 }
 
 impl HttpEngine {
     /// Creates a client; `idle_timeout` limits the wait for a response and for each chunk.
     #[must_use]
-    pub fn new(client: Client, address: &str, idle_timeout: Duration) -> Self {
-        Self { client, base_url: format!("http://{address}"), idle_timeout }
+    pub fn new(address: &str, idle_timeout: Duration) -> Self {
+        Self { address: address.to_owned(), idle_timeout }
     }
 
-    async fn start(&self, call: &EngineCall) -> Result<ClientResponse, BackendError> {
-        let deadline_ms = self.idle_timeout.as_millis().to_string();
-        let request = self
-            .client
-            .post(format!("{}/v1/chat/completions", self.base_url))
-            .content_type(JSON)
-            .header(REQUEST_ID_HEADER, call.request_id.as_str())
-            .header(PROGRAM_ID_HEADER, call.program.as_str())
-            .header(PRIORITY_HEADER, call.priority.to_string())
-            .header(DEADLINE_HEADER, deadline_ms);
-        match timeout(self.idle_timeout, request.send_body(call.body.clone())).await {
-            Ok(Ok(response)) => check_status(response).await,
-            Ok(Err(error)) if proves_not_sent(&error) => Err(not_run("cannot be reached")),
-            Ok(Err(_)) => Err(lost("closed the connection")),
+    async fn start(&self, call: &EngineCall) -> Result<Response<Incoming>, BackendError> {
+        let request = Request::post("/v1/chat/completions")
+            .header(CONTENT_TYPE, JSON)
+            .header(REQUEST_ID_HEADER, &call.request_id)
+            .header(PROGRAM_ID_HEADER, &call.program)
+            .header(PRIORITY_HEADER, call.priority)
+            .header(DEADLINE_HEADER, self.idle_timeout.as_millis().to_string())
+            .body(Full::new(Bytes::from(call.body.clone())))
+            .map_err(|_| not_run("cannot be reached"))?;
+        match timeout(self.idle_timeout, exchange::send(&self.address, request)).await {
+            Ok(Ok(response)) => self.check_status(response).await,
+            Ok(Err(ExchangeError::NotSent)) => Err(not_run("cannot be reached")),
+            Ok(Err(ExchangeError::Lost)) => Err(lost("closed the connection")),
             Err(()) => Err(lost("did not answer in time")),
         }
     }
 
     /// Requests the stream again, starting after the chunks already received.
-    async fn resume(&self, call: &EngineCall, received_chunks: usize) -> Option<ClientResponse> {
-        let url =
-            format!("{}/v1/requests/{}?offset={received_chunks}", self.base_url, call.request_id);
-        let response = timeout(self.idle_timeout, self.client.get(url).send()).await.ok()?.ok()?;
-        response.status().is_success().then_some(response)
+    async fn resume(
+        &self,
+        call: &EngineCall,
+        received_chunks: usize,
+    ) -> Option<Response<Incoming>> {
+        let path = format!("/v1/requests/{}?offset={received_chunks}", call.request_id);
+        self.send_empty(Method::GET, &path).await
+    }
+
+    /// Sends a request without a body; returns the response if it reports success.
+    async fn send_empty(&self, method: Method, path: &str) -> Option<Response<Incoming>> {
+        let request = Request::builder().method(method).uri(path).body(Full::default()).ok()?;
+        let sent = timeout(self.idle_timeout, exchange::send(&self.address, request)).await;
+        sent.ok()?.ok().filter(|response| response.status().is_success())
+    }
+
+    async fn check_status(
+        &self,
+        response: Response<Incoming>,
+    ) -> Result<Response<Incoming>, BackendError> {
+        const DETAIL_MAX_BYTES: usize = 4096;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        if status.as_u16() == 503 || status.as_u16() == 429 {
+            return Err(not_run("is overloaded"));
+        }
+        if !status.is_client_error() {
+            return Err(lost("failed"));
+        }
+        let body = Limited::new(response.into_body(), DETAIL_MAX_BYTES).collect();
+        let body = timeout(self.idle_timeout, body).await.ok().and_then(Result::ok);
+        let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+        let detail = String::from_utf8_lossy(&body);
+        Err(BackendError::NotRun(Refusal::not_run(
+            RefusalKind::InvalidRequest,
+            format!("the engine rejected the request with status {status}: {detail}"),
+        )))
     }
 
     /// Reads chunks until the stream ends; returns whether it ended with [`DONE`].
     async fn read_chunks(
         &self,
-        response: &ClientResponse,
+        response: Response<Incoming>,
         state: &mut StreamState<'_>,
     ) -> Result<bool, BackendError> {
-        let mut events = response.take_payload().eventsource();
+        let mut events = BodyDataStream::new(response.into_body()).eventsource();
         loop {
             match timeout(self.idle_timeout, events.next()).await {
                 Ok(Some(Ok(event))) if event.data == DONE => return Ok(true),
@@ -147,7 +183,7 @@
         let mut response = self.start(call).await?;
         let mut state = StreamState { assembler: CompletionAssembler::default(), chunks: 0, sink };
         let mut resumes = 0;
-        while !self.read_chunks(&response, &mut state).await? {
+        while !self.read_chunks(response, &mut state).await? {
             resumes += 1;
             if resumes > RESUMES_MAX {
                 return Err(lost("cut the stream too often"));
@@ -169,35 +205,13 @@
     }
 
     async fn cancel(&self, request_id: &str) {
-        let url = format!("{}/v1/requests/{request_id}", self.base_url);
-        let _ = timeout(self.idle_timeout, self.client.delete(url).send()).await;
+        self.send_empty(Method::DELETE, &format!("/v1/requests/{request_id}")).await;
     }
 
     async fn release(&self, program: &str) -> bool {
-        let url = format!("{}/v1/cache/programs/{program}", self.base_url);
-        let sent = timeout(self.idle_timeout, self.client.delete(url).send()).await;
-        matches!(sent, Ok(Ok(response)) if response.status().is_success())
-    }
-}
-
-async fn check_status(response: ClientResponse) -> Result<ClientResponse, BackendError> {
-    const DETAIL_MAX_BYTES: usize = 4096;
-    let status = response.status();
-    if status.is_success() {
-        return Ok(response);
-    }
-    if status.as_u16() == 503 || status.as_u16() == 429 {
-        return Err(not_run("is overloaded"));
-    }
-    let body = response.body().limit(DETAIL_MAX_BYTES).await.unwrap_or_default();
-    if status.is_client_error() {
-        let detail = String::from_utf8_lossy(&body);
-        return Err(BackendError::NotRun(Refusal::not_run(
-            RefusalKind::InvalidRequest,
-            format!("the engine rejected the request with status {status}: {detail}"),
-        )));
+        let path = format!("/v1/cache/programs/{program}");
+        self.send_empty(Method::DELETE, &path).await.is_some()
     }
-    Err(lost("failed"))
 }
 
 fn not_run(detail: &str) -> BackendError {
--- a/crates/daemon/src/backend/release.rs
+++ b/crates/daemon/src/backend/release.rs
@@ -6,7 +6,6 @@
 use dandelionfront_coordination::ids::ProgramId;
 use dandelionfront_coordination::owner::UnreleasedProgram;
 use futures_util::future::join_all;
-use ntex::client::Client;
 
 use super::engine::{HttpEngine, ModelEngine as _};
 
@@ -16,15 +15,14 @@
 /// Asks engines to release the memory of ended programs.
 #[derive(Debug, Clone)]
 pub struct Releaser {
-    client: Client,
     timeout: Duration,
 }
 
 impl Releaser {
     /// Creates a releaser; `timeout` applies to each request.
     #[must_use]
-    pub fn new(client: Client, timeout: Duration) -> Self {
-        Self { client, timeout }
+    pub fn new(timeout: Duration) -> Self {
+        Self { timeout }
     }
 
     /// Releases the first [`BATCH_MAX_PROGRAMS`] programs; returns those for which all engines that
@@ -50,7 +48,7 @@
                 && (ended.has_unrecorded_backends || ended.backends.contains(name))
         });
         let requests = engines.map(|(_, backend)| async {
-            let engine = HttpEngine::new(self.client.clone(), &backend.address, self.timeout);
+            let engine = HttpEngine::new(&backend.address, self.timeout);
             engine.release(&ended.program).await
         });
         join_all(requests).await.into_iter().all(|confirmed| confirmed)
--- a/crates/daemon/src/backend/service.rs
+++ b/crates/daemon/src/backend/service.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind, Usage};
-use ntex::client::Client;
-use ntex::http::Method;
+use http::header::CONTENT_TYPE;
+use http::{Method, Request};
+use http_body_util::{BodyExt as _, Full};
 use ntex::time::timeout;
 
 use super::{BackendAnswer, BackendError};
-use crate::connection::clients::proves_not_sent;
+use crate::connection::exchange::{self, ExchangeError};
 use crate::consts::{
     DEADLINE_HEADER, FENCING_NUMBER_HEADER, IDEMPOTENCY_KEY_HEADER, PROGRAM_ID_HEADER,
 };
@@ -48,39 +50,39 @@
 /// Plain service that is called over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpService {
-    client: Client,
-    base_url: String,
+    address: String,
     timeout: Duration,
 }
 
 impl HttpService {
     /// Creates a client; `timeout` applies to the entire call.
     #[must_use]
-    pub fn new(client: Client, address: &str, timeout: Duration) -> Self {
-        Self { client, base_url: format!("http://{address}"), timeout }
+    pub fn new(address: &str, timeout: Duration) -> Self {
+        Self { address: address.to_owned(), timeout }
     }
 
     async fn send(&self, call: &ServiceCall, method: Method) -> Result<Answer, BackendError> {
-        let request = self
-            .client
-            .request(method, format!("{}{}", self.base_url, call.path))
-            .content_type(call.content_type.as_str())
-            .header(IDEMPOTENCY_KEY_HEADER, call.idempotency_key.as_str())
-            .header(PROGRAM_ID_HEADER, call.program.as_str())
-            .header(FENCING_NUMBER_HEADER, call.fencing_number.to_string())
+        let request = Request::builder()
+            .method(method)
+            .uri(&call.path)
+            .header(CONTENT_TYPE, &call.content_type)
+            .header(IDEMPOTENCY_KEY_HEADER, &call.idempotency_key)
+            .header(PROGRAM_ID_HEADER, &call.program)
+            .header(FENCING_NUMBER_HEADER, call.fencing_number)
             .header(DEADLINE_HEADER, self.timeout.as_millis().to_string())
-            .force_close();
-        let response = match request.send_body(call.body.clone()).await {
+            .body(Full::new(Bytes::from(call.body.clone())))
+            .map_err(|_| service_unreachable())?;
+        let response = match exchange::send(&self.address, request).await {
             Ok(response) => response,
-            Err(error) if proves_not_sent(&error) => return Err(service_unreachable()),
-            Err(_) => return Err(lost("closed the connection")),
+            Err(ExchangeError::NotSent) => return Err(service_unreachable()),
+            Err(ExchangeError::Lost) => return Err(lost("closed the connection")),
         };
-        let content_type = response.header("content-type").and_then(|value| value.to_str().ok());
+        let content_type = response.headers().get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
         let status = response.status().as_u16();
-        let body = response.body().limit(usize::MAX).await;
-        let body = body.map_err(|_| lost("cut its answer"))?;
-        Ok(Answer { status, content_type, body: Payload(body.to_vec()) })
+        let body = response.into_body().collect().await.map_err(|_| lost("cut its answer"))?;
+        Ok(Answer { status, content_type, body: Payload(body.to_bytes().to_vec()) })
     }
 }
 
--- a/crates/daemon/src/connection/clients.rs
+++ b/crates/daemon/src/connection/clients.rs
@@ -15,16 +15,11 @@
 /// Maximum number of connections of one client to all addresses; the default of 8 is too low.
 const CONNECTIONS_MAX: usize = 16_384;
 
-/// Separate HTTP clients for peers, model engines and plain services.
+/// HTTP clients of one worker thread.
 #[derive(Debug, Clone)]
 pub struct Clients {
     /// Client for other nodes.
     pub peers: Client,
-    /// Client for model engines, which reuses connections.
-    pub engines: Client,
-    /// Client for plain services, which opens a new connection for each call: if a call fails on a
-    /// reused connection, it is unknown whether the service ran it.
-    pub services: Client,
 }
 
 impl Clients {
@@ -34,11 +29,7 @@
     ///
     /// Fails when no connector can be built.
     pub async fn new() -> Result<Self, ClientBuilderError> {
-        Ok(Self {
-            peers: build(KEEP_ALIVE).await?,
-            engines: build(KEEP_ALIVE).await?,
-            services: build(Seconds::ZERO).await?,
-        })
+        Ok(Self { peers: build(KEEP_ALIVE).await? })
     }
 }
 
--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -1,6 +1,7 @@
-//! Connections to other nodes, and the HTTP clients for all outgoing requests.
+//! Connections to other nodes and to backend servers.
 
 pub mod clients;
+pub mod exchange;
 pub mod forward;
 pub mod peers;
 
--- a/crates/daemon/src/process/control.rs
+++ b/crates/daemon/src/process/control.rs
@@ -20,7 +20,6 @@
     Payload, Placement, Platform, Program, Refusal, RefusalKind,
 };
 use log::{debug, info, warn};
-use ntex::client::Client;
 use tokio::sync::{mpsc, watch};
 
 use super::clock::SystemClock;
@@ -46,7 +45,6 @@
     settings: Settings,
     platform: Platform,
     vm_list: Rc<HttpPlatform>,
-    engine_client: Client,
     clock: SystemClock,
     metrics: Metrics,
     peers: Rc<RpcPeers>,
@@ -62,7 +60,6 @@
     pub fn new(
         settings: Settings,
         http: Rc<HttpPlatform>,
-        engine_client: Client,
         clock: SystemClock,
         metrics: Metrics,
         config: watch::Sender<Arc<ConfigSnapshot>>,
@@ -86,7 +83,6 @@
             settings,
             platform,
             vm_list: http,
-            engine_client,
             clock,
             metrics,
             peers,
@@ -368,7 +364,7 @@
 
     /// Ends abandoned programs and releases the engine memory of ended ones.
     async fn clean_up_programs(self: Rc<Self>) {
-        let releaser = Releaser::new(self.engine_client.clone(), self.settings.engine_silence);
+        let releaser = Releaser::new(self.settings.engine_silence);
         loop {
             let node = self.node();
             let idle_before = self.clock.monotonic().checked_sub(self.settings.program_idle);
--- a/crates/daemon/src/process/lifecycle.rs
+++ b/crates/daemon/src/process/lifecycle.rs
@@ -200,10 +200,6 @@
                 Ok(client) => client,
                 Err(cause) => return error!("event=control_failed cause={cause:?}"),
             };
-            let engine_client = match clients::build(CONTROL_CLIENT_KEEP_ALIVE).await {
-                Ok(client) => client,
-                Err(cause) => return error!("event=control_failed cause={cause:?}"),
-            };
             let http = HttpPlatform::new(
                 &settings.platform,
                 client,
@@ -214,9 +210,7 @@
                 Ok(handle) => handle,
                 Err(cause) => return error!("event=control_failed cause={cause:?}"),
             };
-            Control::new(settings, Rc::new(http), engine_client, clock, metrics, config_sender)
-                .serve(tasks)
-                .await;
+            Control::new(settings, Rc::new(http), clock, metrics, config_sender).serve(tasks).await;
             drop(peers);
         });
     })?;
--- a/crates/daemon/src/request/execute.rs
+++ b/crates/daemon/src/request/execute.rs
@@ -132,8 +132,7 @@
                 fencing_number: ticket.fencing_number,
             };
             let timeout = worker.shared.settings.service_timeout;
-            let client = worker.clients.services.clone();
-            HttpService::new(client, &placement.address, timeout).call(&call).await
+            HttpService::new(&placement.address, timeout).call(&call).await
         }
     }
 }
@@ -145,7 +144,7 @@
     placement: &Placement,
 ) -> Result<BackendAnswer, BackendError> {
     let idle_timeout = worker.shared.settings.engine_silence;
-    let engine = HttpEngine::new(worker.clients.engines.clone(), &placement.address, idle_timeout);
+    let engine = HttpEngine::new(&placement.address, idle_timeout);
     let call = EngineCall {
         request_id: format!("{}-{}-{}", ticket.program, ticket.key.sequence, ticket.key.attempt),
         program: ticket.program.clone(),
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -8,10 +8,12 @@
 mod api;
 mod batch;
 mod cache;
+pub mod doubling;
 mod text;
 
 pub use api::{ChatRequest, EngineFaults, LoadReport};
 pub use cache::{CacheEvent, PrefixCache};
+pub use doubling::DoublingEngine;
 
 use std::collections::HashMap;
 use std::io;
--- a/crates/standins/src/site/repeater.rs
+++ b/crates/standins/src/site/repeater.rs
@@ -101,17 +101,17 @@
 }
 
 /// A request as read from a connection.
-pub(super) struct ReceivedRequest {
+pub(crate) struct ReceivedRequest {
     /// Its id; empty if it has none.
-    pub(super) id: String,
+    pub(crate) id: String,
     /// Path and query, in lower case.
-    pub(super) target: String,
+    pub(crate) target: String,
     /// Id of the last event that its sender has, if it resumes a stream.
-    pub(super) last_event: Option<u64>,
+    pub(crate) last_event: Option<u64>,
 }
 
 /// Reads a request with a declared length; returns `None` at the end of the connection.
-pub(super) fn read_request(
+pub(crate) fn read_request(
     reader: &mut BufReader<&TcpStream>,
 ) -> io::Result<Option<ReceivedRequest>> {
     let (mut id, mut target, mut last_event, mut length) = (None, None, None, 0);
