Report a call that an earlier owner may have run as unknown

A caller got "not run" for a model call that an engine was running: the owner of its program was killed, and the next owner, the node of the caller itself, refused the call (budget_exhausted: the first attempt counts with all that it reserved).

The cause: a refusal met while connecting to the next owner was passed on without the check that earlier owners may have run the call, which refusals in an event stream get. Ruled out: a next owner on another node, whose refusal arrives as an event.

The refusal now gets the same check. Before, the test failed with run=not_run; it passes now.

--- a/crates/daemon/src/request/submit.rs
+++ b/crates/daemon/src/request/submit.rs
@@ -142,7 +142,7 @@
             let event = match &mut self.source {
                 Source::Disconnected => match self.connect().await {
                     Ok(()) => continue,
-                    Err(refusal) => return CallEvent::Refused(refusal),
+                    Err(refusal) => return self.check_last_event(CallEvent::Refused(refusal)),
                 },
                 Source::Local(reader) => Some(reader.next().await),
                 Source::Remote(call) => call.next(EVENT_TIMEOUT).await,
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -170,3 +170,26 @@
     }
     assert_eq!(fleet.executions("k").await, 1);
 }
+
+/// Guards against "not run" for a call that an engine runs, when the owner of its program is killed
+/// and the next owner refuses the call.
+#[ntex::test]
+async fn call_that_the_next_owner_refuses_is_not_reported_as_not_run() {
+    let engine_args = ["--token-interval-ms", "50"].map(str::to_owned).to_vec();
+    let mut fleet = Fleet::start(FleetOptions { engine_args, ..FleetOptions::default() }).await;
+    // One attempt reserves more than half of the budget.
+    let program = json!({ "budget_tokens": 150 });
+    let opened = fleet.open_program(&fleet.nodes[1], ALPHA_KEY, &program).await.expect_status(201);
+    let program = opened.json()["id"].as_str().expect("text").to_owned();
+    let content = "tokens=60 once";
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content };
+    let http = fleet.http.clone();
+    let (request, body) = call.model_request(&http, &fleet.nodes[0].listen, ALPHA_KEY);
+    let first = ntex::rt::spawn(async move { http.send(request, body).await });
+    eventually("the call runs", async || (fleet.engine_record(0).await.len() == 1).then_some(()))
+        .await;
+    fleet.nodes[1].process.kill();
+    let reply = first.await.expect("caller task ends").expect("the node answers");
+    assert_eq!(reply.kind(), "budget_exhausted", "{}", reply.body);
+    assert_eq!(reply.run(), "unknown", "{}", reply.body);
+}
