Check that the chunks of a stream continue one completion

Callers got text that is there twice ("ababc" for "abc"), streamed and complete, marked as whole: an engine began a resumed stream anew, or a second copy of its answer followed the first part of it in an answer without a length. They also got a part of another completion ("abother").

The cause: neither the number of an event nor the id of its completion was looked at. Ruled out: a stream that ends without [DONE], which is resumed.

A numbered event must have the number of chunks received before it, and all chunks the id of the first; otherwise the outcome is unknown. An engine that numbers no events can still begin anew under the same id unnoticed.

--- a/crates/daemon/src/backend/chat.rs
+++ b/crates/daemon/src/backend/chat.rs
@@ -151,9 +151,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when `data` is not a completion chunk.
+    /// Fails when `data` is not a completion chunk, or one of another completion.
     pub fn add(&mut self, data: &str) -> Result<(), serde_json::Error> {
         let chunk: Chunk = serde_json::from_str(data)?;
+        if !self.id.is_empty() && chunk.id != self.id {
+            return Err(serde::de::Error::custom("a chunk of another completion"));
+        }
         self.id = chunk.id;
         self.created = chunk.created;
         self.usage = chunk.usage.or(self.usage);
--- a/crates/daemon/src/backend/engine.rs
+++ b/crates/daemon/src/backend/engine.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind};
-use eventsource_stream::Eventsource as _;
+use eventsource_stream::{Event, Eventsource as _};
 use futures_util::StreamExt as _;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response};
@@ -151,7 +151,7 @@
         loop {
             match timeout(self.idle_timeout, events.next()).await {
                 Ok(Some(Ok(event))) if event.data == DONE => return Ok(true),
-                Ok(Some(Ok(event))) => state.add_chunk(&event.data)?,
+                Ok(Some(Ok(event))) => state.add_chunk(&event)?,
                 Ok(Some(Err(_)) | None) | Err(()) => return Ok(false),
             }
         }
@@ -165,10 +165,14 @@
 }
 
 impl StreamState<'_> {
-    fn add_chunk(&mut self, data: &str) -> Result<(), BackendError> {
-        self.assembler.add(data).map_err(|_| lost("sent a part that is no completion chunk"))?;
+    fn add_chunk(&mut self, event: &Event) -> Result<(), BackendError> {
+        if !event.id.is_empty() && event.id != self.chunks.to_string() {
+            return Err(lost("sent a part out of order"));
+        }
+        let added = self.assembler.add(&event.data);
+        added.map_err(|_| lost("sent a part that is no chunk of the completion"))?;
         self.chunks += 1;
-        self.sink.on_chunk(data);
+        self.sink.on_chunk(&event.data);
         Ok(())
     }
 }
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -7,11 +7,15 @@
 
 use dandelionfront_standins::engine::DoublingEngine;
 use dandelionfront_standins::engine::doubling::{chunk_events, last_events};
+use dandelionfront_standins::site::scripted::{LAST_CHUNK, chunk};
 use dandelionfront_standins::site::{Script, ScriptedServer, Step};
 use serde_json::{Value, json};
 use support::fleet::{ALPHA_KEY, Fleet, FleetOptions};
 use support::http::Reply;
 
+/// Head of an answer whose body comes in chunks.
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                            transfer-encoding: chunked\r\n\r\n";
 /// Head of an answer that ends with its connection.
 const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
                              connection: close\r\n\r\n";
@@ -43,10 +47,10 @@
 }
 
 /// Sends a model call.
-async fn call_model(fleet: &Fleet) -> Reply {
+async fn call_model(fleet: &Fleet, stream: bool) -> Reply {
     let request = fleet.http.request("POST", &fleet.nodes[0].listen, "/v1/chat/completions");
     let messages = json!([{ "role": "user", "content": "x" }]);
-    let body = json!({ "model": "geo", "messages": messages });
+    let body = json!({ "model": "geo", "stream": stream, "messages": messages });
     let reply = fleet.http.send(request.bearer_auth(ALPHA_KEY), body.to_string()).await;
     reply.expect("the node answers")
 }
@@ -115,10 +119,10 @@
 async fn second_copy_of_a_refusal_is_not_taken_for_the_next_answer() {
     let (engine, address) = DoublingEngine::spawn(any_port()).expect("starts");
     let fleet = start("engine-0", address).await;
-    let refused = call_model(&fleet).await;
+    let refused = call_model(&fleet, false).await;
     assert_eq!((refused.status, refused.run().as_str()), (503, "not_run"), "{}", refused.body);
     for run in 1..=3 {
-        let reply = call_model(&fleet).await;
+        let reply = call_model(&fleet, false).await;
         assert_eq!(engine.executed().len(), run, "{}", reply.body);
         assert_eq!(text(&reply.expect_status(200)), "word");
     }
@@ -130,6 +134,38 @@
     let stream = chunk_events(0, &["a", "b"]) + &last_events(2);
     let script = vec![Step::write(format!("{UNFRAMED_HEAD}{stream}")), Step::Close];
     let (fleet, server) = start_scripted("engine-0", vec![script]).await;
-    assert_eq!(text(&call_model(&fleet).await.expect_status(200)), "ab");
+    assert_eq!(text(&call_model(&fleet, false).await.expect_status(200)), "ab");
     assert_eq!(server.received().len(), 1, "the stream was resumed");
 }
+
+/// Guards against text that is there twice because a stream was begun anew, by the engine or by a
+/// second copy of its answer (MIXED).
+#[ntex::test]
+async fn stream_that_begins_anew_is_not_continued() {
+    let whole = chunk_events(0, &["a", "b", "c"]) + &last_events(3);
+    let part = chunk_events(0, &["a", "b"]);
+    let broken_off = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&part)), Step::Close];
+    let anew = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&whole) + LAST_CHUNK)];
+    let doubled = vec![
+        Step::write(format!("HTTP/1.0 200 OK\r\n\r\n{part}{CHUNKED_HEAD}{whole}")),
+        Step::Close,
+    ];
+    let other = chunk_events(2, &["other"]).replace("chatcmpl-1", "chatcmpl-2") + &last_events(3);
+    let mixed = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&(part.clone() + &other)))];
+    let mut failures = Vec::new();
+    for scripts in [vec![broken_off, anew], vec![doubled], vec![mixed]] {
+        for stream in [false, true] {
+            let (fleet, _server) = start_scripted("engine-0", scripts.clone()).await;
+            let reply = call_model(&fleet, stream).await;
+            let is_sound = if stream {
+                reply.body.contains(r#""run":"unknown""#) && !reply.body.contains("[DONE]")
+            } else {
+                reply.status != 200 && reply.run() == "unknown"
+            };
+            if !is_sound {
+                failures.push(reply);
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
