Break a stream off at a second answer within an event, and at an empty rest

An unframed stream that stops inside an event and is followed by another answer's bytes gave its caller the head of that answer inside the event; an unframed answer without events to a resumption ended the stream as whole, with 2 of 4 events. Cause: only ids were checked, and the check for an empty stream looked at the events of earlier attempts. Change: after its first line, an event has only the fields of events; the events of this answer count. A stream whose rest really is empty, and is sent unframed, is broken off. The id after the highest number is no overflow.

--- a/crates/coordination/src/events.rs
+++ b/crates/coordination/src/events.rs
@@ -20,6 +20,18 @@
     pub fn is_comment(&self) -> bool {
         self.raw.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | b"\r" | [b':', ..]))
     }
+
+    /// Returns whether the event names its id twice or, after its first line, has other fields than
+    /// those of events, as when another answer follows on the connection in the middle of an event.
+    #[must_use]
+    pub fn has_foreign_lines(&self) -> bool {
+        let lines = || {
+            let lines = self.raw.split(|byte| *byte == b'\n');
+            lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+        };
+        let id_count = lines().filter(|line| field(line, b"id").is_some()).count();
+        id_count > 1 || lines().skip(1).any(|line| !is_event_line(line))
+    }
 }
 
 /// Maximum size of an incomplete event in the buffer; events of model engines are below 1 kB.
@@ -92,6 +104,13 @@
     StreamEvent { raw, id, data }
 }
 
+/// Returns whether a line is empty, a comment or a field of an event.
+fn is_event_line(line: &[u8]) -> bool {
+    let is_field = |name: &&[u8]| *name == line || field(line, name).is_some();
+    let names: [&[u8]; 4] = [b"id", b"data", b"event", b"retry"];
+    line.is_empty() || line.starts_with(b":") || names.iter().any(is_field)
+}
+
 fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     let value = line.strip_prefix(name)?.strip_prefix(b":")?;
     Some(value.strip_prefix(b" ").unwrap_or(value))
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -34,6 +34,7 @@
             .map_err(Failure::CallerGone)?;
     }
     let mut splitter = EventSplitter::default();
+    let last_before = attempts.last_event;
     let mut pace = EventPace::default();
     let load = {
         let placement = attempts.node.placement.borrow();
@@ -71,7 +72,7 @@
     if splitter.has_partial() {
         return Ok(ForwardOutcome::Incomplete("it ended within an event".to_owned()));
     }
-    if framing == Framing::Unframed && attempts.last_event.is_none() {
+    if framing == Framing::Unframed && attempts.last_event == last_before {
         return Ok(ForwardOutcome::Incomplete("it ended without an event".to_owned()));
     }
     let deadline = attempts.admitted.deadline;
@@ -101,8 +102,11 @@
     let Some(id) = event.id else {
         return Ok(Err("it sent an event without an id".to_owned()));
     };
+    if event.has_foreign_lines() {
+        return Ok(Err(format!("event {id} has lines that belong to no event")));
+    }
     if let Some(last) = attempts.last_event
-        && id != last + 1
+        && last.checked_add(1) != Some(id)
     {
         return Ok(Err(format!("event {id} follows event {last}")));
     }
--- a/crates/daemon/tests/unframed_streams.rs
+++ b/crates/daemon/tests/unframed_streams.rs
@@ -118,3 +118,23 @@
     let second = unframed_stream_head() + &events(3, EVENTS_PER_STREAM);
     assert_broken_off_after(2, run(&(events(1, 2) + &second), &[Step::Close])).await;
 }
+
+/// Guards against the head of a second answer inside an event that a server did not finish.
+#[ntex::test]
+async fn second_answer_within_an_event_breaks_the_stream_off() {
+    let third = events(3, 3);
+    let second = unframed_stream_head() + &events(1, EVENTS_PER_STREAM);
+    for end in 0..third.len() - 1 {
+        let begun = events(1, 2) + &third[..end] + &second;
+        assert_broken_off_after(2, run(&begun, &[Step::Close])).await;
+    }
+}
+
+/// Guards against a resumed stream that ends as whole because a server sent only the head of it.
+#[ntex::test]
+async fn resumed_unframed_stream_without_events_is_resumed_again() {
+    let scripts = vec![run(&(events(1, 2) + "id: 3"), &[Step::Close]), run("", &[Step::Close])];
+    let scripts = [scripts, vec![run_after(2)]].concat();
+    let scripted = ScriptedSite::start("geo", 2, scripts).await;
+    assert_eq!(scripted.receive("POST", RESUMABLE, "r-1").await, whole_stream());
+}
