--- a/crates/daemon/tests/support/raw.rs
+++ b/crates/daemon/tests/support/raw.rs
@@ -50,6 +50,10 @@
         let head = head.to_ascii_lowercase();
         let status = head.strip_prefix("http/1.1 ").and_then(|line| line.get(..3)?.parse().ok());
         let status: u16 = status.ok_or("no status line")?;
+        if matches!(status, 204 | 304) {
+            let whole = || Self::Whole { status, body: String::new() };
+            return rest.is_empty().then(whole).ok_or(format!("bytes after the answer: {rest}"));
+        }
         let field = |name: &str| {
             let mut fields = head.lines().filter_map(|line| line.split_once(": "));
             fields.find(|(known, _)| *known == name).map(|(_, value)| value.to_owned())
