Take only status 200 for an event stream

A caller whose stream broke off after event 2 got a whole response with events 1 and 2 of 4 if the next server answered 204, and a 204 in place of a stream was followed by a last chunk, which the caller would read as the begin of its next answer.

Ruled out: the end of a resumed stream without further events, which is whole if it ends with its last chunk, because the stream may have broken off after its last event.

Other successes are now forwarded as bodies, or not at all once a stream has begun.

--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -90,7 +90,7 @@
     }
 
     /// Forwards a valid answer, unless the caller's response has begun as a stream and the answer
-    /// is not the rest of it.
+    /// is not the rest of it. An event stream has status 200; other successes are bodies, or empty.
     async fn forward(
         &mut self,
         responder: &mut Responder<'_>,
@@ -98,7 +98,7 @@
         head: AnswerHead,
         response: Response<Incoming>,
     ) -> Result<ForwardOutcome, Failure> {
-        if head.status.is_success() && self.admitted.route.repeat.is_stream() {
+        if head.status == StatusCode::OK && self.admitted.route.repeat.is_stream() {
             stream::forward_events(self, responder, server, head.framing, response).await
         } else if responder.is_head_sent() {
             Ok(ForwardOutcome::Unrelated)
