Send HTTP/1.0 callers no chunks, and reset what breaks off

A caller that speaks HTTP/1.0 got chunk sizes as a part of the body, and a part of an answer ended like a whole one. Cause: an answer of unknown length was sent in chunks to every caller, and a broken off answer ends with FIN: `Io::terminate` of ntex closes the socket, it doesn't reset it, as the comment there said.

Ruled out: answers of known length (framed for both versions), and HTTP/1.1 callers, for whom the last chunk is missing.

Change: the responder knows the request's version. To an HTTP/1.0 caller an answer of unknown length has no framing and ends with its connection. The socket is set to be reset when it is closed, from the head until all bytes are with the system, so that each other end resets it: a server that breaks off, a deadline, a caller that has closed its side, the end of the process. ntex doesn't expose its descriptor, so a connection of a caller holds a second one of the same socket.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -2,6 +2,7 @@
 
 use std::future::poll_fn;
 use std::io;
+use std::os::fd::{AsFd as _, OwnedFd};
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -10,13 +11,14 @@
 use bytes::Bytes;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::headers;
-use http::HeaderName;
 use http::header::{CONTENT_LENGTH, EXPECT};
+use http::{HeaderName, Version};
 use ntex::http::Request;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, PayloadDecoder, PayloadType};
 use ntex::io::{Io, IoStatusUpdate};
 use ntex::util::Either;
+use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
@@ -37,6 +39,35 @@
     pub arrived_at: Instant,
 }
 
+/// An open connection from a caller.
+#[derive(Debug)]
+pub struct CallerConnection {
+    /// Buffered bytes in both directions.
+    pub io: Io,
+    /// Codec of requests and responses.
+    pub codec: Codec,
+    /// Second descriptor of the socket, because `io` does not expose its own.
+    socket: OwnedFd,
+}
+
+impl CallerConnection {
+    fn open(stream: TcpStream, head_max_bytes: usize) -> io::Result<Self> {
+        let socket = stream.as_fd().try_clone_to_owned()?;
+        let (io, codec) = listener::open(stream, head_max_bytes)?;
+        Ok(Self { io, codec, socket })
+    }
+
+    /// Sets whether the system resets the connection when it is closed, as it is when the process
+    /// is killed, or sends what is left and closes in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system refuses the option.
+    pub fn set_reset_on_close(&self, is_reset: bool) -> io::Result<()> {
+        Ok(sockopt::set_socket_linger(&self.socket, is_reset.then_some(Duration::ZERO))?)
+    }
+}
+
 /// Accepts connections from callers until the process ends.
 pub async fn accept(node: Rc<FrontNode>, listener: TcpListener) {
     listener::accept("callers", listener, |stream| serve(Rc::clone(&node), stream)).await;
@@ -44,14 +75,14 @@
 
 /// Serves one connection until it is closed.
 async fn serve(node: Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
-    let (io, codec) = listener::open(stream, node.table().limits().header_max_bytes)?;
+    let connection = CallerConnection::open(stream, node.table().limits().header_max_bytes)?;
     let _open = node.caller_connections.track();
     loop {
-        let Some((head, payload)) = next_request(&node, &io, &codec).await? else {
-            return io.shutdown().await;
+        let Some((head, payload)) = next_request(&node, &connection).await? else {
+            return connection.io.shutdown().await;
         };
-        if !serve_request(&node, &io, &codec, head, payload).await? {
-            return io.shutdown().await;
+        if !serve_request(&node, &connection, head, payload).await? {
+            return connection.io.shutdown().await;
         }
     }
 }
@@ -60,10 +91,9 @@
 /// must be closed.
 async fn next_request(
     node: &Rc<FrontNode>,
-    io: &Io,
-    codec: &Codec,
+    connection: &CallerConnection,
 ) -> io::Result<Option<(Request, PayloadType)>> {
-    match receive_head(node, io, codec).await {
+    match receive_head(node, connection).await {
         HeadReceived::Nothing | HeadReceived::Completely(Ok(None)) => Ok(None),
         HeadReceived::Partly(time_limit) => {
             let message = format!(
@@ -71,7 +101,7 @@
                 time_limit.as_millis()
             );
             let refusal = Refusal::not_run(RefusalKind::RequestTimeout, message);
-            refuse_and_close(node, io, codec, &refusal).await?;
+            refuse_and_close(node, connection, &refusal).await?;
             Ok(None)
         }
         HeadReceived::Completely(Ok(Some(item))) => Ok(Some(item)),
@@ -84,7 +114,7 @@
             let message =
                 format!("the request head is faulty ({error}); send a valid HTTP/1.1 head");
             let refusal = Refusal::not_run(kind, message);
-            refuse_and_close(node, io, codec, &refusal).await?;
+            refuse_and_close(node, connection, &refusal).await?;
             Ok(None)
         }
     }
@@ -102,7 +132,8 @@
 
 /// Waits for a request head. Once its first byte has arrived, the connection is not idle: a stopping
 /// node does not close it, and the head must arrive within its own time limit.
-async fn receive_head(node: &Rc<FrontNode>, io: &Io, codec: &Codec) -> HeadReceived {
+async fn receive_head(node: &Rc<FrontNode>, connection: &CallerConnection) -> HeadReceived {
+    let CallerConnection { io, codec, .. } = connection;
     let limits = node.table().limits().clone();
     let mut receiving = pin!(io.recv(codec));
     let begin = poll_fn(|cx| {
@@ -135,13 +166,13 @@
 
 async fn refuse_and_close(
     node: &FrontNode,
-    io: &Io,
-    codec: &Codec,
+    connection: &CallerConnection,
     refusal: &Refusal,
 ) -> io::Result<()> {
     node.metrics.count_refusal(refusal.kind);
     log::info!("event=refused kind={} message=\"{refusal}\"", refusal.kind.label());
-    let mut responder = Responder::new(io, codec);
+    // The length of a refusal is known, so that its form depends on no version.
+    let mut responder = Responder::new(connection, Version::HTTP_11);
     responder.close_after_response();
     responder.refuse("", refusal).await
 }
@@ -149,8 +180,7 @@
 /// Reads the body of a request and serves it; returns whether the connection may be reused.
 async fn serve_request(
     node: &Rc<FrontNode>,
-    io: &Io,
-    codec: &Codec,
+    connection: &CallerConnection,
     head: Request,
     payload: PayloadType,
 ) -> io::Result<bool> {
@@ -158,13 +188,15 @@
     let _busy = node.caller_requests.track();
     let body_max_bytes = node.table().limits().body_max_bytes;
     match payload {
-        PayloadType::None => handle_request(node, io, codec, head, Bytes::new(), arrived_at).await,
+        PayloadType::None => handle_request(node, connection, head, Bytes::new(), arrived_at).await,
         PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
             let time_limit = time_limit(&head);
-            let body = timeout(time_limit, read_body(io, &decoder, &head, body_max_bytes)).await;
+            let body =
+                timeout(time_limit, read_body(&connection.io, &decoder, &head, body_max_bytes))
+                    .await;
             let refusal = match body {
                 Ok(Ok(body)) => {
-                    return handle_request(node, io, codec, head, body, arrived_at).await;
+                    return handle_request(node, connection, head, body, arrived_at).await;
                 }
                 Ok(Err(BodyError::Connection(error))) => return Err(error),
                 Err(_) => {
@@ -183,8 +215,8 @@
                     format!("the body is faulty ({error}); send valid chunks"),
                 ),
             };
-            refuse_and_close(node, io, codec, &refusal).await?;
-            listener::discard_rest(io, &decoder).await;
+            refuse_and_close(node, connection, &refusal).await?;
+            listener::discard_rest(&connection.io, &decoder).await;
             Ok(false)
         }
     }
@@ -219,14 +251,13 @@
 /// Serves a completely read request; returns whether the connection may be reused.
 async fn handle_request(
     node: &Rc<FrontNode>,
-    io: &Io,
-    codec: &Codec,
+    connection: &CallerConnection,
     head: Request,
     body: Bytes,
     arrived_at: Instant,
 ) -> io::Result<bool> {
     let request = CallerRequest { head, body, arrived_at };
-    let mut responder = Responder::new(io, codec);
+    let mut responder = Responder::new(connection, request.head.version());
     // The load balancer sends the caller's next connection to a node that is ready.
     if node.stop.is_stopping() || node.store_reachability.is_isolated() {
         responder.close_after_response();
@@ -234,19 +265,17 @@
     let is_answered = tokio::select! {
         biased;
         result = request::serve(node, &request, &mut responder) => result.is_ok(),
-        () = caller_disconnected(io) => {
+        () = caller_disconnected(&connection.io) => {
             node.metrics.callers_gone.inc();
             return Ok(false);
         }
     };
     if !is_answered || !responder.is_complete() {
-        // Resets the connection, so that the caller cannot mistake its end for the end of the
-        // response.
-        io.terminate();
+        connection.io.terminate();
         return Ok(false);
     }
     // A caller that was not told of the close may already have sent its next request.
-    Ok(codec.keepalive() && !responder.announces_close())
+    Ok(connection.codec.keepalive() && !responder.announces_close())
 }
 
 /// Waits until the caller closes the connection.
--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -8,13 +8,13 @@
 use dandelionfront_coordination::Refusal;
 use dandelionfront_platform::headers::{self, REQUEST_ID};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, Version};
 use ntex::http::body::BodySize;
-use ntex::http::h1::{Codec, Message};
+use ntex::http::h1::Message;
 use ntex::http::header::HeaderValue;
 use ntex::http::{ConnectionType, Response};
-use ntex::io::Io;
 
+use super::caller::CallerConnection;
 use crate::consts::JSON;
 use crate::request::answer::refusal_json;
 
@@ -23,8 +23,9 @@
 pub enum BodyLength {
     /// Known in advance, in bytes.
     Known(u64),
-    /// Sent in chunks; a missing last chunk shows the caller that the body is incomplete.
-    Chunked,
+    /// Not known in advance. A missing last chunk shows the caller that the body is incomplete; an
+    /// HTTP/1.0 caller knows no chunks, and a reset of the connection shows it.
+    Unknown,
 }
 
 /// Form of a response, which its head settles.
@@ -38,18 +39,28 @@
 
 /// Writes one response to a caller's connection.
 pub struct Responder<'a> {
-    io: &'a Io,
-    codec: &'a Codec,
+    connection: &'a CallerConnection,
+    /// HTTP version of the request.
+    version: Version,
     begun: Option<ResponseForm>,
+    /// Whether the end of the connection is the end of the body.
+    ends_with_connection: bool,
     is_complete: bool,
     closes_connection: bool,
 }
 
 impl<'a> Responder<'a> {
-    /// Creates a responder to the request that was last read from `io`.
+    /// Creates a responder to the request of `version` that was last read from `connection`.
     #[must_use]
-    pub fn new(io: &'a Io, codec: &'a Codec) -> Self {
-        Self { io, codec, begun: None, is_complete: false, closes_connection: false }
+    pub fn new(connection: &'a CallerConnection, version: Version) -> Self {
+        Self {
+            connection,
+            version,
+            begun: None,
+            ends_with_connection: false,
+            is_complete: false,
+            closes_connection: false,
+        }
     }
 
     /// Announces in the response head that the connection closes after the response.
@@ -75,7 +86,8 @@
         self.begun
     }
 
-    /// Returns whether the complete response was written to the connection's buffer.
+    /// Returns whether the complete response was written to the connection's buffer, or to the socket
+    /// if it ends with the connection.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.is_complete
@@ -86,7 +98,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the head cannot be encoded or a head was already sent.
+    /// Fails when the head cannot be encoded, a head was already sent or the connection cannot be
+    /// set to be reset.
     pub fn send_head(
         &mut self,
         status: StatusCode,
@@ -124,10 +137,21 @@
         let size = match length {
             BodyLength::Known(0) => BodySize::Empty,
             BodyLength::Known(bytes) => BodySize::Sized(bytes),
-            BodyLength::Chunked => BodySize::Stream,
+            BodyLength::Unknown => BodySize::Stream,
         };
+        if size == BodySize::Stream && self.version < Version::HTTP_11 {
+            response.head_mut().no_chunking(true);
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            self.connection.set_reset_on_close(true)?;
+            self.ends_with_connection = true;
+        }
         self.begun = Some(form);
-        self.io.encode(Message::Item((response, size)), self.codec).map_err(io::Error::other)
+        self.encode(Message::Item((response, size)))
+    }
+
+    fn encode(&self, message: Message<(Response<()>, BodySize)>) -> io::Result<()> {
+        let CallerConnection { io, codec, .. } = self.connection;
+        io.encode(message, codec).map_err(io::Error::other)
     }
 
     /// Sends a chunk of the body; waits for space in the write buffer when the caller reads slowly.
@@ -140,8 +164,8 @@
             return Ok(());
         }
         let chunk = ntex::util::Bytes::copy_from_slice(&bytes);
-        self.io.encode(Message::Chunk(Some(chunk)), self.codec).map_err(io::Error::other)?;
-        self.io.flush(false).await
+        self.encode(Message::Chunk(Some(chunk)))?;
+        self.connection.io.flush(false).await
     }
 
     /// Ends the body.
@@ -150,9 +174,13 @@
     ///
     /// Fails when the connection is closed.
     pub async fn finish(&mut self) -> io::Result<()> {
-        self.io.encode(Message::Chunk(None), self.codec).map_err(io::Error::other)?;
+        self.encode(Message::Chunk(None))?;
+        self.connection.io.flush(self.ends_with_connection).await?;
+        if self.ends_with_connection {
+            self.connection.set_reset_on_close(false)?;
+        }
         self.is_complete = true;
-        self.io.flush(false).await
+        Ok(())
     }
 
     /// Sends a refusal as a complete response.
--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -73,7 +73,7 @@
         if buffered.len() > BUFFERED_MAX_BYTES {
             if !is_chunked {
                 responder
-                    .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Chunked)
+                    .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Unknown)
                     .map_err(Failure::CallerGone)?;
                 is_chunked = true;
             }
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -30,7 +30,7 @@
     let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     if !responder.is_head_sent() {
         responder
-            .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Chunked)
+            .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Unknown)
             .map_err(Failure::CallerGone)?;
     }
     let mut splitter = EventSplitter::default();
--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{Read as _, Write as _};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
 use dandelionfront_standins::site::scripted::{LAST_CHUNK, chunk, chunked_stream_head, events};
@@ -30,12 +30,32 @@
 
 /// Sends bytes on a new connection; returns what arrives until it ends, and whether it was reset.
 async fn exchange(site: &Site, bytes: String) -> (String, bool) {
+    let (connection, received) = begin_exchange(site, bytes, "").await;
+    finish_exchange(connection, received).await
+}
+
+/// Sends bytes on a new connection and reads until `part` has arrived; returns what arrived.
+async fn begin_exchange(site: &Site, bytes: String, part: &'static str) -> (TcpStream, Vec<u8>) {
     let address = site.nodes[0].listen.clone();
-    let received = ntex::rt::spawn_blocking(move || {
+    let begun = ntex::rt::spawn_blocking(move || {
         let mut connection = TcpStream::connect(address).expect("the node listens");
         connection.set_read_timeout(Some(READ_TIMEOUT)).expect("valid");
         connection.write_all(bytes.as_bytes()).expect("written");
         let mut received = Vec::new();
+        while !String::from_utf8_lossy(&received).contains(part) {
+            let mut buffer = [0; 1024];
+            let length = connection.read(&mut buffer).expect("the node answers");
+            assert_ne!(length, 0, "the connection ended: {}", String::from_utf8_lossy(&received));
+            received.extend_from_slice(&buffer[..length]);
+        }
+        (connection, received)
+    });
+    begun.await.expect("no panic")
+}
+
+/// Reads until a connection ends; returns all that arrived, and whether the connection was reset.
+async fn finish_exchange(mut connection: TcpStream, mut received: Vec<u8>) -> (String, bool) {
+    let received = ntex::rt::spawn_blocking(move || {
         let is_reset = match connection.read_to_end(&mut received) {
             Ok(_) => false,
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => true,
@@ -211,6 +231,69 @@
     assert!(is_reset, "{received}");
 }
 
+/// Guards against a body of unknown length that an HTTP/1.0 caller cannot tell from its framing, or
+/// a part of it from the whole.
+#[ntex::test]
+async fn large_body_to_an_http_1_0_caller_ends_with_its_connection() {
+    let body = "x".repeat(300_000);
+    for declared in [body.len(), body.len() + 1] {
+        let rest = format!("content-length: {declared}\r\n\r\n{body}");
+        let mut script = sealed("200 OK", &rest);
+        script.push(Step::Close);
+        let site = start_scripted("desk", vec![script]).await;
+        let request = head("GET", "/lookup/x", "HTTP/1.0", "old", "connection: keep-alive\r\n");
+        let (received, is_reset) = exchange(&site, request).await;
+        let is_whole = declared == body.len();
+        assert_eq!(is_reset, !is_whole, "{declared} bytes were declared");
+        if is_whole {
+            let mut rest = received.as_str();
+            let head = take_head(&mut rest);
+            for field in ["content-length", "transfer-encoding", "keep-alive"] {
+                assert!(!head.contains(field), "{head}");
+            }
+            assert!(rest == body, "{} bytes arrived", rest.len());
+        }
+    }
+}
+
+/// Ways in which an answer ends early that its backend server has not broken off.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// The caller ends its side of the connection and reads on.
+    HalfClose,
+    /// The deadline passes.
+    Deadline,
+    /// The node is killed while it stops.
+    Kill,
+}
+
+/// Guards against a part of an answer that looks whole because of how it ended.
+#[ntex::test]
+async fn answer_that_ends_early_looks_incomplete() {
+    for version in ["HTTP/1.0", "HTTP/1.1"] {
+        for end in [End::HalfClose, End::Deadline, End::Kill] {
+            let begin = chunked_stream_head() + &chunk(&events(1, 2));
+            let script = vec![Step::Write(begin), Step::Pause(READ_TIMEOUT)];
+            let mut site = start_scripted("geo", vec![script]).await;
+            let request = head("POST", "/stream/kept/1", version, "part", "content-length: 0\r\n");
+            let (connection, received) = begin_exchange(&site, request, "token-2").await;
+            match end {
+                End::HalfClose => connection.shutdown(Shutdown::Write).expect("open"),
+                End::Deadline => {}
+                End::Kill => {
+                    site.nodes[0].process.signal("TERM");
+                    site.nodes[0].process.kill();
+                }
+            }
+            let (received, is_reset) = finish_exchange(connection, received).await;
+            let is_chunked = received.contains("transfer-encoding: chunked");
+            assert_eq!(is_chunked, version == "HTTP/1.1", "{received}");
+            let looks_whole = if is_chunked { received.contains("\r\n0\r\n") } else { !is_reset };
+            assert!(!looks_whole, "{version} {end:?}: {received}");
+        }
+    }
+}
+
 /// Guards against a final answer that callers take for an interim one, after which they wait for
 /// another or take the next one.
 #[ntex::test]
