Send HTTP/1.0 callers no interim response

A caller that speaks HTTP/1.0 and sends `Expect` got `HTTP/1.1 100 Continue` before its answer, which it takes for the answer: such a caller knows no interim responses (RFC 9110, 10.1.1: a server ignores the expectation).

http_1_0_caller_keeps_its_connection_only_if_it_asks failed before (100 Continue in place of the answer) and passes now; it also covers HEAD and kept connections of HTTP/1.0, which were right before.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -230,7 +230,8 @@
 }
 
 /// Reads a body, after sending `100 Continue` if the caller expects it; fails at once when the
-/// declared length exceeds `max_bytes`.
+/// declared length exceeds `max_bytes`. An HTTP/1.0 caller would take `100 Continue` for the
+/// response.
 async fn read_body(
     io: &Io,
     decoder: &PayloadDecoder,
@@ -242,7 +243,7 @@
     if declared_bytes.is_some_and(|bytes| bytes > max_bytes) {
         return Err(BodyError::TooLong);
     }
-    if head.headers().contains_key(EXPECT) {
+    if head.version() >= Version::HTTP_11 && head.headers().contains_key(EXPECT) {
         io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").map_err(BodyError::Connection)?;
     }
     listener::read_body(io, decoder, max_bytes).await
--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -256,6 +256,30 @@
     }
 }
 
+/// Guards against an interim response or an open connection that an HTTP/1.0 caller did not ask for.
+#[ntex::test]
+async fn http_1_0_caller_keeps_its_connection_only_if_it_asks() {
+    let script = sealed("200 OK", "content-length: 4\r\n\r\nnext");
+    let no_body = sealed("200 OK", "content-length: 10\r\n\r\n");
+    let site = start_scripted("desk", vec![no_body, script]).await;
+    let keep = "connection: keep-alive\r\n";
+    let expecting = format!("{keep}content-length: 2\r\nexpect: 100-continue\r\n");
+    let requests = head("HEAD", "/lookup/x", "HTTP/1.0", "a", keep)
+        + &head("POST", "/lookup/x", "HTTP/1.0", "b", &expecting)
+        + "in"
+        + &head("GET", "/lookup/x", "HTTP/1.0", "c", "");
+    let (received, is_reset) = exchange(&site, requests).await;
+    let mut rest = received.as_str();
+    let first = take_head(&mut rest);
+    assert!(first.contains("content-length: 10") && first.contains(keep.trim_end()), "{first}");
+    let (second, body) = take_answer(&mut rest);
+    assert!(second.contains("request-id: b") && second.contains(keep.trim_end()), "{second}");
+    assert_eq!(body, "next");
+    let (third, body) = take_answer(&mut rest);
+    assert!(third.contains("request-id: c") && !third.contains("keep-alive"), "{third}");
+    assert_eq!((body.as_str(), rest, is_reset), ("next", "", false));
+}
+
 /// Ways in which an answer ends early that its backend server has not broken off.
 #[derive(Debug, Clone, Copy)]
 enum End {
