Wait before a server to which a request is bound is tried again

Once maxAttempts servers may have run a request, only the last of them may get it again. If that server refused it as not run, or accepted no connection, it was asked again at once until the deadline, each time on another connection. Its queue and its connection limit were loaded by requests that it could not take, and the caller got a 504 at the deadline, when no time was left to send the request elsewhere.

Cause: the choice of the bound server did not look at the servers that are excluded until the next wait, as the choice among several does.

The bound server is now left out after a refusal or a failed connection until a wait is over: 15 ms, twice as long each time, at most 240 ms, and for a third of the time left in all, anew after each execution. A Retry-After of the server is honoured up to that bound, as callers do; then it is asked once more. After the bound, the caller is told that the outcome is unknown, or its stream breaks off. Each wait is a log line (event=bound_wait). Which servers may get the request is unchanged.

Ruled out: lost attempts at the bound server, which LOST_ATTEMPTS_MAX bounds, and a server at its limit, for which there was a wait.

--- a/crates/daemon/src/front/request/announcements.rs
+++ b/crates/daemon/src/front/request/announcements.rs
@@ -1,9 +1,11 @@
 //! What backend servers say of themselves in their answers.
 
+use std::time::Duration;
+
 use dandelionfront_coordination::ranking::server_hash;
 use dandelionfront_coordination::servers::{LeavingServer, ServerEntry};
 use dandelionfront_platform::headers;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 
 use super::attempt::Attempts;
@@ -63,6 +65,12 @@
     }
 }
 
+/// Returns the delay in the `Retry-After` header of an answer, in seconds with fractions.
+pub(super) fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+    let value = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
+    Duration::try_from_secs_f64(value.trim().parse().ok()?).ok()
+}
+
 /// Formats a limit for the log.
 pub(super) fn limit_text(limit_per_s: Option<f64>) -> String {
     limit_per_s.map_or("-".to_owned(), |limit| limit.to_string())
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout_at;
 
 use super::admission::Admitted;
+use super::announcements;
 use super::in_flight::InFlightGuard;
 use super::outbound;
 use crate::front::connection::backend::{BackendConnection, ConnectionNumber, SendOutcome};
@@ -30,6 +31,9 @@
 const REPEATABLE_IDLE_MAX: Duration = Duration::from_secs(10);
 /// Delay before servers are tried again when all of them were busy or unreachable.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
+/// Maximum delay before the server to which a request is bound is tried again; each delay is twice
+/// the one before.
+const BOUND_RETRY_DELAY_MAX: Duration = Duration::from_millis(240);
 /// Divisor of a request's remaining time; the quotient is the maximum wait for a busy service.
 const BUSY_WAIT_DIVISOR: u32 = 3;
 /// Minimum remaining time for sending a request; with less, no answer would arrive in time.
@@ -74,6 +78,10 @@
     pub(super) last_event: Option<u64>,
     /// Time until which the request may wait for a busy service.
     busy_wait_until: Instant,
+    /// Waits since the server to which the request is bound last ran it.
+    bound_wait: Option<BoundWait>,
+    /// Delay that the server named in its answer to the last attempt.
+    retry_after: Option<Duration>,
     /// Whether an attempt was sent to any server.
     pub(super) is_sent: bool,
     /// Whether an event was sent to the caller.
@@ -84,6 +92,14 @@
     origin_recorded_at: Option<Instant>,
 }
 
+/// Waits for the server to which a request is bound.
+struct BoundWait {
+    /// Next delay.
+    delay: Duration,
+    /// Time until which the request may wait.
+    until: Instant,
+}
+
 /// Sends a request to backend servers until it is answered or fails.
 pub async fn run(
     node: &Rc<FrontNode>,
@@ -106,6 +122,8 @@
         lost_count: 0,
         last_event,
         busy_wait_until,
+        bound_wait: None,
+        retry_after: None,
         is_sent: false,
         has_forwarded_event: false,
         origin,
@@ -130,6 +148,7 @@
         renewed.map_err(|refusal| self.failure_before_send(refusal))?;
         self.wait_for_current_servers().await;
         let Some(server) = self.choose_server().await else { return self.wait_for_server().await };
+        self.retry_after = None;
         self.check_overload(&server)?;
         if !self.take_permit(&server).await {
             return Ok(None);
@@ -179,6 +198,7 @@
                 return self.handle_lost_attempt(responder, &server, &cause, sent_at).await;
             }
         };
+        self.retry_after = announcements::retry_after(&response);
         let result = self.handle_response(responder, &server, connection, response, sent_at).await;
         drop(in_flight);
         result
@@ -249,17 +269,22 @@
         self.origin_recorded_at = Some(Instant::now());
     }
 
-    /// Waits until all servers may be tried again; refuses if there was none to try, if the wait
-    /// would exceed `busy_wait_until`, or if all servers are at their limits and the request starts
-    /// a program.
+    /// Waits until all servers, or the one to which the request is bound, may be tried again; refuses
+    /// if there was none to try, if the wait would be too long, or if all servers are at their limits
+    /// and the request starts a program.
     async fn wait_for_server(&mut self) -> AttemptResult {
         let permit_wait = self.permit_wait();
         let is_any_worth_waiting = match permit_wait {
             Some(_) => !self.admitted.starts_program,
             None => !self.excluded.is_empty(),
         };
-        let delay = permit_wait.unwrap_or_default().max(BUSY_RETRY_DELAY);
-        if !is_any_worth_waiting || Instant::now() + delay > self.busy_wait_until {
+        let now = Instant::now();
+        let (delay, until) = match self.pinned_server().cloned() {
+            Some(server) => self.next_bound_delay(&server, now),
+            None => (BUSY_RETRY_DELAY, self.busy_wait_until),
+        };
+        let delay = permit_wait.unwrap_or_default().max(delay);
+        if !is_any_worth_waiting || now + delay > until {
             let message = match &self.origin {
                 Some(origin) => format!(
                     "no backend server of software version {:?}, which began the stream, can take \
@@ -281,6 +306,28 @@
         Ok(None)
     }
 
+    /// Returns the delay before `server`, to which the request is bound, is tried again, and the time
+    /// until which the request may wait for it.
+    fn next_bound_delay(&mut self, server: &BackendId, now: Instant) -> (Duration, Instant) {
+        let time_left = self.admitted.deadline.saturating_duration_since(now);
+        let wait = self.bound_wait.get_or_insert_with(|| BoundWait {
+            delay: BUSY_RETRY_DELAY,
+            until: now + time_left / BUSY_WAIT_DIVISOR,
+        });
+        // A longer delay is cut, so that the server is asked once more before the request fails.
+        let named =
+            self.retry_after.map(|named| named.min(wait.until.saturating_duration_since(now)));
+        let delay = wait.delay.max(named.unwrap_or_default());
+        wait.delay = (wait.delay * 2).min(BOUND_RETRY_DELAY_MAX);
+        log::info!(
+            "event=bound_wait request={} server={server} delay_ms={} retry_after_ms={}",
+            self.admitted.context.id,
+            delay.as_millis(),
+            self.retry_after.map_or("-".to_owned(), |named| named.as_millis().to_string()),
+        );
+        (delay, wait.until)
+    }
+
     /// Waits for a read of the list of backend servers if it is so old that servers may have left
     /// since, as after a pause. Without one, in time or at all, the request goes on with the old list.
     async fn wait_for_current_servers(&self) {
@@ -368,6 +415,7 @@
 
     pub(super) fn mark_may_have_run(&mut self, server: &BackendId) {
         self.admitted.limit_reservation.commit();
+        self.bound_wait = None;
         if !self.may_have_run_on.contains(server) {
             self.may_have_run_on.push(server.clone());
         }
--- a/crates/daemon/src/front/request/choice.rs
+++ b/crates/daemon/src/front/request/choice.rs
@@ -26,7 +26,8 @@
             let servers = self.node.servers.borrow();
             let placement = self.node.placement.borrow();
             let now = self.node.clock.monotonic_now();
-            let is_blocked = placement.limits().blocked_for(server_hash(id), now).is_some();
+            let is_blocked = placement.limits().blocked_for(server_hash(id), now).is_some()
+                || self.excluded.contains(id);
             return servers.ready_by_id(id).filter(|_| !is_blocked).cloned();
         }
         // Requests that were lost together share prompts; sent to the same server again, they would
@@ -159,7 +160,7 @@
 
     /// Returns the last server that may run the request, if the route's limit on the number of
     /// servers is reached and that server is ready.
-    fn pinned_server(&self) -> Option<&BackendId> {
+    pub(super) fn pinned_server(&self) -> Option<&BackendId> {
         let last = self.running_servers().last()?;
         let servers = self.node.servers.borrow();
         let is_ready = servers.ready_by_id(last).is_some_and(|server| self.may_continue_at(server));
--- a/crates/daemon/tests/support/scripted.rs
+++ b/crates/daemon/tests/support/scripted.rs
@@ -6,8 +6,9 @@
 use dandelionfront_standins::site::{Script, ScriptedServer};
 use serde_json::Value;
 
+use super::http::eventually;
 use super::raw::RawAnswer;
-use super::site::{Call, Site};
+use super::site::{Call, Site, config};
 
 /// A site with the servers that answer one of its services.
 pub struct ScriptedSite {
@@ -27,6 +28,18 @@
         Self { site, server }
     }
 
+    /// Sets a field of route number `route` and waits until the node has the new configuration.
+    pub async fn change_route(&self, route: usize, field: &str, value: Value) {
+        let mut changed = config(5);
+        changed["routes"][route][field] = value;
+        self.site.publish(changed).await;
+        eventually("the node has the new configuration", async || {
+            let metrics = self.site.metrics(0).await;
+            metrics.contains("dandelionfront_config_version 5\n").then_some(())
+        })
+        .await;
+    }
+
     /// Sends a request and returns what the caller receives.
     pub async fn receive(&self, method: &str, path: &str, id: &str) -> RawAnswer {
         self.site.receive_raw(0, &Call { id, method, path, ..Call::default() }).await
