Refuse to resume a turn that is kept, as not run

On a route that keeps turns, a caller that resumed a turn with Last-Event-Id got the rest of the stream, and the node stored only that rest as the turn's output.

Cause: a node records the events that it forwards, and it forwards none of the events before the resumption. The node that began the turn drops them when the stream breaks off.

Such a request is now refused as not run (503, stream_unknown) before anything is sent, and told to send the turn again from its start, which is what callers do with a turn that has failed. This holds whether or not the route may be resumed, because Last-Event-Id is forwarded on both.

Ruled out: the node's own resumption within one response; its record goes on after the last event forwarded, and a test shows each event once.

Tests (kept_turns): before, the engine ran the resumption and got "in;token-2 token-3 token-4 more;" for the next turn; now both pass, and so do bound_requests, front, streams, shared_history, staying and store_room. The test of the node's own resumption passed before, too.

--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -53,7 +53,8 @@
     LimitUnavailable,
     /// No backend server can take the call.
     NoBackend,
-    /// No node knows the software version that began the stream to resume.
+    /// No node knows the software version that began the stream to resume, or its first events,
+    /// where they are stored.
     StreamUnknown,
     /// Several backend servers ended while they ran the request.
     RequestQuarantined,
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -237,6 +237,7 @@
         return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
     }
     node.require_harmless(keys)?;
+    require_whole_turn(&context, &route)?;
     let time_limit = context.deadline.unwrap_or(TIME_LIMIT_DEFAULT).min(route.timeout);
     let deadline = request.arrived_at + time_limit;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
@@ -292,6 +293,17 @@
     })
 }
 
+/// Refuses to resume a turn on a route that keeps turns: its first events are known only to the node
+/// that began it, and the turn would be stored without them.
+fn require_whole_turn(context: &RequestContext, route: &Route) -> Result<(), Refusal> {
+    if context.resume_after.is_none() || !route.repeat.is_stream() || !route.keeps_turns {
+        return Ok(());
+    }
+    let message = "a turn that is kept cannot be resumed; send it again from its start, without \
+                   Last-Event-Id";
+    Err(Refusal::not_run(RefusalKind::StreamUnknown, message))
+}
+
 fn request_class(starts_program: bool, time_left: Duration) -> RequestClass {
     if starts_program { RequestClass::NewProgram } else { RequestClass::Other { time_left } }
 }
