Refuse requests for another protocol at once

A caller that sent a GET with `Upgrade` and without a length got 408 when its deadline had passed: the HTTP library reads the body of such a request until the end of the connection, and the node waited for it.

Ruled out: requests with `Upgrade` and a length or chunks, which are served.

Such a request, and CONNECT, is now refused with 400 before its body is waited for.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -189,7 +189,14 @@
     let body_max_bytes = node.table().limits().body_max_bytes;
     match payload {
         PayloadType::None => handle_request(node, connection, head, Bytes::new(), arrived_at).await,
-        PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
+        // The body of such a request would end with the connection.
+        PayloadType::Stream(_) => {
+            let message = "other protocols are not spoken here; send the request without Upgrade";
+            let refusal = Refusal::not_run(RefusalKind::InvalidRequest, message);
+            refuse_and_close(node, connection, &refusal).await?;
+            Ok(false)
+        }
+        PayloadType::Payload(decoder) => {
             let time_limit = time_limit(&head);
             let body =
                 timeout(time_limit, read_body(&connection.io, &decoder, &head, body_max_bytes))
--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -326,3 +326,21 @@
     let (received, _) = exchange(&site, last_head("POST", "/plain/x", "switch")).await;
     assert!(received.starts_with("HTTP/1.1 502 "), "{received}");
 }
+
+/// Guards against waiting until the deadline for the body of a request that has none, because it asks
+/// for another protocol.
+#[ntex::test]
+async fn request_for_another_protocol_is_refused_at_once() {
+    let site = Site::start(1).await;
+    let upgrade = "connection: upgrade\r\nupgrade: h2c\r\n";
+    for (method, path) in [("GET", "/lookup/x"), ("POST", "/stream/talk/1"), ("CONNECT", "/x")] {
+        let (received, _) =
+            exchange(&site, head(method, path, "HTTP/1.1", "upgrade", upgrade)).await;
+        let mut rest = received.as_str();
+        let (head, body) = take_answer(&mut rest);
+        assert!(head.starts_with("http/1.1 400 "), "{method}: {received}");
+        assert!(body.contains("without Upgrade"), "{method}: {received}");
+        assert_eq!(rest, "", "{method}");
+    }
+    assert!(site.recorded_requests(&site.services).await.is_empty(), "a request ran");
+}
