Do not report a call whose start is recorded as not run

What callers saw: the owner of a program is killed while it runs a call. Its caller, or a repeat, reaches the next owner, which has read that the call was started but not yet committed that its outcome is unknown. It let the call wait for that record, and after order_wait (10 s) refused it with sequence_ahead and "not run", though the service had run it. The same for a repeatable call with a budget.

Cause: waiting for a predecessor and waiting for the end of the call's own attempt were one decision with one refusal.

Change: a recorded start of a call that may not be repeated answers outcome_unknown at once: a call that runs at this owner is joined before, and no later record can make it another outcome. A repeatable call whose own attempt is recorded is refused as platform_unavailable with run "unknown" when it has waited too long.

Other refusals of the next owner are decided by the program's records, so the exemption of calls that may not be repeated in check_last_event stands.

--- a/crates/coordination/src/owner/mod.rs
+++ b/crates/coordination/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use crate::program::{CallPhase, Decision, Program, program_closed};
 use crate::record::{CallKey, CloseReason, Entry, Record, StoredAnswer};
 use crate::refusal::{Refusal, RefusalKind};
-use refusals::{budget_exhausted, platform_unavailable};
+use refusals::{attempt_not_ended, budget_exhausted, platform_unavailable, sequence_ahead};
 use table::{OwnedProgram, ProgramTable, RunningCall};
 
 pub use table::UnreleasedProgram;
@@ -162,7 +162,10 @@
                 Step::Recorded(answer) => return Ok(Admission::Recorded(answer)),
                 Step::Join(feed) => return Ok(Admission::Join(feed)),
                 Step::Run { attempt } => return self.start(request, digest, attempt).await,
-                Step::Wait(changed, until) => self.wait_change(&changed, until, deadline).await?,
+                Step::Wait(..) if self.clock.monotonic() >= deadline => {
+                    return Err(self.overdue_refusal(request));
+                }
+                Step::Wait(changed, until) => self.wait_change(&changed, until, deadline).await,
             }
         }
     }
@@ -247,24 +250,21 @@
         Step::Run { attempt }
     }
 
-    async fn wait_change(
-        &self,
-        changed: &Notify,
-        until: Option<Duration>,
-        deadline: Duration,
-    ) -> Result<(), Refusal> {
+    async fn wait_change(&self, changed: &Notify, until: Option<Duration>, deadline: Duration) {
         let now = self.clock.monotonic();
-        if now >= deadline {
-            return Err(Refusal::not_run(
-                RefusalKind::SequenceAhead,
-                "the predecessor of this Program-Sequence has not finished; \
-                 send the calls in order or wait for the earlier answer",
-            ));
-        }
         let wake = until.unwrap_or(deadline).min(deadline).saturating_sub(now);
         let changed = std::pin::pin!(changed.notified());
         select(changed, self.clock.sleep(wake)).await;
-        Ok(())
+    }
+
+    /// Returns the refusal of a call that has waited for `order_wait`.
+    fn overdue_refusal(&self, request: &CallRequest) -> Refusal {
+        let has_attempt = |owned: &OwnedProgram| owned.program.has_attempt(request);
+        if self.table.with(&request.program, has_attempt) == Some(true) {
+            attempt_not_ended()
+        } else {
+            sequence_ahead()
+        }
     }
 
     async fn start(
--- a/crates/coordination/src/owner/refusals.rs
+++ b/crates/coordination/src/owner/refusals.rs
@@ -14,6 +14,24 @@
     )
 }
 
+/// Creates the refusal of a call that waited too long for its predecessor.
+pub(super) fn sequence_ahead() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::SequenceAhead,
+        "the predecessor of this Program-Sequence has not finished; \
+         send the calls in order or wait for the earlier answer",
+    )
+}
+
+/// Creates the refusal of a call that waited too long for the end of its own earlier attempt.
+pub(super) fn attempt_not_ended() -> Refusal {
+    Refusal::may_have_run(
+        RefusalKind::PlatformUnavailable,
+        "an earlier attempt of the call is not recorded as ended yet; \
+         repeat it with the same Idempotency-Key after the pause",
+    )
+}
+
 /// Creates the refusal for an attempt whose end could not be recorded in time.
 pub(super) fn unrecorded_end(outcome: Result<Answer, Refusal>) -> Refusal {
     let run = match outcome {
--- a/crates/coordination/src/program.rs
+++ b/crates/coordination/src/program.rs
@@ -53,7 +53,8 @@
     },
     /// Return the recorded answer.
     Recorded(StoredAnswer),
-    /// Wait for the predecessor, or for the attempt of this call that is recorded as started.
+    /// Wait for the predecessor, or for the attempt of this repeatable call that is recorded as
+    /// started.
     Wait,
     /// Refuse the call.
     Refuse(Refusal),
@@ -155,7 +156,15 @@
         settled as CallSequence + 1
     }
 
-    /// Decides how to handle `request`, based only on recorded state.
+    /// Returns whether an attempt of `request` is recorded.
+    #[must_use]
+    pub fn has_attempt(&self, request: &CallRequest) -> bool {
+        let call = self.calls.get(&request.sequence);
+        call.is_some_and(|call| call.key.idempotency_key == request.idempotency_key)
+    }
+
+    /// Decides how to handle `request`, based only on recorded state. An attempt that is recorded as
+    /// started was begun by a previous owner.
     #[must_use]
     pub fn decide(&self, request: &CallRequest, digest: &str) -> Decision {
         if self.team != request.team {
@@ -202,8 +211,10 @@
         }
         match &call.phase {
             CallPhase::Finished { answer, .. } => Decision::Recorded(answer.clone()),
-            CallPhase::InDoubt => Decision::Refuse(Refusal::outcome_unknown()),
-            CallPhase::Started { .. } => Decision::Wait,
+            CallPhase::Started { .. } if call.key.repeatable => Decision::Wait,
+            CallPhase::Started { .. } | CallPhase::InDoubt => {
+                Decision::Refuse(Refusal::outcome_unknown())
+            }
             CallPhase::Open if self.closed.is_some() => Decision::Refuse(program_closed()),
             CallPhase::Open => Decision::Run { attempt: call.key.attempt + 1 },
         }
--- a/crates/coordination/tests/shards.rs
+++ b/crates/coordination/tests/shards.rs
@@ -10,10 +10,11 @@
 use dandelionfront_coordination::platform::{Table, Transaction, TransactionOutcome};
 use dandelionfront_coordination::shards::Shards;
 use dandelionfront_coordination::{
-    Admission, Answer, AttemptEnd, CallRequest, CallTarget, Clock, Journal, Owner, Payload, Usage,
+    Admission, Answer, AttemptEnd, CallRequest, CallTarget, Clock, Journal, Owner, Payload,
+    RefusalKind, RunState, Usage,
 };
 use dandelionfront_standins::{PlatformState, StepClock};
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 
 const REGION: &str = "local";
 const TEAM: &str = "crew";
@@ -62,18 +63,7 @@
 
     /// Runs one call of a program to its recorded end.
     async fn call(&self, program: &str, sequence: u64) {
-        let request = CallRequest {
-            program: program.to_owned(),
-            single: false,
-            sequence,
-            idempotency_key: format!("k-{sequence}"),
-            team: TEAM.to_owned(),
-            route: "geo".to_owned(),
-            repeatable: true,
-            target: CallTarget::Model { prompt_tokens_max: 1, completion_tokens_max: 1 },
-            stream: false,
-            body: Payload::from("question"),
-        };
+        let request = model_call(program, sequence);
         let Ok(Admission::Run(ticket)) = self.owner.admit(&request).await else {
             panic!("call {sequence} is not admitted by {}", self.id)
         };
@@ -88,6 +78,52 @@
     }
 }
 
+/// Returns a repeatable call.
+fn model_call(program: &str, sequence: u64) -> CallRequest {
+    CallRequest {
+        program: program.to_owned(),
+        single: false,
+        sequence,
+        idempotency_key: format!("k-{sequence}"),
+        team: TEAM.to_owned(),
+        route: "geo".to_owned(),
+        repeatable: true,
+        target: CallTarget::Model { prompt_tokens_max: 1, completion_tokens_max: 1 },
+        stream: false,
+        body: Payload::from("question"),
+    }
+}
+
+/// Guards against "not run" for a call that a lost owner may have run, when the next owner cannot
+/// record its end in time.
+#[tokio::test]
+async fn overdue_call_of_a_lost_owner_is_not_reported_as_not_run() {
+    let memory = Arc::new(PlatformState::default());
+    let (first, second) = (ShardNode::new(&memory, "node-a"), ShardNode::new(&memory, "node-b"));
+    let program = program_id(REGION, 0, 7);
+    let budget_tokens = Some(100);
+    let spec = ProgramSpec { team: TEAM.to_owned(), parent: None, budget_tokens };
+    let scenario = async {
+        first.reconcile(&first).await;
+        first.owner.open(program.clone(), spec).await.expect("opened");
+        let admitted = first.owner.admit(&model_call(&program, 1)).await;
+        assert!(matches!(admitted, Ok(Admission::Run(_))), "the call starts");
+    };
+    let journal = std::pin::pin!(first.journal.run());
+    assert!(matches!(select(std::pin::pin!(scenario), journal).await, Either::Left(_)));
+    // The journal of the second node does not run.
+    let assignment = |_| Some(second.id.clone());
+    second.shards.reconcile(&assignment, &|_| true).await.expect("the table answers");
+    let mut refusals = Vec::new();
+    for sequence in [1, 2] {
+        let admitted = second.owner.admit(&model_call(&program, sequence)).await;
+        refusals.extend(admitted.err().map(|refusal| (refusal.kind, refusal.run)));
+    }
+    let not_ended = (RefusalKind::PlatformUnavailable, RunState::Unknown);
+    let ahead = (RefusalKind::SequenceAhead, RunState::NotRun);
+    assert_eq!(refusals, [not_ended, ahead]);
+}
+
 #[tokio::test]
 async fn a_shard_that_returns_to_a_former_owner_keeps_its_records() {
     let memory = Arc::new(PlatformState::default());
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -115,6 +115,28 @@
     assert_eq!(fleet.executions("k").await, 1);
 }
 
+/// Guards against "not run" for a call that ran, while the next owner of its program has not recorded
+/// yet that its outcome is unknown.
+#[ntex::test]
+async fn call_whose_unknown_outcome_is_not_recorded_yet_is_not_reported_as_not_run() {
+    let service_args = ["--delay-ms", "30000"].map(str::to_owned).to_vec();
+    let node_args = ["--order-wait-ms", "1"].map(str::to_owned).to_vec();
+    let options = FleetOptions { node_args, service_args, ..FleetOptions::default() };
+    let mut fleet = Fleet::start(options).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content: "x" };
+    let http = fleet.http.clone();
+    let request = call.service_request(&http, &fleet.nodes[0].listen, ALPHA_KEY);
+    let first = ntex::rt::spawn(async move { http.send(request, "x").await });
+    eventually("the service executes", async || (fleet.executions("k").await == 1).then_some(()))
+        .await;
+    // The record takes longer than the first repeat at the next owner.
+    fleet.platform_faults(json!({ "delay_ms": 200 })).await;
+    fleet.nodes[1].process.kill();
+    let reply = first.await.expect("caller task ends").expect("the node answers");
+    assert_eq!((reply.kind().as_str(), reply.run().as_str()), ("outcome_unknown", "unknown"));
+}
+
 /// Guards against calls that are recorded or run twice because the answer to a commit that took
 /// effect is lost and the commit is retried.
 #[ntex::test]
