Carry a lost attempt into refusals of this node and of program requests

What callers would see: after an owner that may have run a request is lost, a refusal that this node makes itself ("the node is stopping") says "not run"; a request that opens, reads or ends a program forgets an owner that answered not_owner with run "unknown", and passes on a later "not run".

Found by reading; no test shows it.

Change: Refusal::after_attempt turns "not run" into "unknown" at these places, and leaves "ran" as it is; it replaces the code of the call stream that did so by hand.

--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -189,6 +189,15 @@
         )
     }
 
+    /// Sets the run state to unknown if it is "not run" and an earlier attempt may have run.
+    #[must_use]
+    pub fn after_attempt(mut self, may_have_run: bool) -> Self {
+        if may_have_run && self.run == RunState::NotRun {
+            self.run = RunState::Unknown;
+        }
+        self
+    }
+
     /// Sets the retry delay.
     #[must_use]
     pub fn retry_after_ms(mut self, pause_ms: u64) -> Self {
--- a/crates/daemon/src/request/programs.rs
+++ b/crates/daemon/src/request/programs.rs
@@ -213,27 +213,27 @@
 ) -> Result<ProgramReply, Refusal> {
     let process = &worker.shared;
     let deadline = process.clock.monotonic() + process.settings.owner_wait;
-    let mut run = RunState::NotRun;
+    let mut may_have_run = false;
     loop {
-        let failure = match try_send_to_owner(worker, region_shard, &request).await? {
+        let sent = try_send_to_owner(worker, region_shard, &request).await;
+        let failure = match sent.map_err(|refusal| refusal.after_attempt(may_have_run))? {
             Ok(ProgramReply::Refused(refusal)) if refusal.kind == RefusalKind::NotOwner => {
+                may_have_run |= refusal.run != RunState::NotRun;
                 RetryReason::OwnerMoved
             }
-            Ok(ProgramReply::Refused(refusal)) => return Err(refusal),
+            Ok(ProgramReply::Refused(refusal)) => return Err(refusal.after_attempt(may_have_run)),
             Ok(reply) => return Ok(reply),
             Err(ForwardError::NeverSent) => RetryReason::OwnerUnreachable,
             Err(ForwardError::Lost) => {
-                run = RunState::Unknown;
+                may_have_run = true;
                 RetryReason::OwnerLost
             }
         };
         process.metrics.count_retry(failure);
         if process.clock.monotonic() >= deadline {
             let message = "the program's owner cannot be reached; repeat the request";
-            return Err(Refusal {
-                run,
-                ..Refusal::not_run(RefusalKind::OwnerUnreachable, message)
-            });
+            let refusal = Refusal::not_run(RefusalKind::OwnerUnreachable, message);
+            return Err(refusal.after_attempt(may_have_run));
         }
         sleep(RETRY_DELAY).await;
     }
--- a/crates/daemon/src/request/submit.rs
+++ b/crates/daemon/src/request/submit.rs
@@ -192,7 +192,7 @@
             // An earlier owner may have run a repeatable call without a record of it; the start of
             // a non-repeatable call is recorded before dispatch.
             CallEvent::Refused(refusal) if self.may_have_run && self.request.repeatable => {
-                CallEvent::Refused(Refusal { run: RunState::Unknown, ..refusal })
+                CallEvent::Refused(refusal.after_attempt(true))
             }
             event => event,
         }
@@ -211,7 +211,8 @@
         let region_shard =
             parse_program_id(&self.request.program).ok_or_else(Refusal::program_unknown)?;
         loop {
-            let location = self.worker.shared.control.locate(&region_shard).await?;
+            let location = self.worker.shared.control.locate(&region_shard).await;
+            let location = location.map_err(|refusal| refusal.after_attempt(self.may_have_run))?;
             let failure = match location {
                 Location::Local => match self.connect_local().await {
                     Err(refusal) if refusal.kind == RefusalKind::NotOwner => {
@@ -256,8 +257,7 @@
     fn owner_unreachable(&self) -> Refusal {
         let message = "the program's owner cannot be reached; \
                        repeat the call with the same Idempotency-Key";
-        let run = if self.may_have_run { RunState::Unknown } else { RunState::NotRun };
-        Refusal { run, ..Refusal::not_run(RefusalKind::OwnerUnreachable, message) }
+        Refusal::not_run(RefusalKind::OwnerUnreachable, message).after_attempt(self.may_have_run)
     }
 }
 
