Answer what may have run with a status that promises nothing

What callers saw: a refusal whose run is "unknown" or "ran" kept the status of its kind: 402 for a call that an engine ran, 503 with Retry-After for a call whose owner was lost or whose end could not be recorded. Callers take 402, 429 and 503 for "not run", and clients repeat after Retry-After without looking at the body; a repeat without an Idempotency-Key runs again.

Change: the own interface answers such a refusal with 502, unless its kind already has a status that promises nothing (409, 502, 504), and sends Retry-After only for what has not run. Kind, message and retry_after_ms stay: they tell why and when a repeat with the same key succeeds. Opening, reading and ending programs get it too, because both are decided where a refusal becomes a response.

Measured: call_that_the_next_owner_refuses_is_not_reported_as_not_run, which now also checks the status and Retry-After, failed before with 402; call_whose_owner_is_lost_has_no_status_of_a_call_that_did_not_run failed with 503 and Retry-After 1. Both pass now.

--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -122,7 +122,7 @@
         self.row().1
     }
 
-    /// Returns the HTTP status sent to callers.
+    /// Returns the HTTP status of a request that was not executed.
     #[must_use]
     pub fn http_status(self) -> u16 {
         self.row().2
@@ -198,6 +198,16 @@
         self
     }
 
+    /// Returns the HTTP status for callers of the own interface: that of the kind, or 502 if callers
+    /// would take it for "not run" and the request may have run.
+    #[must_use]
+    pub fn http_status(&self) -> u16 {
+        match (self.run, self.kind.http_status()) {
+            (RunState::NotRun, status) | (_, status @ (409 | 502 | 504)) => status,
+            _ => 502,
+        }
+    }
+
     /// Sets the retry delay.
     #[must_use]
     pub fn retry_after_ms(mut self, pause_ms: u64) -> Self {
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 
-use dandelionfront_coordination::{Answer, Refusal};
+use dandelionfront_coordination::{Answer, Refusal, RunState};
 use futures_util::Stream;
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
@@ -26,7 +26,7 @@
 struct ErrorDetail<'a> {
     kind: &'a str,
     message: &'a str,
-    run: dandelionfront_coordination::RunState,
+    run: RunState,
     retry_after_ms: Option<u64>,
 }
 
@@ -46,9 +46,12 @@
 #[must_use]
 pub fn refuse(metrics: &Metrics, refusal: &Refusal) -> HttpResponse {
     metrics.count_refusal(refusal.kind);
-    let status = StatusCode::from_u16(refusal.kind.http_status());
+    let status = StatusCode::from_u16(refusal.http_status());
     let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
-    if let Some(pause_ms) = refusal.retry_after_ms {
+    // Clients repeat a request after `Retry-After` without looking at the body.
+    if let Some(pause_ms) = refusal.retry_after_ms
+        && refusal.run == RunState::NotRun
+    {
         response.header("retry-after", retry_after_s(pause_ms).to_string());
     }
     response.content_type(JSON).body(refusal_json(refusal))
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -194,7 +194,8 @@
 }
 
 /// Guards against "not run" for a call that an engine runs, when the owner of its program is killed
-/// and the next owner refuses the call.
+/// and the next owner refuses the call; also by its status or a `Retry-After`, which are read as "not
+/// run".
 #[ntex::test]
 async fn call_that_the_next_owner_refuses_is_not_reported_as_not_run() {
     let engine_args = ["--token-interval-ms", "50"].map(str::to_owned).to_vec();
@@ -214,4 +215,26 @@
     let reply = first.await.expect("caller task ends").expect("the node answers");
     assert_eq!(reply.kind(), "budget_exhausted", "{}", reply.body);
     assert_eq!(reply.run(), "unknown", "{}", reply.body);
+    assert_eq!((reply.status, reply.retry_after), (502, None), "{}", reply.body);
+}
+
+/// Guards against a status or a `Retry-After` that promises "not run" for a call whose owner is lost
+/// and cannot be reached any more.
+#[ntex::test]
+async fn call_whose_owner_is_lost_has_no_status_of_a_call_that_did_not_run() {
+    let service_args = ["--delay-ms", "30000"].map(str::to_owned).to_vec();
+    let node_args = ["--owner-wait-ms", "10"].map(str::to_owned).to_vec();
+    let options = FleetOptions { node_args, service_args, ..FleetOptions::default() };
+    let mut fleet = Fleet::start(options).await;
+    let program = fleet.program_owned_by(&fleet.nodes[1], ALPHA_KEY).await;
+    let call = ProgramCall { program: &program, sequence: 1, idempotency_key: "k", content: "x" };
+    let http = fleet.http.clone();
+    let request = call.service_request(&http, &fleet.nodes[0].listen, ALPHA_KEY);
+    let first = ntex::rt::spawn(async move { http.send(request, "x").await });
+    eventually("the service executes", async || (fleet.executions("k").await == 1).then_some(()))
+        .await;
+    fleet.nodes[1].process.kill();
+    let reply = first.await.expect("caller task ends").expect("the node answers");
+    assert_eq!((reply.kind().as_str(), reply.run().as_str()), ("owner_unreachable", "unknown"));
+    assert_eq!((reply.status, reply.retry_after), (502, None), "{}", reply.body);
 }
