Take an unframed answer of a service as whole only if it runs on

What callers saw on the own interface: a service wrote a part of an answer with neither a length nor chunks, and its process was killed. The caller got the part with status 200, and it was recorded as the answer.

Change: at the end of an unframed answer the node connects to the server once more, for 50 ms at most; if nothing listens there, the answer counts as lost. Streams of engines need no probe: they are whole only with [DONE], a finish reason and a usage.

What stays: an answer that ends early while its server runs on, or that runs behind a proxy which does, is taken as whole; a server that leaves right after a whole unframed answer is taken for one that was killed.

Measured: service_answer_that_is_cut_short_is_no_answer has the case "killed", which failed before (200, "short") and passes now.

--- a/crates/daemon/src/backend/service.rs
+++ b/crates/daemon/src/backend/service.rs
@@ -81,7 +81,12 @@
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
         let status = response.status().as_u16();
+        let is_unframed = exchange::is_unframed(&response);
         let body = response.into_body().collect().await.map_err(|_| lost("cut its answer"))?;
+        // The kernel closes the connections of a killed process in order.
+        if is_unframed && exchange::has_ended(&self.address).await {
+            return Err(lost("ended during its answer"));
+        }
         Ok(Answer { status, content_type, body: Payload(body.to_bytes().to_vec()) })
     }
 }
--- a/crates/daemon/src/connection/exchange.rs
+++ b/crates/daemon/src/connection/exchange.rs
@@ -4,17 +4,22 @@
 //! request only, no other answer can arrive before it.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST, HeaderValue};
+use http::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use log::debug;
+use ntex::time::timeout;
 use tokio::net::TcpStream;
 
+/// Maximum wait for the answer to a probe, which delays an answer.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Failure to get the head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -27,7 +32,8 @@
 /// Sends `request` to `address` on a new connection and waits for the head of the answer.
 ///
 /// Interim answers are skipped. The body fails unless it ends as its framing says, or, without a
-/// framing, with an orderly end of the connection. The connection is closed with the body.
+/// framing, with an orderly end of the connection, which [`has_ended`] tells from the end of the
+/// server. The connection is closed with the body.
 ///
 /// # Errors
 ///
@@ -52,6 +58,23 @@
     })
 }
 
+/// Returns whether the body of `response` has neither a length nor chunks, so that it ends with its
+/// connection.
+pub fn is_unframed(response: &Response<Incoming>) -> bool {
+    let transfer = response.headers().get_all(TRANSFER_ENCODING).iter().next_back();
+    let is_chunked = transfer
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.trim().to_ascii_lowercase().ends_with("chunked"));
+    !is_chunked && response.body().size_hint().exact().is_none()
+}
+
+/// Returns whether the process of a server that closed a connection has ended: nothing listens at its
+/// address anymore. A server that does not react within [`PROBE_TIMEOUT`] counts as running.
+pub async fn has_ended(address: &str) -> bool {
+    let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 async fn connect(address: &str) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/crates/daemon/tests/backend_exchanges.rs
+++ b/crates/daemon/tests/backend_exchanges.rs
@@ -82,11 +82,15 @@
             failures.push((answer, reply));
         }
     }
-    let unframed = vec![Step::write(format!("{UNFRAMED_HEAD}short")), Step::Reset];
-    let (fleet, _server) = start_scripted("desk-1", vec![unframed]).await;
-    let reply = call_service(&fleet, "POST").await;
-    if reply.status == 200 || reply.run() != "unknown" {
-        failures.push(("reset", reply));
+    let unframed = Step::write(format!("{UNFRAMED_HEAD}short"));
+    // The kernel also closes the connections of a killed process in order.
+    let killed = vec![unframed.clone(), Step::StopListening, Step::Close];
+    for (end, script) in [("reset", vec![unframed, Step::Reset]), ("killed", killed)] {
+        let (fleet, _server) = start_scripted("desk-1", vec![script]).await;
+        let reply = call_service(&fleet, "POST").await;
+        if reply.status == 200 || reply.run() != "unknown" {
+            failures.push((end, reply));
+        }
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
