Judge each event of an engine by its own id, and resume only with ids

What callers saw: an engine that numbers only some events, or sends its usage without an id, was answered with 502 "sent a part out of order". And an engine without ids, as most of those that speak OpenAI's protocol, was resumed unchecked: if it began anew, the text was there twice (MIXED).

Cause: the parser hands the id of an event on to those after it, as the standard says for browsers, so an event without an id looked like a repetition. Without any id nothing showed where a resumed stream begins.

Change: the engine client uses EventSplitter, which gives each event its own id. An id that is there must be the number of the chunk; events without one follow in the order of their connection. A stream is resumed only if all its chunks had their numbers, and the first chunk of a resumed stream must have its. Lines that belong to no event, as in the head of a second answer, end the stream as lost.

Costs: a broken-off stream of an engine without ids is no longer resumed but lost (502, unknown). Lines that end with CR alone are no longer understood.

Measured: engine_stream_is_whole_whichever_events_have_ids failed before with 502 for the partly numbered streams; stream_that_begins_anew_is_not_ continued failed with its new cases without ids. Both pass now; the tests of `answers` with the fault proxy pass.

--- a/crates/daemon/src/backend/engine.rs
+++ b/crates/daemon/src/backend/engine.rs
@@ -4,8 +4,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use dandelionfront_coordination::events::{EventSplitter, StreamEvent};
 use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind};
-use eventsource_stream::{Event, Eventsource as _};
 use futures_util::StreamExt as _;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response};
@@ -19,7 +19,7 @@
 use crate::consts::{DEADLINE_HEADER, JSON, PRIORITY_HEADER, PROGRAM_ID_HEADER, REQUEST_ID_HEADER};
 
 /// Data of the last event of a stream.
-const DONE: &str = "[DONE]";
+const DONE: &[u8] = b"[DONE]";
 /// Maximum number of times that an interrupted or idle stream is resumed.
 const RESUMES_MAX: u32 = 3;
 
@@ -100,11 +100,7 @@
     }
 
     /// Requests the stream again, starting after the chunks already received.
-    async fn resume(
-        &self,
-        call: &EngineCall,
-        received_chunks: usize,
-    ) -> Option<Response<Incoming>> {
+    async fn resume(&self, call: &EngineCall, received_chunks: u64) -> Option<Response<Incoming>> {
         let path = format!("/v1/requests/{}?offset={received_chunks}", call.request_id);
         self.send_empty(Method::GET, &path).await
     }
@@ -147,32 +143,77 @@
         response: Response<Incoming>,
         state: &mut StreamState<'_>,
     ) -> Result<bool, BackendError> {
-        let mut events = BodyDataStream::new(response.into_body()).eventsource();
+        let mut body = BodyDataStream::new(response.into_body());
+        let mut splitter = EventSplitter::default();
         loop {
-            match timeout(self.idle_timeout, events.next()).await {
-                Ok(Some(Ok(event))) if event.data == DONE => return Ok(true),
-                Ok(Some(Ok(event))) => state.add_chunk(&event)?,
-                Ok(Some(Err(_)) | None) | Err(()) => return Ok(false),
+            match timeout(self.idle_timeout, next_event(&mut body, &mut splitter)).await {
+                Ok(Some(event)) if event.has_foreign_lines() || event.raw.starts_with(b"HTTP/") => {
+                    return Err(lost("sent lines that belong to no event"));
+                }
+                Ok(Some(event)) if event.data == DONE => return Ok(true),
+                Ok(Some(event)) => state.add_chunk(&event)?,
+                Ok(None) | Err(()) => return Ok(false),
+            }
+        }
+    }
+}
+
+/// Returns the next event that is no comment, or `None` if the stream ends or cannot be read.
+async fn next_event(
+    body: &mut BodyDataStream<Incoming>,
+    splitter: &mut EventSplitter,
+) -> Option<StreamEvent> {
+    loop {
+        while let Some(event) = splitter.next_event() {
+            if !event.is_comment() {
+                return Some(event);
             }
         }
+        let data = body.next().await?.ok()?;
+        if !splitter.push(&data) {
+            return None;
+        }
     }
 }
 
 struct StreamState<'a> {
     assembler: CompletionAssembler,
-    chunks: usize,
+    chunks: u64,
+    /// Whether each chunk had its number as its id, as needed to resume the stream.
+    is_numbered: bool,
+    /// Whether the next chunk must have an id, because it is the first one of a resumed stream.
+    must_be_numbered: bool,
     sink: &'a mut dyn GenerationSink,
 }
 
 impl StreamState<'_> {
-    fn add_chunk(&mut self, event: &Event) -> Result<(), BackendError> {
-        if !event.id.is_empty() && event.id != self.chunks.to_string() {
-            return Err(lost("sent a part out of order"));
+    fn add_chunk(&mut self, event: &StreamEvent) -> Result<(), BackendError> {
+        if event.data.is_empty() {
+            return Ok(());
         }
-        let added = self.assembler.add(&event.data);
+        match event.id {
+            Some(id) if id != self.chunks => return Err(lost("sent a part out of order")),
+            None if self.must_be_numbered => {
+                return Err(lost("resumed the stream without the number of a part"));
+            }
+            id => self.is_numbered &= id.is_some(),
+        }
+        self.must_be_numbered = false;
+        let data = std::str::from_utf8(&event.data).unwrap_or_default();
+        let added = self.assembler.add(data);
         added.map_err(|_| lost("sent a part that is no chunk of the completion"))?;
         self.chunks += 1;
-        self.sink.on_chunk(&event.data);
+        self.sink.on_chunk(data);
+        Ok(())
+    }
+
+    /// Prepares for a resumed stream; fails if nothing would show where it begins.
+    fn resume(&mut self) -> Result<(), BackendError> {
+        if !self.is_numbered {
+            return Err(lost("cut a stream whose parts have no numbers"));
+        }
+        self.must_be_numbered = self.chunks > 0;
+        self.sink.on_resumed();
         Ok(())
     }
 }
@@ -185,14 +226,20 @@
         sink: &mut dyn GenerationSink,
     ) -> Result<BackendAnswer, BackendError> {
         let mut response = self.start(call).await?;
-        let mut state = StreamState { assembler: CompletionAssembler::default(), chunks: 0, sink };
+        let mut state = StreamState {
+            assembler: CompletionAssembler::default(),
+            chunks: 0,
+            is_numbered: true,
+            must_be_numbered: false,
+            sink,
+        };
         let mut resumes = 0;
         while !self.read_chunks(response, &mut state).await? {
             resumes += 1;
             if resumes > RESUMES_MAX {
                 return Err(lost("cut the stream too often"));
             }
-            state.sink.on_resumed();
+            state.resume()?;
             response =
                 self.resume(call, state.chunks).await.ok_or_else(|| lost("cut the stream"))?;
         }
--- a/crates/daemon/tests/backend_exchanges.rs
+++ b/crates/daemon/tests/backend_exchanges.rs
@@ -142,6 +142,38 @@
     assert_eq!(server.received().len(), 1, "the stream was resumed");
 }
 
+/// Returns events without the ids for which `is_dropped` is true, by their position.
+fn without_ids(events: &str, is_dropped: impl Fn(usize) -> bool) -> String {
+    let events = events.split_inclusive("\n\n").enumerate();
+    let strip = |(position, event): (usize, &str)| match event.split_once('\n') {
+        Some((id, rest)) if id.starts_with("id:") && is_dropped(position) => rest.to_owned(),
+        _ => event.to_owned(),
+    };
+    events.map(strip).collect()
+}
+
+/// Guards against whole streams that are refused because not all of their events have ids.
+#[ntex::test]
+async fn engine_stream_is_whole_whichever_events_have_ids() {
+    let stream = chunk_events(0, &["a", "a", "b"]) + &last_events(3);
+    let streams = [
+        without_ids(&stream, |_| true),
+        without_ids(&stream, |position| position == 3),
+        without_ids(&stream, |position| position > 0),
+        without_ids(&stream, |position| position % 2 == 0),
+    ];
+    let mut failures = Vec::new();
+    for stream in streams {
+        let script = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&stream) + LAST_CHUNK)];
+        let (fleet, _server) = start_scripted("engine-0", vec![script]).await;
+        let reply = call_model(&fleet, false).await;
+        if reply.status != 200 || text(&reply) != "aab" {
+            failures.push((stream, reply));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against text that is there twice because a stream was begun anew, by the engine or by a
 /// second copy of its answer (MIXED).
 #[ntex::test]
@@ -150,14 +182,29 @@
     let part = chunk_events(0, &["a", "b"]);
     let broken_off = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&part)), Step::Close];
     let anew = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&whole) + LAST_CHUNK)];
-    let doubled = vec![
-        Step::write(format!("HTTP/1.0 200 OK\r\n\r\n{part}{CHUNKED_HEAD}{whole}")),
-        Step::Close,
+    let doubled_text =
+        |part: &str, whole: &str| format!("HTTP/1.0 200 OK\r\n\r\n{part}{CHUNKED_HEAD}{whole}");
+    let doubled = vec![Step::write(doubled_text(&part, &whole)), Step::Close];
+    // Without ids nothing shows where a resumed stream begins.
+    let [part_without, whole_without] = [&part, &whole].map(|events| without_ids(events, |_| true));
+    let unnumbered = vec![
+        vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&part_without)), Step::Close],
+        vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&whole_without) + LAST_CHUNK)],
     ];
+    let unnumbered_anew = vec![broken_off.clone(), unnumbered[1].clone()];
+    let doubled_without =
+        vec![Step::write(doubled_text(&part_without, &whole_without)), Step::Close];
     let other = chunk_events(2, &["other"]).replace("chatcmpl-1", "chatcmpl-2") + &last_events(3);
     let mixed = vec![Step::write(CHUNKED_HEAD.to_owned() + &chunk(&(part.clone() + &other)))];
     let mut failures = Vec::new();
-    for scripts in [vec![broken_off, anew], vec![doubled], vec![mixed]] {
+    for scripts in [
+        vec![broken_off, anew],
+        vec![doubled],
+        vec![mixed],
+        unnumbered,
+        unnumbered_anew,
+        vec![doubled_without],
+    ] {
         for stream in [false, true] {
             let (fleet, _server) = start_scripted("engine-0", scripts.clone()).await;
             let reply = call_model(&fleet, stream).await;
@@ -167,7 +214,7 @@
                 reply.status != 200 && reply.run() == "unknown"
             };
             if !is_sound {
-                failures.push(reply);
+                failures.push((scripts.clone(), reply));
             }
         }
     }
