--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -123,7 +123,7 @@
         self.row().1
     }
 
-    /// Returns the HTTP status sent to callers.
+    /// Returns the HTTP status of a request that was not executed.
     #[must_use]
     pub fn http_status(self) -> u16 {
         self.row().2
@@ -190,6 +190,25 @@
         )
     }
 
+    /// Sets the run state to unknown if it is "not run" and an earlier attempt may have run.
+    #[must_use]
+    pub fn after_attempt(mut self, may_have_run: bool) -> Self {
+        if may_have_run && self.run == RunState::NotRun {
+            self.run = RunState::Unknown;
+        }
+        self
+    }
+
+    /// Returns the HTTP status for callers of the own interface: that of the kind, or 502 if callers
+    /// would take it for "not run" and the request may have run.
+    #[must_use]
+    pub fn http_status(&self) -> u16 {
+        match (self.run, self.kind.http_status()) {
+            (RunState::NotRun, status) | (_, status @ (409 | 502 | 504)) => status,
+            _ => 502,
+        }
+    }
+
     /// Sets the retry delay.
     #[must_use]
     pub fn retry_after_ms(mut self, pause_ms: u64) -> Self {
