Don't let a caller that reads nothing hold its request

A caller that sent a request and read nothing of a large answer held the request, its place at the backend server and a stopping node for as long as its connection stayed open. Cause: a write to the caller waited for room in the buffer without any limit; only reads of the answer had the deadline. What the caller got stayed framed, so nothing was mixed.

Change: the responder has the request's deadline (30 s until the request is admitted) and breaks off after it. A response that breaks off because its caller can't be written to is logged as broken_off like the others; it left no line before.

--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dandelionfront_coordination::Refusal;
@@ -13,9 +13,10 @@
 use ntex::http::h1::Message;
 use ntex::http::header::HeaderValue;
 use ntex::http::{ConnectionType, Response};
+use tokio::time::timeout_at;
 
 use super::caller::CallerConnection;
-use crate::consts::JSON;
+use crate::consts::{JSON, TIME_LIMIT_DEFAULT};
 use crate::request::answer::refusal_json;
 
 /// Length of a response body.
@@ -42,6 +43,8 @@
     connection: &'a CallerConnection,
     /// HTTP version of the request.
     version: Version,
+    /// Time until which the caller must have read enough for the response to fit into the buffer.
+    deadline: Instant,
     begun: Option<ResponseForm>,
     /// Whether the end of the connection is the end of the body.
     ends_with_connection: bool,
@@ -56,6 +59,7 @@
         Self {
             connection,
             version,
+            deadline: Instant::now() + TIME_LIMIT_DEFAULT,
             begun: None,
             ends_with_connection: false,
             is_complete: false,
@@ -63,6 +67,11 @@
         }
     }
 
+    /// Sets the time after which a caller that does not read holds the response no longer.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = deadline;
+    }
+
     /// Announces in the response head that the connection closes after the response.
     pub fn close_after_response(&mut self) {
         self.closes_connection = true;
@@ -154,28 +163,36 @@
         io.encode(message, codec).map_err(io::Error::other)
     }
 
+    /// Waits for space in the write buffer, or until it is empty if `full`.
+    async fn flush(&self, full: bool) -> io::Result<()> {
+        let flushing = self.connection.io.flush(full);
+        timeout_at(self.deadline.into(), flushing).await.map_err(|_| {
+            io::Error::new(io::ErrorKind::TimedOut, "the caller did not read it in time")
+        })?
+    }
+
     /// Sends a chunk of the body; waits for space in the write buffer when the caller reads slowly.
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed.
+    /// Fails when the connection is closed or the deadline passes.
     pub async fn send_chunk(&mut self, bytes: Bytes) -> io::Result<()> {
         if bytes.is_empty() {
             return Ok(());
         }
         let chunk = ntex::util::Bytes::copy_from_slice(&bytes);
         self.encode(Message::Chunk(Some(chunk)))?;
-        self.connection.io.flush(false).await
+        self.flush(false).await
     }
 
     /// Ends the body.
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed.
+    /// Fails when the connection is closed or the deadline passes.
     pub async fn finish(&mut self) -> io::Result<()> {
         self.encode(Message::Chunk(None))?;
-        self.connection.io.flush(self.ends_with_connection).await?;
+        self.flush(self.ends_with_connection).await?;
         if self.ends_with_connection {
             self.connection.set_reset_on_close(false)?;
         }
@@ -187,7 +204,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed or a response head was already sent.
+    /// Fails when the connection is closed, the deadline passes or a response head was already sent.
     pub async fn refuse(&mut self, request_id: &str, refusal: &Refusal) -> io::Result<()> {
         let status = StatusCode::from_u16(refusal.kind.http_status());
         let mut response =
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -43,17 +43,21 @@
         }
     };
     let labels = admitted.labels();
+    responder.set_deadline(admitted.deadline);
     match attempt::run(node, admitted, responder).await {
         Ok(()) => Ok(()),
         Err(attempt::Failure::Refused(refusal)) if !responder.is_head_sent() => {
             refuse(node, request, responder, &labels, &refusal).await
         }
-        Err(attempt::Failure::Refused(refusal)) => {
-            log::info!("event=broken_off request={} cause=\"{refusal}\"", labels.id);
+        Err(failure) => {
+            let error = match failure {
+                attempt::Failure::Refused(refusal) => io::Error::other(refusal.to_string()),
+                attempt::Failure::CallerGone(error) => error,
+            };
+            log::info!("event=broken_off request={} cause=\"{error}\"", labels.id);
             node.metrics.answers_broken_off.inc();
-            Err(io::Error::other(refusal.to_string()))
+            Err(error)
         }
-        Err(attempt::Failure::CallerGone(error)) => Err(error),
     }
 }
 
--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -8,6 +8,7 @@
 
 use dandelionfront_standins::site::scripted::{LAST_CHUNK, chunk, chunked_stream_head, events};
 use dandelionfront_standins::site::{Script, ScriptedServer, Step};
+use support::http::eventually;
 use support::site::{ALPHA_KEY, Site};
 
 /// Longest wait for the next bytes.
@@ -15,6 +16,9 @@
 /// Maximum size of a body in the configuration of the tests.
 const BODY_MAX_BYTES: usize = 65_536;
 
+/// Size of a body that the buffers of both ends of a connection can't hold.
+const UNREAD_BYTES: usize = 32 * 1024 * 1024;
+
 /// Returns the head of a request.
 fn head(method: &str, path: &str, version: &str, id: &str, fields: &str) -> String {
     format!(
@@ -318,6 +322,28 @@
     }
 }
 
+/// Guards against a request that a caller holds beyond its deadline because it does not read.
+#[ntex::test]
+async fn caller_that_reads_nothing_does_not_hold_its_request() {
+    let body = "x".repeat(UNREAD_BYTES);
+    let rest = format!("content-length: {UNREAD_BYTES}\r\n\r\n{body}");
+    let site = start_scripted("desk", vec![sealed("200 OK", &rest)]).await;
+    let (connection, received) =
+        begin_exchange(&site, last_head("GET", "/lookup/x", "held"), "").await;
+    eventually("the request is sent on", async || {
+        let lines = site.nodes[0].process.lines();
+        lines.iter().any(|line| line.contains("event=sent request=held")).then_some(())
+    })
+    .await;
+    eventually("the request ends", async || {
+        site.metrics(0).await.contains("dandelionfront_requests 0\n").then_some(())
+    })
+    .await;
+    let (received, _) = finish_exchange(connection, received).await;
+    assert!(received.starts_with("HTTP/1.1 200 ") && received.len() < UNREAD_BYTES);
+    assert!(!received.ends_with(LAST_CHUNK), "a part looks whole");
+}
+
 /// Guards against a final answer that callers take for an interim one, after which they wait for
 /// another or take the next one.
 #[ntex::test]
