Send HTTP/1.0 callers of the own interface no chunks

Change: to such a caller it has no framing and ends with its connection. It is not reset when it breaks off, because ntex's web server doesn't expose the socket; `data: [DONE]` shows that a stream is complete.

stream_to_an_http_1_0_caller_ends_with_its_connection of answers failed before (the connection did not end within 20 s) and passes now.

--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -4,7 +4,7 @@
 
 use dandelionfront_coordination::{Answer, Refusal};
 use futures_util::Stream;
-use ntex::http::StatusCode;
+use ntex::http::{StatusCode, Version};
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 use serde::Serialize;
@@ -64,13 +64,18 @@
         .body(answer.body.0)
 }
 
-/// Returns a response that streams `events`.
+/// Returns a response that streams `events` to a caller that speaks HTTP `version`.
 #[must_use]
-pub fn event_stream<S>(program: &str, events: S) -> HttpResponse
+pub fn event_stream<S>(version: Version, program: &str, events: S) -> HttpResponse
 where
     S: Stream<Item = Result<Bytes, Infallible>> + 'static,
 {
-    HttpResponse::Ok()
+    let mut response = HttpResponse::Ok();
+    // An HTTP/1.0 caller knows no chunks; the last event shows it that the stream is complete.
+    if version < Version::HTTP_11 {
+        response.no_chunking().force_close();
+    }
+    response
         .content_type(crate::consts::EVENT_STREAM)
         .header("cache-control", "no-cache")
         .header("program-id", program)
--- a/crates/daemon/src/request/chat.rs
+++ b/crates/daemon/src/request/chat.rs
@@ -8,6 +8,7 @@
     CallEvent, CallRequest, CallTarget, Clock as _, ConfigSnapshot, Refusal, RefusalKind,
 };
 use futures_util::stream::unfold;
+use ntex::http::Version;
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse, types::Payload, types::State};
 
@@ -30,7 +31,7 @@
     match receive(&worker, &request, payload).await {
         Ok((call, key_watcher)) => {
             let stream = CallStream::new((**worker).clone(), call, key_watcher);
-            respond(&worker, stream, in_flight).await
+            respond(&worker, request.version(), stream, in_flight).await
         }
         Err(refusal) => refuse(&worker.shared.metrics, &refusal),
     }
@@ -108,6 +109,7 @@
 /// error response unless the stream has already started.
 async fn respond(
     worker: &Worker,
+    version: Version,
     mut stream: CallStream,
     in_flight: InFlightGuard,
 ) -> HttpResponse {
@@ -129,7 +131,7 @@
             }
             Err(refusal) => refuse(&metrics, &refusal),
         },
-        first => event_stream(&program, stream_events(worker, stream, first, in_flight)),
+        first => event_stream(version, &program, stream_events(worker, stream, first, in_flight)),
     }
 }
 
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -3,11 +3,17 @@
 mod support;
 
 use std::collections::HashMap;
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use support::fleet::{ALPHA_KEY, Fleet, FleetOptions, Node};
 use support::http::eventually;
 
+/// Longest wait for the next bytes.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Requests a streamed completion; returns its text and whether `[DONE]` marked it as complete.
 async fn stream_completion(
     fleet: &Fleet,
@@ -166,3 +172,34 @@
     assert_eq!(text, recorded);
     assert!(reply.body.ends_with("data: [DONE]\n\n"), "{}", reply.body);
 }
+
+/// Guards against framing in the events of an answer to an HTTP/1.0 caller, which knows no chunks.
+#[ntex::test]
+async fn stream_to_an_http_1_0_caller_ends_with_its_connection() {
+    let fleet = Fleet::start(FleetOptions::default()).await;
+    let body = json!({
+        "model": "geo", "stream": true, "max_tokens": 8,
+        "messages": [{ "role": "user", "content": "old" }],
+    })
+    .to_string();
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nauthorization: Bearer {ALPHA_KEY}\r\n\
+         connection: keep-alive\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len(),
+    );
+    let address = fleet.nodes[0].listen.clone();
+    let received = ntex::rt::spawn_blocking(move || {
+        let mut connection = TcpStream::connect(address).expect("the node listens");
+        connection.set_read_timeout(Some(READ_TIMEOUT)).expect("valid");
+        connection.write_all(request.as_bytes()).expect("written");
+        let mut received = String::new();
+        connection.read_to_string(&mut received).expect("the answer and the connection's end");
+        received
+    });
+    let received = received.await.expect("no panic");
+    let (head, events) = received.split_once("\r\n\r\n").expect("a head");
+    assert!(!head.contains("transfer-encoding") && !head.contains("keep-alive"), "{head}");
+    assert!(events.ends_with("data: [DONE]\n\n"), "{events}");
+    let is_event = |line: &str| line.is_empty() || line.starts_with("data: ");
+    assert!(events.lines().all(is_event), "{events}");
+}
