Keep the addresses at which nobody listens in the tests of a cut-off node

Seen: tests of `stranded` failed now and then at a load of about 50 on 8 cores (4 tests in 3 of 8 runs of the file, all three with the order current, production; and one test in 1 of 54 runs of it alone). Traced in two: a port that was only looked up as free was given to another test, so that a request got 421 from a server there ("address used by another server"), or a probe found a server, and the node did not count itself as cut off. The other failures were not traced; their panics fit (a 502 or 503 instead of the answer). Change: such an address is bound without a listener as long as the tests run. The waits for a new list of servers accept its final state only; the number of servers was reached before it too. No check is changed.

--- a/crates/daemon/tests/stranded.rs
+++ b/crates/daemon/tests/stranded.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use support::http::eventually;
 use support::raw::RawAnswer;
-use support::site::{Call, EVENTS_PER_STREAM, Site, SiteRunner, free_address};
+use support::site::{Call, EVENTS_PER_STREAM, Site, SiteRunner, refusing_address};
 
 /// Time for which a server that has sent a part of an answer keeps its connection open; longer than
 /// any request.
@@ -35,7 +35,7 @@
         let cut = Self { stranded, neighbour };
         for runner in cut.stranded.engines.iter().chain(&cut.stranded.services) {
             let service = if runner.id.starts_with("engine") { "geo" } else { "desk" };
-            let nowhere = free_address().to_string();
+            let nowhere = refusing_address().to_string();
             cut.stranded.put_server(&runner.id, &nowhere, service, "ready").await;
         }
         eventually("the node has found the other one and has the new addresses", async || {
@@ -70,7 +70,7 @@
         let any_port = "127.0.0.1:0".parse().expect("valid");
         let (server, address) = ScriptedServer::spawn(any_port, vec![script]).expect("starts");
         let addresses: [(&Site, SocketAddr); 2] =
-            [(&self.neighbour, address), (&self.stranded, free_address())];
+            [(&self.neighbour, address), (&self.stranded, refusing_address())];
         for (site, address) in addresses {
             // Both sites list the servers under the ids of `self.stranded`.
             let engines = self.stranded.engines.iter().map(|server| ("geo", server));
@@ -78,11 +78,9 @@
             for (_, server) in engines.chain(services).filter(|(known, _)| *known == service) {
                 site.put_row("servers", &server.id, None).await;
             }
+            site.wait_server_count(2).await;
             site.put_server("scripted", &address.to_string(), service, "ready").await;
-            eventually("the node has the new list of servers", async || {
-                site.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
-            })
-            .await;
+            site.wait_server_count(3).await;
         }
         server
     }
@@ -93,12 +91,10 @@
         for known in &self.stranded.engines {
             self.stranded.put_row("servers", &known.id, None).await;
         }
-        let nowhere = free_address().to_string();
+        self.stranded.wait_server_count(2).await;
+        let nowhere = refusing_address().to_string();
         self.stranded.put_server(&engine.id, &nowhere, "geo", "ready").await;
-        eventually("the node has the new list of servers", async || {
-            self.stranded.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
-        })
-        .await;
+        self.stranded.wait_server_count(3).await;
         engine
     }
 }
@@ -164,15 +160,13 @@
     let cut = Cut::start().await;
     let any_port = "127.0.0.1:0".parse().expect("valid");
     let (server, address) = FaultyServer::spawn(any_port, FaultyAnswer::Reset).expect("starts");
-    for (site, address) in [(&cut.neighbour, address), (&cut.stranded, free_address())] {
+    for (site, address) in [(&cut.neighbour, address), (&cut.stranded, refusing_address())] {
         for service in &site.services {
             site.put_row("servers", &service.id, None).await;
         }
+        site.wait_server_count(2).await;
         site.put_server("desk-f", &address.to_string(), "desk", "ready").await;
-        eventually("the node has the new list of servers", async || {
-            site.metrics(0).await.contains("dandelionfront_servers 3\n").then_some(())
-        })
-        .await;
+        site.wait_server_count(3).await;
     }
     let answer = cut.send("POST", "/plain/x", "reset").await;
     assert_eq!(server.request_count(), 1);
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::fmt::Write as _;
 use std::io::{Read as _, Write as _};
+use std::mem;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,6 +13,7 @@
 use dandelionfront_standins::site::{MetadataStore, Runner, RunnerSettings};
 use ntex::client::ClientRequest;
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 
 use super::http::{Http, Reply, eventually};
 use super::process::{Build, ChildProcess};
@@ -149,6 +151,16 @@
     listener.local_addr().expect("bound")
 }
 
+/// Returns an address that refuses connections as long as the tests run.
+pub fn refusing_address() -> SocketAddr {
+    // Bound without a listener, so that no other test is given the port.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("valid")).expect("a free port");
+    let address = socket.local_addr().expect("bound");
+    mem::forget(socket);
+    address
+}
+
 fn route(prefix: &str, kind: &str, service: &str, overrides: &Value) -> Value {
     let mut route = json!({
         "name": prefix.trim_matches('/'), "hostname": HOST, "pathPrefix": prefix, "kind": kind,
@@ -397,7 +409,7 @@
     }
 
     /// Waits until each node knows `count` backend servers.
-    async fn wait_server_count(&self, count: usize) {
+    pub async fn wait_server_count(&self, count: usize) {
         let expected = format!("dandelionfront_servers {count}\n");
         for node in 0..self.nodes.len() {
             eventually("the node has the new list of servers", async || {
