Take the end of an unframed answer for its end only if its server is known to run

Cause: one probe answered two questions. Whether a process is known to have ended is evidence of a crash, so whatever does not refuse a connection counts as running; for the end of an answer, that is the unsafe side. At a node that is cut off the probe was not made at all. Change: `runs_on` must be positive: a connection that the server accepts, or, through a tunnel, another tunnel that the node between opens to the server. If that node refuses because it is stopping, it runs, and another one is asked. `has_ended` stays as it was for the evidence of crashes. Ruled out: asking for each answer whether its server is still listed, because the list lags.

--- a/crates/daemon/src/front/connection/tunnel.rs
+++ b/crates/daemon/src/front/connection/tunnel.rs
@@ -90,6 +90,25 @@
     Err(io::Error::new(io::ErrorKind::NetworkUnreachable, cause))
 }
 
+/// Opens another connection to `server` through `via`, whose earlier one was closed; success shows
+/// that the processes of both still run.
+///
+/// # Errors
+///
+/// Fails if `via` does not answer, or if the server does not accept a connection from it.
+pub async fn open_again(
+    node: &FrontNode,
+    via: SocketAddr,
+    server: &ServerEntry,
+) -> io::Result<BackendConnection> {
+    match timeout(TUNNEL_TIMEOUT, open_at(via, server)).await?? {
+        Tunnel::Open(connection) => Ok(connection),
+        Tunnel::ServerUnreachable => Err(io::ErrorKind::HostUnreachable.into()),
+        // A node that is stopping gives no tunnel, but its refusal shows that it runs.
+        Tunnel::Refused(_) => open(node, server).await,
+    }
+}
+
 async fn open_at(neighbour: SocketAddr, server: &ServerEntry) -> io::Result<Tunnel> {
     let stream = connect(neighbour).await?;
     let (mut sender, connection) =
--- a/crates/daemon/src/front/request/frames.rs
+++ b/crates/daemon/src/front/request/frames.rs
@@ -31,8 +31,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the cause if the body cannot be read further, the deadline has passed, or the
-    /// process of `server` has ended with the connection that marks the end of the body.
+    /// Returns the cause if the body cannot be read further, the deadline has passed, or the end of
+    /// the connection may not be the end of the body.
     pub async fn next_chunk(
         &mut self,
         node: &FrontNode,
@@ -56,9 +56,11 @@
     /// The system closes the connections of a process that ends, as the process itself does at the
     /// end of an unframed answer.
     async fn confirm_end(&self, node: &FrontNode, server: &ServerEntry) -> Result<(), String> {
-        if self.framing == Framing::Unframed && ended::has_ended(node, server).await {
-            return Err("its server ended with the connection".to_owned());
+        let Framing::Unframed { via } = self.framing else { return Ok(()) };
+        let runs_on = ended::runs_on(node, server, via);
+        if timeout_at(self.deadline.into(), runs_on).await.unwrap_or(false) {
+            return Ok(());
         }
-        Ok(())
+        Err("its server may have ended with the connection".to_owned())
     }
 }
--- a/crates/daemon/src/front/request/inbound.rs
+++ b/crates/daemon/src/front/request/inbound.rs
@@ -1,6 +1,7 @@
 //! Classifies answers of backend servers by their heads.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use dandelionfront_platform::headers;
 use http::{HeaderMap, Response, StatusCode, header};
@@ -100,7 +101,10 @@
     /// Its last chunk.
     Chunked,
     /// The end of the connection.
-    Unframed,
+    Unframed {
+        /// Node through which the connection goes.
+        via: Option<SocketAddr>,
+    },
 }
 
 impl Framing {
@@ -108,7 +112,7 @@
         match self {
             Self::Length => "length",
             Self::Chunked => "chunked",
-            Self::Unframed => "unframed",
+            Self::Unframed { .. } => "unframed",
         }
     }
 }
@@ -125,9 +129,10 @@
 }
 
 impl AnswerHead {
-    /// Reads the head of an answer to the request with the given id.
+    /// Reads the head of an answer to the request with the given id, on a connection through the node
+    /// `via`.
     #[must_use]
-    pub fn read(response: &Response<Incoming>, request_id: &str) -> Self {
+    pub fn read(response: &Response<Incoming>, request_id: &str, via: Option<SocketAddr>) -> Self {
         let mut echoed = response.headers().get_all(headers::REQUEST_ID).iter().peekable();
         let echo = if echoed.peek().is_none() {
             Echo::Missing
@@ -142,7 +147,7 @@
         } else if response.headers().contains_key(header::TRANSFER_ENCODING) {
             Framing::Chunked
         } else {
-            Framing::Unframed
+            Framing::Unframed { via }
         };
         Self { status: response.status(), echo, framing }
     }
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -35,7 +35,7 @@
         if let Some(seconds) = inbound::keep_alive_seconds(&response) {
             connection.set_keep_alive(seconds);
         }
-        let head = AnswerHead::read(&response, &self.admitted.context.id);
+        let head = AnswerHead::read(&response, &self.admitted.context.id, connection.via);
         let kind = inbound::classify(&response, head);
         self.note_announcements(server, &response, &kind);
         match kind {
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -72,7 +72,7 @@
     if splitter.has_partial() {
         return Ok(ForwardOutcome::Incomplete("it ended within an event".to_owned()));
     }
-    if framing == Framing::Unframed && attempts.last_event == last_before {
+    if matches!(framing, Framing::Unframed { .. }) && attempts.last_event == last_before {
         return Ok(ForwardOutcome::Incomplete("it ended without an event".to_owned()));
     }
     let deadline = attempts.admitted.deadline;
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -383,18 +383,21 @@
     assert_eq!(reply, whole("r-1"));
 }
 
-/// Guards against an unframed answer that counts as whole although its server's process has ended.
+/// Guards against an unframed answer that counts as whole although its server's process has ended,
+/// or cannot be reached, so that it may have ended.
 #[ntex::test]
 async fn unframed_answer_of_a_server_that_ended_is_not_whole() {
-    let text = ok("connection: close\r\n") + "bo";
-    let ended = vec![Step::Run, Step::Write(text), Step::StopListening, Step::Close];
-    let scripted = ScriptedSite::start("desk", 2, vec![ended.clone(), run()]).await;
-    let reply = scripted.receive(ONCE.0, ONCE.1, "r-1").await;
-    assert_eq!((reply.status(), reply.run().as_deref()), (Some(502), Some("unknown")));
-    assert_eq!(scripted.runs("r-1"), 1);
-    let scripted = ScriptedSite::start("desk", 2, vec![ended, run()]).await;
-    let reply = scripted.receive(REPEATABLE.0, REPEATABLE.1, "r-1").await;
-    assert_eq!(reply, whole("r-1"));
+    for end in [Step::StopListening, Step::StopAccepting] {
+        let text = ok("connection: close\r\n") + "bo";
+        let ended = vec![Step::Run, Step::Write(text), end, Step::Close];
+        let scripted = ScriptedSite::start("desk", 2, vec![ended.clone(), run()]).await;
+        let reply = scripted.receive(ONCE.0, ONCE.1, "r-1").await;
+        assert_eq!((reply.status(), reply.run().as_deref()), (Some(502), Some("unknown")));
+        assert_eq!(scripted.runs("r-1"), 1);
+        let scripted = ScriptedSite::start("desk", 2, vec![ended, run()]).await;
+        let reply = scripted.receive(REPEATABLE.0, REPEATABLE.1, "r-1").await;
+        assert_eq!(reply, whole("r-1"));
+    }
 }
 
 /// Guards against the head of a second answer in the body of a large one that broke off.
--- a/crates/daemon/tests/stranded.rs
+++ b/crates/daemon/tests/stranded.rs
@@ -11,12 +11,21 @@
 use dandelionfront_standins::site::{FaultyAnswer, FaultyServer, Script, ScriptedServer, Step};
 use serde_json::{Value, json};
 use support::http::eventually;
+use support::process::Build;
 use support::raw::RawAnswer;
 use support::site::{Call, EVENTS_PER_STREAM, Site, SiteRunner, refusing_address};
 
 /// Time for which a server that has sent a part of an answer keeps its connection open; longer than
 /// any request.
 const KEPT_OPEN: Duration = Duration::from_secs(30);
+/// Number of the parts of an answer so large that a node passes it on before its end.
+const LARGE_PARTS: usize = 100_000;
+
+/// Returns an answer of `parts` parts that ends with its connection.
+fn unframed_answer(parts: usize) -> String {
+    let head = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: s\r\n\r\n";
+    head.to_owned() + &"part ".repeat(parts)
+}
 
 /// Two nodes that know each other, each with a store of its own, so that the first can be cut off:
 /// its store names addresses at which nobody listens.
@@ -27,7 +36,11 @@
 
 impl Cut {
     async fn start() -> Self {
-        let stranded = Site::start(1).await;
+        Self::start_beside(Site::start(1).await).await
+    }
+
+    /// Starts the other node of a site whose only node is cut off.
+    async fn start_beside(stranded: Site) -> Self {
         let mut neighbour = Site::start(0).await;
         neighbour.put_row("nodes", &stranded.nodes[0].peer, Some(json!("zone-a"))).await;
         neighbour.add_node();
@@ -66,9 +79,9 @@
     }
 
     /// Replaces the servers of `service` with a scripted one that only the neighbour reaches.
-    async fn start_scripted(&self, service: &str, script: Script) -> Arc<ScriptedServer> {
+    async fn start_scripted(&self, service: &str, scripts: Vec<Script>) -> Arc<ScriptedServer> {
         let any_port = "127.0.0.1:0".parse().expect("valid");
-        let (server, address) = ScriptedServer::spawn(any_port, vec![script]).expect("starts");
+        let (server, address) = ScriptedServer::spawn(any_port, scripts).expect("starts");
         let addresses: [(&Site, SocketAddr); 2] =
             [(&self.neighbour, address), (&self.stranded, refusing_address())];
         for (site, address) in addresses {
@@ -177,9 +190,7 @@
 /// kernel closes its connections in order.
 #[ntex::test]
 async fn answer_through_a_node_that_is_killed_does_not_look_complete() {
-    let answer_head = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: s\r\n\r\n";
-    // The node that is cut off passes on a part of a large answer.
-    let large_part = answer_head.to_owned() + &"part ".repeat(100_000);
+    let large_part = unframed_answer(LARGE_PARTS);
     let stream_part = unframed_stream_head() + &events(1, 2);
     for (service, path, part, arrived) in [
         ("desk", "/plain/x", large_part, "part "),
@@ -187,7 +198,7 @@
     ] {
         let mut cut = Cut::start().await;
         let script = vec![Step::Write(part), Step::Pause(KEPT_OPEN)];
-        let server = cut.start_scripted(service, script).await;
+        let server = cut.start_scripted(service, vec![script]).await;
         let call = Call { id: "killed", path, ..Call::default() };
         let begun = cut.stranded.receive_raw_until(0, &call, arrived).await;
         assert_eq!(server.received().len(), 1);
@@ -202,6 +213,33 @@
     }
 }
 
+/// Guards against an unframed answer that looks complete although its server's process ended, when
+/// it goes through another node, and against breaking off a whole one.
+#[ntex::test]
+async fn unframed_answer_through_another_node_is_whole_only_if_its_server_runs_on() {
+    let whole_stream = unframed_stream_head() + &events(1, EVENTS_PER_STREAM);
+    let stream_part = unframed_stream_head() + &events(1, 2);
+    for (service, path, whole, part) in [
+        ("desk", "/plain/x", unframed_answer(1), unframed_answer(LARGE_PARTS)),
+        ("geo", "/stream/kept/1", whole_stream, stream_part),
+    ] {
+        // The node that is cut off judges the answer, whatever the build of the other one.
+        let mut stranded = Site::start(0).await;
+        stranded.add_nodes_of(&[Build::Current], &stranded.store.clone());
+        stranded.wait_ready().await;
+        let cut = Cut::start_beside(stranded).await;
+        let whole = vec![Step::Write(whole), Step::Close];
+        let part = vec![Step::Write(part), Step::StopListening, Step::Close];
+        cut.start_scripted(service, vec![whole, part]).await;
+        let call = Call { id: "whole", path, ..Call::default() };
+        let answer = cut.stranded.receive_raw(0, &call).await;
+        assert!(matches!(answer, RawAnswer::Whole { status: 200, .. }), "{path}: {answer:?}");
+        let call = Call { id: "part", path, ..Call::default() };
+        let answer = cut.stranded.receive_raw(0, &call).await;
+        assert!(matches!(answer, RawAnswer::BrokenOff { .. }), "{path}: looks complete");
+    }
+}
+
 /// Guards against a planned stop that cuts requests of another node.
 #[ntex::test]
 async fn planned_stop_of_the_node_between_cuts_no_stream() {
--- a/crates/daemon/tests/unframed_streams.rs
+++ b/crates/daemon/tests/unframed_streams.rs
@@ -77,13 +77,13 @@
     }
 }
 
-/// Guards against a stream that ends between two events because its server's process ended, as a
-/// whole one.
+/// Guards against a stream that ends between two events because its server's process ended, or may
+/// have ended because it cannot be reached, as a whole one.
 #[ntex::test]
 async fn unframed_stream_of_a_server_that_ended_is_broken_off() {
-    let end = [Step::StopListening, Step::Close];
-    for last in [1, 3] {
-        assert_broken_off_after(last, run(&events(1, last), &end)).await;
+    let ends = [(1, Step::StopListening), (3, Step::StopListening), (2, Step::StopAccepting)];
+    for (last, end) in ends {
+        assert_broken_off_after(last, run(&events(1, last), &[end, Step::Close])).await;
     }
 }
 
--- a/crates/standins/src/site/scripted.rs
+++ b/crates/standins/src/site/scripted.rs
@@ -4,8 +4,9 @@
 //! cut short or unframed.
 
 use std::io::{self, BufReader, Read as _, Write as _};
+use std::mem;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -18,6 +19,10 @@
 
 /// Time before a reset, in which the peer reads what was written; a reset discards the rest.
 const RESET_DELAY: Duration = Duration::from_millis(50);
+/// Time after which a connection that was not established finds the queue full.
+const QUEUE_FULL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval between two checks whether connections are still accepted.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
 /// One step of a script.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +41,8 @@
     Pause(Duration),
     /// Closes the address, as when the process ends: new connections are refused.
     StopListening,
+    /// Lets new connections wait, as when the host cannot be reached: they are not accepted.
+    StopAccepting,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -77,6 +84,15 @@
     connections: AtomicUsize,
 }
 
+/// A bound address.
+#[derive(Debug)]
+struct Listener {
+    socket: TcpListener,
+    /// Whether the next connection is the last to be accepted.
+    is_stopping: AtomicBool,
+    is_accepting: AtomicBool,
+}
+
 impl ScriptedServer {
     /// Starts the stand-in on new threads; returns it and the bound address. Request number `n` over
     /// all connections is answered by `scripts[n]`, and by the last script from then on.
@@ -109,12 +125,22 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn listen(self: &Arc<Self>, listen: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = Arc::new(TcpListener::bind(listen)?);
-        let address = listener.local_addr()?;
+        let listener = Arc::new(Listener {
+            socket: TcpListener::bind(listen)?,
+            is_stopping: AtomicBool::new(false),
+            is_accepting: AtomicBool::new(true),
+        });
+        let address = listener.socket.local_addr()?;
         let accepting = Arc::clone(self);
         thread::spawn(move || {
             // Fails once the address is closed.
-            while let Ok((connection, _)) = listener.accept() {
+            while let Ok((connection, _)) = listener.socket.accept() {
+                if listener.is_stopping.load(Ordering::SeqCst) {
+                    listener.is_accepting.store(false, Ordering::SeqCst);
+                    // The address stays bound.
+                    mem::forget(listener);
+                    return;
+                }
                 let number = accepting.connections.fetch_add(1, Ordering::Relaxed);
                 let (serving, listener) = (Arc::clone(&accepting), Arc::clone(&listener));
                 // A connection ends with an error when the node closes it.
@@ -144,12 +170,7 @@
         self.finished.load(Ordering::Relaxed)
     }
 
-    fn serve(
-        &self,
-        connection: &TcpStream,
-        number: usize,
-        listener: &TcpListener,
-    ) -> io::Result<()> {
+    fn serve(&self, connection: &TcpStream, number: usize, listener: &Listener) -> io::Result<()> {
         let mut reader = BufReader::new(connection);
         let mut writer = connection;
         let (mut previous, mut previous_text) = (String::new(), String::new());
@@ -176,7 +197,8 @@
                     }
                     Step::Run => lock(&self.run).push(request.id.clone()),
                     Step::Pause(duration) => thread::sleep(duration),
-                    Step::StopListening => net::shutdown(listener, net::Shutdown::Both)?,
+                    Step::StopListening => net::shutdown(&listener.socket, net::Shutdown::Both)?,
+                    Step::StopAccepting => listener.stop_accepting()?,
                     Step::Close => return connection.shutdown(Shutdown::Both),
                     Step::Reset => {
                         thread::sleep(RESET_DELAY);
@@ -211,6 +233,23 @@
     }
 }
 
+impl Listener {
+    /// Ends the acceptance of connections, and fills the queue of those that wait for it.
+    fn stop_accepting(&self) -> io::Result<()> {
+        let address = self.socket.local_addr()?;
+        net::listen(&self.socket, 0)?;
+        self.is_stopping.store(true, Ordering::SeqCst);
+        let _last = TcpStream::connect(address)?;
+        while self.is_accepting.load(Ordering::SeqCst) {
+            thread::sleep(STOP_CHECK_INTERVAL);
+        }
+        while let Ok(waiting) = TcpStream::connect_timeout(&address, QUEUE_FULL_TIMEOUT) {
+            mem::forget(waiting);
+        }
+        Ok(())
+    }
+}
+
 /// Returns an answer with the given status line and body, framed by its length.
 #[must_use]
 pub fn answer(status: &str, fields: &str, body: &str) -> String {
