Count no server that leaves in order as one that a request ended

What callers saw in the test: 503 request_quarantined for a request that three servers had answered, each of which announced its leave in the answer and ended with its connection. Cause: a server that nothing listens for after an unframed answer counts as ended with the request, whatever it had said. Change: if its entry says `draining`, its entry was removed, or it announced its leave for this start, its end is logged (`is_leaving=true`) and no evidence against the request. An entry that is missing after a failure of the store says nothing and counts as before. The answer itself is still not taken for whole: a server that leaves may also be cut, and nothing in the protocol tells the two apart. `Connection: close` alone is no sign, because other answers carry it too; so a server that says only this is still evidence.

--- a/crates/coordination/src/servers.rs
+++ b/crates/coordination/src/servers.rs
@@ -229,6 +229,16 @@
         self.accepts_requests(entry).then_some(entry)
     }
 
+    /// Returns whether the start of a backend server that `entry` describes is known to leave in
+    /// order: its entry says so or was removed, or it announced it.
+    #[must_use]
+    pub fn is_leaving(&self, entry: &ServerEntry) -> bool {
+        let known = self.known.get(&entry.id);
+        let announced = self.leaving.get(&entry.id);
+        known.is_none_or(|known| known.entry.state == ServerState::Draining)
+            || announced.is_some_and(|(started, _)| *started >= entry.started_unix_ms)
+    }
+
     /// Returns the identifier of the backend server with the given hash.
     #[must_use]
     pub fn id_of(&self, server: ServerHash) -> Option<&BackendId> {
--- a/crates/coordination/tests/backends.rs
+++ b/crates/coordination/tests/backends.rs
@@ -86,6 +86,29 @@
     assert_eq!(list.leaving().count(), 0);
 }
 
+/// Guards against a server that leaves in order as one that crashed, and against the reverse.
+#[test]
+fn server_leaves_in_order_if_it_said_so_or_its_entry_was_removed() {
+    let mut list = ServerList::default();
+    for id in ["a", "b", "c"] {
+        list.insert(entry(id));
+        assert!(!list.is_leaving(&entry(id)));
+    }
+    list.insert(ServerEntry { state: ServerState::Draining, ..entry("a") });
+    list.remove("b", MS);
+    let started_unix_ms = entry("c").started_unix_ms;
+    list.note_leaving(LeavingServer { id: "c".to_owned(), started_unix_ms }, MS);
+    assert!(["a", "b", "c"].iter().all(|id| list.is_leaving(&entry(id))));
+    // It has started anew.
+    let anew = ServerEntry { started_unix_ms: started_unix_ms + 1, ..entry("c") };
+    list.insert(anew.clone());
+    assert!(!list.is_leaving(&anew));
+    // The store may have lost the entry in an outage.
+    list.note_store_failure(2 * MS);
+    list.remove("c", 3 * MS);
+    assert!(!list.is_leaving(&anew));
+}
+
 #[test]
 fn entries_that_expire_in_a_store_outage_are_kept_for_the_grace_period() {
     let mut list = ServerList::default();
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -168,9 +168,10 @@
         if time_left < SEND_TIME_MIN || !ended::has_ended(self.node, server).await {
             return;
         }
+        let is_leaving = self.node.servers.borrow().is_leaving(server);
         log::info!(
             "event=server_ended server={} address={} started_unix_ms={} request={} \
-             fingerprint={:016x} sent_before_ms={sent_before_ms}",
+             fingerprint={:016x} sent_before_ms={sent_before_ms} is_leaving={is_leaving}",
             server.id,
             server.address,
             server.started_unix_ms,
@@ -179,6 +180,10 @@
         );
         self.node.note_server_ended(server);
         self.ended.push(server.id.clone());
+        // A server that leaves ends without regard to the request.
+        if is_leaving {
+            return;
+        }
         let request = self.admitted.keys;
         let lost = LostRequest { server: server_run(server), request, age_ms: 0, sent_before_ms };
         self.node.peers.note_lost(self.node, lost);
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -400,6 +400,21 @@
     }
 }
 
+/// Guards against refusing a request as deadly because servers that announced their leave ended with
+/// the connections of its answers.
+#[ntex::test]
+async fn servers_that_leave_are_no_evidence_against_a_request() {
+    let text = ok("connection: close\r\nserver-leaving: 1\r\n") + "bo";
+    let leaves = vec![Step::Run, Step::Write(text), Step::StopListening, Step::Close];
+    let scripts = vec![leaves.clone(), leaves.clone(), leaves, run()];
+    let scripted = ScriptedSite::start("desk", 4, scripts).await;
+    for id in ["r-1", "r-2", "r-3"] {
+        let reply = scripted.receive(ONCE.0, ONCE.1, id).await;
+        assert_eq!((reply.status(), reply.run().as_deref()), (Some(502), Some("unknown")));
+    }
+    assert_eq!(scripted.receive(ONCE.0, ONCE.1, "r-4").await, whole("r-4"));
+}
+
 /// Guards against the head of a second answer in the body of a large one that broke off.
 #[ntex::test]
 async fn large_answer_that_broke_off_is_not_continued_by_another() {
