Name the modules of answers for what they hold, and wrap long comments

Renamed and wrapped only; the constants of attempt.rs stand together. Logic, log lines and metrics are unchanged.

--- a/crates/coordination/src/program.rs
+++ b/crates/coordination/src/program.rs
@@ -163,8 +163,8 @@
         call.is_some_and(|call| call.key.idempotency_key == request.idempotency_key)
     }
 
-    /// Decides how to handle `request`, based only on recorded state. An attempt that is recorded as
-    /// started was begun by a previous owner.
+    /// Decides how to handle `request`, based only on recorded state. An attempt that is recorded
+    /// as started was begun by a previous owner.
     #[must_use]
     pub fn decide(&self, request: &CallRequest, digest: &str) -> Decision {
         if self.team != request.team {
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -199,8 +199,8 @@
         self
     }
 
-    /// Returns the HTTP status for callers of the own interface: that of the kind, or 502 if callers
-    /// would take it for "not run" and the request may have run.
+    /// Returns the HTTP status for callers of the own interface: that of the kind, or 502 if
+    /// callers would take it for "not run" and the request may have run.
     #[must_use]
     pub fn http_status(&self) -> u16 {
         match (self.run, self.kind.http_status()) {
--- a/crates/daemon/src/connection/exchange.rs
+++ b/crates/daemon/src/connection/exchange.rs
@@ -68,8 +68,8 @@
     !is_chunked && response.body().size_hint().exact().is_none()
 }
 
-/// Returns whether the process of a server that closed a connection has ended: nothing listens at its
-/// address anymore. A server that does not react within [`PROBE_TIMEOUT`] counts as running.
+/// Returns whether the process of a server that closed a connection has ended: nothing listens at
+/// its address anymore. A server that does not react within [`PROBE_TIMEOUT`] counts as running.
 pub async fn has_ended(address: &str) -> bool {
     let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
--- a/crates/daemon/src/front/connection/backend.rs
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -229,7 +229,8 @@
         None
     }
 
-    /// Returns a connection to the pool, unless it goes through another node; its last response must have been read completely.
+    /// Returns a connection to the pool, unless it goes through another node; its last response
+    /// must have been read completely.
     pub fn put(&self, address: SocketAddr, mut connection: BackendConnection) {
         if connection.sender.is_closed() || connection.via.is_some() {
             return;
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -130,8 +130,8 @@
     Completely(Result<Option<(Request, PayloadType)>, Either<DecodeError, io::Error>>),
 }
 
-/// Waits for a request head. Once its first byte has arrived, the connection is not idle: a stopping
-/// node does not close it, and the head must arrive within its own time limit.
+/// Waits for a request head. Once its first byte has arrived, the connection is not idle: a
+/// stopping node does not close it, and the head must arrive within its own time limit.
 async fn receive_head(node: &Rc<FrontNode>, connection: &CallerConnection) -> HeadReceived {
     let CallerConnection { io, codec, .. } = connection;
     let limits = node.table().limits().clone();
--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -95,8 +95,8 @@
         self.begun
     }
 
-    /// Returns whether the complete response was written to the connection's buffer, or to the socket
-    /// if it ends with the connection.
+    /// Returns whether the complete response was written to the connection's buffer, or to the
+    /// socket if it ends with the connection.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.is_complete
@@ -204,7 +204,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed, the deadline passes or a response head was already sent.
+    /// Fails when the connection is closed, the deadline passes or a response head was already
+    /// sent.
     pub async fn refuse(&mut self, request_id: &str, refusal: &Refusal) -> io::Result<()> {
         let status = StatusCode::from_u16(refusal.kind.http_status());
         let mut response =
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -293,8 +293,8 @@
     })
 }
 
-/// Refuses to resume a turn on a route that keeps turns: its first events are known only to the node
-/// that began it, and the turn would be stored without them.
+/// Refuses to resume a turn on a route that keeps turns: its first events are known only to the
+/// node that began it, and the turn would be stored without them.
 fn require_whole_turn(context: &RequestContext, route: &Route) -> Result<(), Refusal> {
     if context.resume_after.is_none() || !route.repeat.is_stream() || !route.keeps_turns {
         return Ok(());
--- a/crates/daemon/src/front/request/announcements.rs
+++ b/crates/daemon/src/front/request/announcements.rs
@@ -8,8 +8,8 @@
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 
+use super::answer_head::ResponseKind;
 use super::attempt::Attempts;
-use super::inbound::ResponseKind;
 
 impl Attempts<'_> {
     /// Records what `server` says of itself in an answer: whether it is leaving, and its limit.
--- a/crates/daemon/src/front/request/frames.rs
+++ b/crates/daemon/src/front/request/answer_body.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
-use super::inbound::Framing;
+use super::answer_head::Framing;
 use crate::front::connection::ended;
 use crate::front::process::FrontNode;
 
--- a/crates/daemon/src/front/request/inbound.rs
+++ b/crates/daemon/src/front/request/answer_head.rs
@@ -37,7 +37,7 @@
     /// Its body ended early, or not at all before the deadline.
     Incomplete,
     /// It does not continue the stream that the caller has begun to receive.
-    Unrelated,
+    NoContinuation,
 }
 
 impl AnswerFault {
@@ -52,7 +52,7 @@
             Self::Unsigned => "unsigned",
             Self::FalsePromise => "false_promise",
             Self::Incomplete => "incomplete",
-            Self::Unrelated => "unrelated",
+            Self::NoContinuation => "unrelated",
         }
     }
 }
@@ -67,7 +67,7 @@
             Self::Unsigned => "it bears no signature",
             Self::FalsePromise => "it promises what the backend server did not",
             Self::Incomplete => "it is incomplete",
-            Self::Unrelated => "it does not continue the stream",
+            Self::NoContinuation => "it does not continue the stream",
         })
     }
 }
@@ -129,8 +129,8 @@
 }
 
 impl AnswerHead {
-    /// Reads the head of an answer to the request with the given id, on a connection through the node
-    /// `via`.
+    /// Reads the head of an answer to the request with the given id, on a connection through the
+    /// node `via`.
     #[must_use]
     pub fn read(response: &Response<Incoming>, request_id: &str, via: Option<SocketAddr>) -> Self {
         let mut echoed = response.headers().get_all(headers::REQUEST_ID).iter().peekable();
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -31,6 +31,8 @@
 const REPEATABLE_IDLE_MAX: Duration = Duration::from_secs(10);
 /// Delay before servers are tried again when all of them were busy or unreachable.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
+/// Minimum `Retry-After` delay for callers when every server is busy.
+const BUSY_RETRY_AFTER_MS: u64 = 150;
 /// Maximum delay before the server to which a request is bound is tried again; each delay is twice
 /// the one before.
 const BOUND_RETRY_DELAY_MAX: Duration = Duration::from_millis(240);
@@ -54,7 +56,7 @@
     /// The answer ended early or was invalid; holds the cause.
     Incomplete(String),
     /// Nothing was sent to the caller, because the answer does not continue the begun response.
-    Unrelated,
+    NoContinuation,
 }
 
 /// State of a request across its attempts.
@@ -269,9 +271,9 @@
         self.origin_recorded_at = Some(Instant::now());
     }
 
-    /// Waits until all servers, or the one to which the request is bound, may be tried again; refuses
-    /// if there was none to try, if the wait would be too long, or if all servers are at their limits
-    /// and the request starts a program.
+    /// Waits until all servers, or the one to which the request is bound, may be tried again;
+    /// refuses if there was none to try, if the wait would be too long, or if all servers are at
+    /// their limits and the request starts a program.
     async fn wait_for_server(&mut self) -> AttemptResult {
         let permit_wait = self.permit_wait();
         let is_any_worth_waiting = match permit_wait {
@@ -306,8 +308,8 @@
         Ok(None)
     }
 
-    /// Returns the delay before `server`, to which the request is bound, is tried again, and the time
-    /// until which the request may wait for it.
+    /// Returns the delay before `server`, to which the request is bound, is tried again, and the
+    /// time until which the request may wait for it.
     fn next_bound_delay(&mut self, server: &BackendId, now: Instant) -> (Duration, Instant) {
         let time_left = self.admitted.deadline.saturating_duration_since(now);
         let wait = self.bound_wait.get_or_insert_with(|| BoundWait {
@@ -329,7 +331,8 @@
     }
 
     /// Waits for a read of the list of backend servers if it is so old that servers may have left
-    /// since, as after a pause. Without one, in time or at all, the request goes on with the old list.
+    /// since, as after a pause. Without one, in time or at all, the request goes on with the old
+    /// list.
     async fn wait_for_current_servers(&self) {
         let age = self.node.server_list_age.outdated(self.node.clock.boot_now());
         let Some(age) = age.filter(|_| self.node.store_reachability.outage().is_none()) else {
@@ -434,6 +437,3 @@
         );
     }
 }
-
-/// `Retry-After` delay for callers when every server is busy.
-const BUSY_RETRY_AFTER_MS: u64 = 150;
--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -12,9 +12,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::answer_body::AnswerBody;
+use super::answer_head::Framing;
 use super::attempt::{Attempts, Failure, ForwardOutcome};
-use super::frames::AnswerBody;
-use super::inbound::Framing;
 use crate::front::connection::backend::BackendConnection;
 use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 use crate::front::process::FrontNode;
@@ -62,7 +62,7 @@
     let (head, incoming) = response.into_parts();
     let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     let mut buffered = BytesMut::new();
-    let mut is_chunked = false;
+    let mut is_head_sent = false;
     loop {
         let data = match body.next_chunk(attempts.node, server).await {
             Ok(Some(data)) => data,
@@ -71,18 +71,18 @@
         };
         buffered.extend_from_slice(&data);
         if buffered.len() > BUFFERED_MAX_BYTES {
-            if !is_chunked {
+            if !is_head_sent {
                 responder
                     .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Unknown)
                     .map_err(Failure::CallerGone)?;
-                is_chunked = true;
+                is_head_sent = true;
             }
             let chunk = buffered.split().freeze();
             responder.send_chunk(chunk).await.map_err(Failure::CallerGone)?;
         }
     }
     let rest = buffered.freeze();
-    if !is_chunked {
+    if !is_head_sent {
         // A response to HEAD declares the length of a body that it does not have.
         let length = match declared_length(&head.headers) {
             Some(length) if attempts.admitted.method == Method::HEAD => length,
--- a/crates/daemon/src/front/request/choice.rs
+++ b/crates/daemon/src/front/request/choice.rs
@@ -20,7 +20,8 @@
 const LOAD_ROUNDS_MAX: usize = 3;
 
 impl Attempts<'_> {
-    /// Chooses a server by rank, loads, failures and limits; returns `None` if none may be used now.
+    /// Chooses a server by rank, loads, failures and limits; returns `None` if none may be used
+    /// now.
     pub(super) async fn choose_server(&self) -> Option<ServerEntry> {
         if let Some(id) = self.pinned_server() {
             let servers = self.node.servers.borrow();
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -2,12 +2,12 @@
 
 mod admission;
 mod announcements;
+mod answer_body;
+mod answer_head;
 mod attempt;
 mod body;
 mod choice;
-mod frames;
 mod in_flight;
-mod inbound;
 mod outbound;
 mod outcome;
 mod sent;
@@ -19,7 +19,7 @@
 
 use dandelionfront_coordination::Refusal;
 
-pub use self::inbound::AnswerFault;
+pub use self::answer_head::AnswerFault;
 
 use self::admission::{RefusedRequest, RequestLabels};
 use crate::front::connection::Responder;
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -8,8 +8,8 @@
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
+use super::answer_head::{self, AnswerFault, AnswerHead, ResponseKind};
 use super::attempt::{AttemptResult, Attempts, Failure, ForwardOutcome, SEND_TIME_MIN};
-use super::inbound::{self, AnswerFault, AnswerHead, ResponseKind};
 use super::{body, stream};
 use crate::front::connection::backend::BackendConnection;
 use crate::front::connection::ended;
@@ -32,11 +32,11 @@
         response: Response<Incoming>,
         sent_at: Instant,
     ) -> AttemptResult {
-        if let Some(seconds) = inbound::keep_alive_seconds(&response) {
+        if let Some(seconds) = answer_head::keep_alive_seconds(&response) {
             connection.set_keep_alive(seconds);
         }
         let head = AnswerHead::read(&response, &self.admitted.context.id, connection.via);
-        let kind = inbound::classify(&response, head);
+        let kind = answer_head::classify(&response, head);
         self.note_announcements(server, &response, &kind);
         match kind {
             ResponseKind::NotRun(status) => {
@@ -78,11 +78,11 @@
                         drop(connection);
                         self.handle_lost_attempt(responder, server, &cause, sent_at).await
                     }
-                    ForwardOutcome::Unrelated => {
-                        let fault = AnswerFault::Unrelated;
+                    ForwardOutcome::NoContinuation => {
+                        let fault = AnswerFault::NoContinuation;
                         self.log_faulty_answer(responder, server, &connection, head, fault);
                         drop(connection);
-                        self.handle_unrelated_answer(responder, server, head)
+                        self.handle_other_answer(responder, server, head)
                     }
                 }
             }
@@ -101,7 +101,7 @@
         if head.status == StatusCode::OK && self.admitted.route.repeat.is_stream() {
             stream::forward_events(self, responder, server, head.framing, response).await
         } else if responder.is_head_sent() {
-            Ok(ForwardOutcome::Unrelated)
+            Ok(ForwardOutcome::NoContinuation)
         } else {
             body::forward_body(self, responder, server, head.framing, response).await
         }
@@ -121,7 +121,7 @@
     }
 
     /// Retries a stream, or gives it up, after an answer that does not continue it.
-    fn handle_unrelated_answer(
+    fn handle_other_answer(
         &mut self,
         responder: &Responder<'_>,
         server: &ServerEntry,
--- a/crates/daemon/src/front/request/sent.rs
+++ b/crates/daemon/src/front/request/sent.rs
@@ -7,8 +7,8 @@
 use dandelionfront_coordination::speed::slowdown;
 
 use super::announcements::limit_text;
+use super::answer_head::{AnswerFault, AnswerHead};
 use super::attempt::Attempts;
-use super::inbound::{AnswerFault, AnswerHead};
 use super::turn::RunningTurn;
 use crate::front::connection::backend::BackendConnection;
 use crate::front::connection::responder::Responder;
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -10,9 +10,9 @@
 use http::Response;
 use hyper::body::Incoming;
 
+use super::answer_body::AnswerBody;
+use super::answer_head::Framing;
 use super::attempt::{Attempts, Failure, ForwardOutcome};
-use super::frames::AnswerBody;
-use super::inbound::Framing;
 use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 
 /// Time after which the caller, and not the server, determines the pace of a stream.
--- a/crates/daemon/tests/answer_matrix.rs
+++ b/crates/daemon/tests/answer_matrix.rs
@@ -27,8 +27,8 @@
 
 const ENDS: [End; 3] = [End::Length, End::Chunks, End::Connection];
 
-/// Returns the steps that answer with `status`; `states_not_run` adds the field by which servers state
-/// that they did not run the request.
+/// Returns the steps that answer with `status`; `states_not_run` adds the field by which servers
+/// state that they did not run the request.
 fn failure(status: u16, states_not_run: bool, end: End) -> Script {
     let field = if states_not_run { "not-executed: 1\r\n" } else { "" };
     let head = format!("HTTP/1.1 {status} Failure\r\nrequest-id: {{id}}\r\n{field}");
@@ -74,8 +74,8 @@
     answer: Option<RawAnswer>,
 }
 
-/// Sends the requests of all cases, each on the connection that the case before has left; checks their
-/// answers and that each took as many attempts as it has scripts.
+/// Sends the requests of all cases, each on the connection that the case before has left; checks
+/// their answers and that each took as many attempts as it has scripts.
 async fn check(service: &str, (method, path): (&str, &str), cases: Vec<Case>) {
     let scripts = cases.iter().flat_map(|case| case.scripts.clone()).collect();
     let scripted = ScriptedSite::start(service, 1, scripts).await;
@@ -122,8 +122,8 @@
     cases
 }
 
-/// Guards against a failure that reaches the caller as another answer, or a request that runs again,
-/// by the status of the failure and by what marks its end.
+/// Guards against a failure that reaches the caller as another answer, or a request that runs
+/// again, by the status of the failure and by what marks its end.
 #[ntex::test]
 async fn failure_of_a_request_is_told_as_the_server_told_it() {
     check("desk", ("POST", "/plain/x"), failures(false, run, &whole("ok"))).await;
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -115,8 +115,8 @@
     assert_eq!(fleet.executions("k").await, 1);
 }
 
-/// Guards against "not run" for a call that ran, while the next owner of its program has not recorded
-/// yet that its outcome is unknown.
+/// Guards against "not run" for a call that ran, while the next owner of its program has not
+/// recorded yet that its outcome is unknown.
 #[ntex::test]
 async fn call_whose_unknown_outcome_is_not_recorded_yet_is_not_reported_as_not_run() {
     let service_args = ["--delay-ms", "30000"].map(str::to_owned).to_vec();
@@ -194,8 +194,8 @@
 }
 
 /// Guards against "not run" for a call that an engine runs, when the owner of its program is killed
-/// and the next owner refuses the call; also by its status or a `Retry-After`, which are read as "not
-/// run".
+/// and the next owner refuses the call; also by its status or a `Retry-After`, which are read as
+/// "not run".
 #[ntex::test]
 async fn call_that_the_next_owner_refuses_is_not_reported_as_not_run() {
     let engine_args = ["--token-interval-ms", "50"].map(str::to_owned).to_vec();
@@ -218,8 +218,8 @@
     assert_eq!((reply.status, reply.retry_after), (502, None), "{}", reply.body);
 }
 
-/// Guards against a status or a `Retry-After` that promises "not run" for a call whose owner is lost
-/// and cannot be reached any more.
+/// Guards against a status or a `Retry-After` that promises "not run" for a call whose owner is
+/// lost and cannot be reached any more.
 #[ntex::test]
 async fn call_whose_owner_is_lost_has_no_status_of_a_call_that_did_not_run() {
     let service_args = ["--delay-ms", "30000"].map(str::to_owned).to_vec();
--- a/crates/daemon/tests/cut_streams.rs
+++ b/crates/daemon/tests/cut_streams.rs
@@ -1,5 +1,5 @@
-//! Streams whose backend servers write copies of earlier answers, break off or send events that do not
-//! follow each other.
+//! Streams whose backend servers write copies of earlier answers, break off or send events that do
+//! not follow each other.
 
 mod support;
 
@@ -56,8 +56,8 @@
     assert_eq!(scripted.runs(id), 1);
 }
 
-/// Sends streams that a server begins with `begun` and breaks off after event `last`; checks that they
-/// are resumed, or end as broken off if they must run once.
+/// Sends streams that a server begins with `begun` and breaks off after event `last`; checks that
+/// they are resumed, or end as broken off if they must run once.
 async fn assert_broken_off_after(last: u64, begun: &str) {
     let scripts = vec![cut(begun), run_after(last)];
     let scripted = ScriptedSite::start("geo", 1, scripts.clone()).await;
@@ -108,8 +108,8 @@
     }
 }
 
-/// Guards against a stream that runs twice, or whose caller is told that it did not run, on the word of
-/// a refusal that names no request.
+/// Guards against a stream that runs twice, or whose caller is told that it did not run, on the
+/// word of a refusal that names no request.
 #[ntex::test]
 async fn refusal_of_a_stream_that_names_no_request_is_not_believed() {
     for is_last in [false, true] {
@@ -125,7 +125,8 @@
     }
 }
 
-/// Guards against taking a copy of the refusal of a resumed stream for a promise that it does not run.
+/// Guards against taking a copy of the refusal of a resumed stream for a promise that it does not
+/// run.
 #[ntex::test]
 async fn resumed_stream_meets_a_copy_of_its_own_refusal() {
     let begun = chunked_stream_head() + &chunk(&events(1, 2));
@@ -231,8 +232,8 @@
     assert_broken_off_after(0, &(chunked_stream_head() + &body)).await;
 }
 
-/// Guards against an event without an id, of which nothing shows that it is the stream's own, between
-/// events with ids.
+/// Guards against an event without an id, of which nothing shows that it is the stream's own,
+/// between events with ids.
 #[ntex::test]
 async fn event_without_an_id_among_events_with_ids_is_not_forwarded() {
     let other = "data: token-9\n\n";
--- a/crates/daemon/tests/kept_turns.rs
+++ b/crates/daemon/tests/kept_turns.rs
@@ -36,8 +36,8 @@
     scripted.site.send(0, &call).await.expect("the node answers")
 }
 
-/// Guards against a history without the first events of a turn, because its caller resumed it and the
-/// node stored the rest.
+/// Guards against a history without the first events of a turn, because its caller resumed it and
+/// the node stored the rest.
 #[ntex::test]
 async fn turn_that_its_caller_resumes_is_not_stored_from_its_middle() {
     let scripted = start(vec![begin_until(1), run_after(1), run_after(0)]).await;
--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -260,7 +260,8 @@
     }
 }
 
-/// Guards against an interim response or an open connection that an HTTP/1.0 caller did not ask for.
+/// Guards against an interim response or an open connection that an HTTP/1.0 caller did not ask
+/// for.
 #[ntex::test]
 async fn http_1_0_caller_keeps_its_connection_only_if_it_asks() {
     let script = sealed("200 OK", "content-length: 4\r\n\r\nnext");
@@ -353,8 +354,8 @@
     assert!(received.starts_with("HTTP/1.1 502 "), "{received}");
 }
 
-/// Guards against waiting until the deadline for the body of a request that has none, because it asks
-/// for another protocol.
+/// Guards against waiting until the deadline for the body of a request that has none, because it
+/// asks for another protocol.
 #[ntex::test]
 async fn request_for_another_protocol_is_refused_at_once() {
     let site = Site::start(1).await;
--- a/crates/daemon/tests/spoilt_answers.rs
+++ b/crates/daemon/tests/spoilt_answers.rs
@@ -1,5 +1,5 @@
-//! Answers and refusals of plain services that are doubled, cut short, unframed or not the request's
-//! own.
+//! Answers and refusals of plain services that are doubled, cut short, unframed or not the
+//! request's own.
 
 mod support;
 
@@ -70,8 +70,8 @@
     vec![ok, error]
 }
 
-/// Sends a request that meets `early` before its own answer, on a new or on a kept connection; checks
-/// what its caller is told and how often it ran.
+/// Sends a request that meets `early` before its own answer, on a new or on a kept connection;
+/// checks what its caller is told and how often it ran.
 async fn assert_not_believed(early: &str, is_kept: bool) {
     let spoilt = run_with(Step::write(early));
     let cases = [
@@ -124,8 +124,8 @@
     }
 }
 
-/// Guards against giving a caller the second copy of an answer that arrived while the connection was
-/// idle.
+/// Guards against giving a caller the second copy of an answer that arrived while the connection
+/// was idle.
 #[ntex::test]
 async fn copy_that_arrives_on_an_idle_connection_is_not_the_next_answer() {
     let error = answer("500 Internal Server Error", "", "broken");
@@ -221,8 +221,8 @@
     }
 }
 
-/// Guards against telling the caller of a repeatable request that it did not run, because each further
-/// attempt meets a second copy of the refusal of the one before.
+/// Guards against telling the caller of a repeatable request that it did not run, because each
+/// further attempt meets a second copy of the refusal of the one before.
 #[ntex::test]
 async fn copies_of_its_own_refusal_do_not_hide_that_a_request_ran() {
     let (method, path) = REPEATABLE;
@@ -243,7 +243,8 @@
     own_answer().replace("{id}", id)
 }
 
-/// Guards against an answer that was cut at any point, and ends with its connection, as a whole one.
+/// Guards against an answer that was cut at any point, and ends with its connection, as a whole
+/// one.
 #[ntex::test]
 async fn answer_cut_anywhere_is_not_whole() {
     let count = answer_to("000").len();
@@ -290,7 +291,8 @@
     }
 }
 
-/// Sends requests that a server answers with `text`, and checks that no caller takes it for an answer.
+/// Sends requests that a server answers with `text`, and checks that no caller takes it for an
+/// answer.
 async fn assert_no_answer(text: &str) {
     let scripted = ScriptedSite::start("desk", 1, vec![cut(text), run()]).await;
     let reply = scripted.receive(ONCE.0, ONCE.1, "r-1").await;
@@ -400,8 +402,8 @@
     }
 }
 
-/// Guards against refusing a request as deadly because servers that announced their leave ended with
-/// the connections of its answers.
+/// Guards against refusing a request as deadly because servers that announced their leave ended
+/// with the connections of its answers.
 #[ntex::test]
 async fn servers_that_leave_are_no_evidence_against_a_request() {
     let text = ok("connection: close\r\nserver-leaving: 1\r\n") + "bo";
@@ -448,7 +450,8 @@
     }
 }
 
-/// Guards against other bytes where a server still reads the body of a request that it has answered.
+/// Guards against other bytes where a server still reads the body of a request that it has
+/// answered.
 #[ntex::test]
 async fn next_request_begins_after_the_body_that_was_answered_early() {
     let refusal = refusal("503 Service Unavailable", "not-executed: 1\r\nrequest-id: {id}\r\n");
--- a/crates/daemon/tests/stranded.rs
+++ b/crates/daemon/tests/stranded.rs
@@ -151,8 +151,8 @@
     .await;
 }
 
-/// Guards against a second run of a request that may not be repeated, when its answer is lost on the
-/// way through another node.
+/// Guards against a second run of a request that may not be repeated, when its answer is lost on
+/// the way through another node.
 #[ntex::test]
 async fn lost_answer_through_another_node_is_not_asked_for_again() {
     let cut = Cut::start().await;
@@ -186,8 +186,8 @@
     assert!(!matches!(answer, Ok((200, _))), "{answer:?}");
 }
 
-/// Guards against an unframed answer that looks complete although the node between was killed, whose
-/// kernel closes its connections in order.
+/// Guards against an unframed answer that looks complete although the node between was killed,
+/// whose kernel closes its connections in order.
 #[ntex::test]
 async fn answer_through_a_node_that_is_killed_does_not_look_complete() {
     let large_part = unframed_answer(LARGE_PARTS);
--- a/crates/daemon/tests/support/scripted.rs
+++ b/crates/daemon/tests/support/scripted.rs
@@ -58,8 +58,8 @@
         assert!(connections.len() < requests.len(), "no connection was used again: {requests:?}");
     }
 
-    /// Panics unless the caller of `id` received `own`, was told that it is unknown whether the request
-    /// ran, or was told that it did not run and it did not.
+    /// Panics unless the caller of `id` received `own`, was told that it is unknown whether the
+    /// request ran, or was told that it did not run and it did not.
     pub fn assert_honest(&self, id: &str, reply: &RawAnswer, own: &RawAnswer) {
         let runs = self.runs(id);
         match (reply.status(), reply.run().as_deref()) {
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -390,8 +390,8 @@
         SiteRunner { id, address }
     }
 
-    /// Replaces the backend servers of `service` with those at `addresses`, and waits until all nodes
-    /// know them. Their ids are `scripted-0`, `scripted-1` and so on.
+    /// Replaces the backend servers of `service` with those at `addresses`, and waits until all
+    /// nodes know them. Their ids are `scripted-0`, `scripted-1` and so on.
     pub async fn replace_servers(&self, service: &str, addresses: &[SocketAddr]) {
         let (replaced, kept) = match service {
             "geo" => (&self.engines, &self.services),
--- a/crates/daemon/tests/unframed_streams.rs
+++ b/crates/daemon/tests/unframed_streams.rs
@@ -26,8 +26,8 @@
     whole(events(1, EVENTS_PER_STREAM))
 }
 
-/// Sends streams of which a server breaks off the first one after event `last`, and checks that they
-/// are resumed by another server, or end as broken off if they must run once.
+/// Sends streams of which a server breaks off the first one after event `last`, and checks that
+/// they are resumed by another server, or end as broken off if they must run once.
 async fn assert_broken_off_after(last: u64, begun: Script) {
     let scripts = vec![begun, run_after(last)];
     let scripted = ScriptedSite::start("geo", 2, scripts.clone()).await;
--- a/crates/standins/src/engine/doubling.rs
+++ b/crates/standins/src/engine/doubling.rs
@@ -1,5 +1,5 @@
-//! Stand-in for a model engine that refuses its first request and sends a second copy of each answer,
-//! late.
+//! Stand-in for a model engine that refuses its first request and sends a second copy of each
+//! answer, late.
 //!
 //! The copy is written when the next request arrives on the same connection, before that request's
 //! own answer.
@@ -94,8 +94,8 @@
     words.iter().enumerate().map(event).collect()
 }
 
-/// Returns the events that end a stream: the chunk numbered `id` with the finish reason, and the mark
-/// of the end.
+/// Returns the events that end a stream: the chunk numbered `id` with the finish reason, and the
+/// mark of the end.
 #[must_use]
 pub fn last_events(id: usize) -> String {
     let usage = r#"{"prompt_tokens":1,"completion_tokens":1,"total_tokens":2}"#;
--- a/crates/standins/src/site/scripted.rs
+++ b/crates/standins/src/site/scripted.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a backend server that answers each request with scripted bytes.
 //!
-//! The bytes are written as they are, because no HTTP server library sends answers that are doubled,
-//! cut short or unframed.
+//! The bytes are written as they are, because no HTTP server library sends answers that are
+//! doubled, cut short or unframed.
 
 use std::io::{self, BufReader, Read as _, Write as _};
 use std::mem;
@@ -27,8 +27,8 @@
 /// One step of a script.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
-    /// Writes the text, with `{id}` replaced by the id of the request and `{previous}` by that of the
-    /// request before it on the same connection.
+    /// Writes the text, with `{id}` replaced by the id of the request and `{previous}` by that of
+    /// the request before it on the same connection.
     Write(String),
     /// Writes once more what was written in answer to the request before it on the same connection;
     /// nothing if there was none.
@@ -56,8 +56,8 @@
     }
 }
 
-/// Steps in answer to one request. The connection stays open after the last one, unless it closes or
-/// resets the connection.
+/// Steps in answer to one request. The connection stays open after the last one, unless it closes
+/// or resets the connection.
 pub type Script = Vec<Step>;
 
 /// A request that the stand-in received.
@@ -94,8 +94,8 @@
 }
 
 impl ScriptedServer {
-    /// Starts the stand-in on new threads; returns it and the bound address. Request number `n` over
-    /// all connections is answered by `scripts[n]`, and by the last script from then on.
+    /// Starts the stand-in on new threads; returns it and the bound address. Request number `n`
+    /// over all connections is answered by `scripts[n]`, and by the last script from then on.
     ///
     /// # Errors
     ///
