--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -2,20 +2,21 @@
 
 use std::fmt::Write as _;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dandelionfront_coordination::Refusal;
 use dandelionfront_platform::headers::{self, REQUEST_ID};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, Version};
 use ntex::http::body::BodySize;
-use ntex::http::h1::{Codec, Message};
+use ntex::http::h1::Message;
 use ntex::http::header::HeaderValue;
 use ntex::http::{ConnectionType, Response};
-use ntex::io::Io;
+use tokio::time::timeout_at;
 
-use crate::consts::JSON;
+use super::caller::CallerConnection;
+use crate::consts::{JSON, TIME_LIMIT_DEFAULT};
 use crate::request::answer::refusal_json;
 
 /// Length of a response body.
@@ -23,8 +24,9 @@
 pub enum BodyLength {
     /// Known in advance, in bytes.
     Known(u64),
-    /// Sent in chunks; a missing last chunk shows the caller that the body is incomplete.
-    Chunked,
+    /// Not known in advance. A missing last chunk shows the caller that the body is incomplete; an
+    /// HTTP/1.0 caller knows no chunks, and a reset of the connection shows it.
+    Unknown,
 }
 
 /// Form of a response, which its head settles.
@@ -38,18 +40,36 @@
 
 /// Writes one response to a caller's connection.
 pub struct Responder<'a> {
-    io: &'a Io,
-    codec: &'a Codec,
+    connection: &'a CallerConnection,
+    /// HTTP version of the request.
+    version: Version,
+    /// Time until which the caller must have read enough for the response to fit into the buffer.
+    deadline: Instant,
     begun: Option<ResponseForm>,
+    /// Whether the end of the connection is the end of the body.
+    ends_with_connection: bool,
     is_complete: bool,
     closes_connection: bool,
 }
 
 impl<'a> Responder<'a> {
-    /// Creates a responder to the request that was last read from `io`.
+    /// Creates a responder to the request of `version` that was last read from `connection`.
     #[must_use]
-    pub fn new(io: &'a Io, codec: &'a Codec) -> Self {
-        Self { io, codec, begun: None, is_complete: false, closes_connection: false }
+    pub fn new(connection: &'a CallerConnection, version: Version) -> Self {
+        Self {
+            connection,
+            version,
+            deadline: Instant::now() + TIME_LIMIT_DEFAULT,
+            begun: None,
+            ends_with_connection: false,
+            is_complete: false,
+            closes_connection: false,
+        }
+    }
+
+    /// Sets the time after which a caller that does not read holds the response no longer.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = deadline;
     }
 
     /// Announces in the response head that the connection closes after the response.
@@ -75,7 +95,8 @@
         self.begun
     }
 
-    /// Returns whether the complete response was written to the connection's buffer.
+    /// Returns whether the complete response was written to the connection's buffer, or to the
+    /// socket if it ends with the connection.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.is_complete
@@ -86,7 +107,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the head cannot be encoded or a head was already sent.
+    /// Fails when the head cannot be encoded, a head was already sent or the connection cannot be
+    /// set to be reset.
     pub fn send_head(
         &mut self,
         status: StatusCode,
@@ -124,42 +146,66 @@
         let size = match length {
             BodyLength::Known(0) => BodySize::Empty,
             BodyLength::Known(bytes) => BodySize::Sized(bytes),
-            BodyLength::Chunked => BodySize::Stream,
+            BodyLength::Unknown => BodySize::Stream,
         };
+        if size == BodySize::Stream && self.version < Version::HTTP_11 {
+            response.head_mut().no_chunking(true);
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            self.connection.set_reset_on_close(true)?;
+            self.ends_with_connection = true;
+        }
         self.begun = Some(form);
-        self.io.encode(Message::Item((response, size)), self.codec).map_err(io::Error::other)
+        self.encode(Message::Item((response, size)))
+    }
+
+    fn encode(&self, message: Message<(Response<()>, BodySize)>) -> io::Result<()> {
+        let CallerConnection { io, codec, .. } = self.connection;
+        io.encode(message, codec).map_err(io::Error::other)
+    }
+
+    /// Waits for space in the write buffer, or until it is empty if `full`.
+    async fn flush(&self, full: bool) -> io::Result<()> {
+        let flushing = self.connection.io.flush(full);
+        timeout_at(self.deadline.into(), flushing).await.map_err(|_| {
+            io::Error::new(io::ErrorKind::TimedOut, "the caller did not read it in time")
+        })?
     }
 
     /// Sends a chunk of the body; waits for space in the write buffer when the caller reads slowly.
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed.
+    /// Fails when the connection is closed or the deadline passes.
     pub async fn send_chunk(&mut self, bytes: Bytes) -> io::Result<()> {
         if bytes.is_empty() {
             return Ok(());
         }
         let chunk = ntex::util::Bytes::copy_from_slice(&bytes);
-        self.io.encode(Message::Chunk(Some(chunk)), self.codec).map_err(io::Error::other)?;
-        self.io.flush(false).await
+        self.encode(Message::Chunk(Some(chunk)))?;
+        self.flush(false).await
     }
 
     /// Ends the body.
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed.
+    /// Fails when the connection is closed or the deadline passes.
     pub async fn finish(&mut self) -> io::Result<()> {
-        self.io.encode(Message::Chunk(None), self.codec).map_err(io::Error::other)?;
+        self.encode(Message::Chunk(None))?;
+        self.flush(self.ends_with_connection).await?;
+        if self.ends_with_connection {
+            self.connection.set_reset_on_close(false)?;
+        }
         self.is_complete = true;
-        self.io.flush(false).await
+        Ok(())
     }
 
     /// Sends a refusal as a complete response.
     ///
     /// # Errors
     ///
-    /// Fails when the connection is closed or a response head was already sent.
+    /// Fails when the connection is closed, the deadline passes or a response head was already
+    /// sent.
     pub async fn refuse(&mut self, request_id: &str, refusal: &Refusal) -> io::Result<()> {
         let status = StatusCode::from_u16(refusal.kind.http_status());
         let mut response =
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -2,12 +2,12 @@
 
 mod admission;
 mod announcements;
+mod answer_body;
+mod answer_head;
 mod attempt;
 mod body;
 mod choice;
-mod frames;
 mod in_flight;
-mod inbound;
 mod outbound;
 mod outcome;
 mod sent;
@@ -19,7 +19,7 @@
 
 use dandelionfront_coordination::Refusal;
 
-pub use self::inbound::AnswerFault;
+pub use self::answer_head::AnswerFault;
 
 use self::admission::{RefusedRequest, RequestLabels};
 use crate::front::connection::Responder;
@@ -43,17 +43,21 @@
         }
     };
     let labels = admitted.labels();
+    responder.set_deadline(admitted.deadline);
     match attempt::run(node, admitted, responder).await {
         Ok(()) => Ok(()),
         Err(attempt::Failure::Refused(refusal)) if !responder.is_head_sent() => {
             refuse(node, request, responder, &labels, &refusal).await
         }
-        Err(attempt::Failure::Refused(refusal)) => {
-            log::info!("event=broken_off request={} cause=\"{refusal}\"", labels.id);
+        Err(failure) => {
+            let error = match failure {
+                attempt::Failure::Refused(refusal) => io::Error::other(refusal.to_string()),
+                attempt::Failure::CallerGone(error) => error,
+            };
+            log::info!("event=broken_off request={} cause=\"{error}\"", labels.id);
             node.metrics.answers_broken_off.inc();
-            Err(io::Error::other(refusal.to_string()))
+            Err(error)
         }
-        Err(attempt::Failure::CallerGone(error)) => Err(error),
     }
 }
 
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -10,9 +10,9 @@
 use http::Response;
 use hyper::body::Incoming;
 
+use super::answer_body::AnswerBody;
+use super::answer_head::Framing;
 use super::attempt::{Attempts, Failure, ForwardOutcome};
-use super::frames::AnswerBody;
-use super::inbound::Framing;
 use crate::front::connection::responder::{BodyLength, Responder, ResponseForm};
 
 /// Time after which the caller, and not the server, determines the pace of a stream.
@@ -30,7 +30,7 @@
     let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     if !responder.is_head_sent() {
         responder
-            .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Chunked)
+            .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Unknown)
             .map_err(Failure::CallerGone)?;
     }
     let mut splitter = EventSplitter::default();
@@ -72,7 +72,7 @@
     if splitter.has_partial() {
         return Ok(ForwardOutcome::Incomplete("it ended within an event".to_owned()));
     }
-    if framing == Framing::Unframed && attempts.last_event == last_before {
+    if matches!(framing, Framing::Unframed { .. }) && attempts.last_event == last_before {
         return Ok(ForwardOutcome::Incomplete("it ended without an event".to_owned()));
     }
     let deadline = attempts.admitted.deadline;
--- a/crates/daemon/src/request/answer.rs
+++ b/crates/daemon/src/request/answer.rs
@@ -2,9 +2,9 @@
 
 use std::convert::Infallible;
 
-use dandelionfront_coordination::{Answer, Refusal};
+use dandelionfront_coordination::{Answer, Refusal, RunState};
 use futures_util::Stream;
-use ntex::http::StatusCode;
+use ntex::http::{StatusCode, Version};
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 use serde::Serialize;
@@ -26,7 +26,7 @@
 struct ErrorDetail<'a> {
     kind: &'a str,
     message: &'a str,
-    run: dandelionfront_coordination::RunState,
+    run: RunState,
     retry_after_ms: Option<u64>,
 }
 
@@ -46,9 +46,12 @@
 #[must_use]
 pub fn refuse(metrics: &Metrics, refusal: &Refusal) -> HttpResponse {
     metrics.count_refusal(refusal.kind);
-    let status = StatusCode::from_u16(refusal.kind.http_status());
+    let status = StatusCode::from_u16(refusal.http_status());
     let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
-    if let Some(pause_ms) = refusal.retry_after_ms {
+    // Clients repeat a request after `Retry-After` without looking at the body.
+    if let Some(pause_ms) = refusal.retry_after_ms
+        && refusal.run == RunState::NotRun
+    {
         response.header("retry-after", retry_after_s(pause_ms).to_string());
     }
     response.content_type(JSON).body(refusal_json(refusal))
@@ -64,13 +67,18 @@
         .body(answer.body.0)
 }
 
-/// Returns a response that streams `events`.
+/// Returns a response that streams `events` to a caller that speaks HTTP `version`.
 #[must_use]
-pub fn event_stream<S>(program: &str, events: S) -> HttpResponse
+pub fn event_stream<S>(version: Version, program: &str, events: S) -> HttpResponse
 where
     S: Stream<Item = Result<Bytes, Infallible>> + 'static,
 {
-    HttpResponse::Ok()
+    let mut response = HttpResponse::Ok();
+    // An HTTP/1.0 caller knows no chunks; the last event shows it that the stream is complete.
+    if version < Version::HTTP_11 {
+        response.no_chunking().force_close();
+    }
+    response
         .content_type(crate::consts::EVENT_STREAM)
         .header("cache-control", "no-cache")
         .header("program-id", program)
--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -3,11 +3,12 @@
 mod support;
 
 use std::io::{Read as _, Write as _};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
 use dandelionfront_standins::site::scripted::{LAST_CHUNK, chunk, chunked_stream_head, events};
 use dandelionfront_standins::site::{Script, ScriptedServer, Step};
+use support::http::eventually;
 use support::site::{ALPHA_KEY, Site};
 
 /// Longest wait for the next bytes.
@@ -15,6 +16,9 @@
 /// Maximum size of a body in the configuration of the tests.
 const BODY_MAX_BYTES: usize = 65_536;
 
+/// Size of a body that the buffers of both ends of a connection can't hold.
+const UNREAD_BYTES: usize = 32 * 1024 * 1024;
+
 /// Returns the head of a request.
 fn head(method: &str, path: &str, version: &str, id: &str, fields: &str) -> String {
     format!(
@@ -30,12 +34,32 @@
 
 /// Sends bytes on a new connection; returns what arrives until it ends, and whether it was reset.
 async fn exchange(site: &Site, bytes: String) -> (String, bool) {
+    let (connection, received) = begin_exchange(site, bytes, "").await;
+    finish_exchange(connection, received).await
+}
+
+/// Sends bytes on a new connection and reads until `part` has arrived; returns what arrived.
+async fn begin_exchange(site: &Site, bytes: String, part: &'static str) -> (TcpStream, Vec<u8>) {
     let address = site.nodes[0].listen.clone();
-    let received = ntex::rt::spawn_blocking(move || {
+    let begun = ntex::rt::spawn_blocking(move || {
         let mut connection = TcpStream::connect(address).expect("the node listens");
         connection.set_read_timeout(Some(READ_TIMEOUT)).expect("valid");
         connection.write_all(bytes.as_bytes()).expect("written");
         let mut received = Vec::new();
+        while !String::from_utf8_lossy(&received).contains(part) {
+            let mut buffer = [0; 1024];
+            let length = connection.read(&mut buffer).expect("the node answers");
+            assert_ne!(length, 0, "the connection ended: {}", String::from_utf8_lossy(&received));
+            received.extend_from_slice(&buffer[..length]);
+        }
+        (connection, received)
+    });
+    begun.await.expect("no panic")
+}
+
+/// Reads until a connection ends; returns all that arrived, and whether the connection was reset.
+async fn finish_exchange(mut connection: TcpStream, mut received: Vec<u8>) -> (String, bool) {
+    let received = ntex::rt::spawn_blocking(move || {
         let is_reset = match connection.read_to_end(&mut received) {
             Ok(_) => false,
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => true,
@@ -211,6 +235,116 @@
     assert!(is_reset, "{received}");
 }
 
+/// Guards against a body of unknown length that an HTTP/1.0 caller cannot tell from its framing, or
+/// a part of it from the whole.
+#[ntex::test]
+async fn large_body_to_an_http_1_0_caller_ends_with_its_connection() {
+    let body = "x".repeat(300_000);
+    for declared in [body.len(), body.len() + 1] {
+        let rest = format!("content-length: {declared}\r\n\r\n{body}");
+        let mut script = sealed("200 OK", &rest);
+        script.push(Step::Close);
+        let site = start_scripted("desk", vec![script]).await;
+        let request = head("GET", "/lookup/x", "HTTP/1.0", "old", "connection: keep-alive\r\n");
+        let (received, is_reset) = exchange(&site, request).await;
+        let is_whole = declared == body.len();
+        assert_eq!(is_reset, !is_whole, "{declared} bytes were declared");
+        if is_whole {
+            let mut rest = received.as_str();
+            let head = take_head(&mut rest);
+            for field in ["content-length", "transfer-encoding", "keep-alive"] {
+                assert!(!head.contains(field), "{head}");
+            }
+            assert!(rest == body, "{} bytes arrived", rest.len());
+        }
+    }
+}
+
+/// Guards against an interim response or an open connection that an HTTP/1.0 caller did not ask
+/// for.
+#[ntex::test]
+async fn http_1_0_caller_keeps_its_connection_only_if_it_asks() {
+    let script = sealed("200 OK", "content-length: 4\r\n\r\nnext");
+    let no_body = sealed("200 OK", "content-length: 10\r\n\r\n");
+    let site = start_scripted("desk", vec![no_body, script]).await;
+    let keep = "connection: keep-alive\r\n";
+    let expecting = format!("{keep}content-length: 2\r\nexpect: 100-continue\r\n");
+    let requests = head("HEAD", "/lookup/x", "HTTP/1.0", "a", keep)
+        + &head("POST", "/lookup/x", "HTTP/1.0", "b", &expecting)
+        + "in"
+        + &head("GET", "/lookup/x", "HTTP/1.0", "c", "");
+    let (received, is_reset) = exchange(&site, requests).await;
+    let mut rest = received.as_str();
+    let first = take_head(&mut rest);
+    assert!(first.contains("content-length: 10") && first.contains(keep.trim_end()), "{first}");
+    let (second, body) = take_answer(&mut rest);
+    assert!(second.contains("request-id: b") && second.contains(keep.trim_end()), "{second}");
+    assert_eq!(body, "next");
+    let (third, body) = take_answer(&mut rest);
+    assert!(third.contains("request-id: c") && !third.contains("keep-alive"), "{third}");
+    assert_eq!((body.as_str(), rest, is_reset), ("next", "", false));
+}
+
+/// Ways in which an answer ends early that its backend server has not broken off.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// The caller ends its side of the connection and reads on.
+    HalfClose,
+    /// The deadline passes.
+    Deadline,
+    /// The node is killed while it stops.
+    Kill,
+}
+
+/// Guards against a part of an answer that looks whole because of how it ended.
+#[ntex::test]
+async fn answer_that_ends_early_looks_incomplete() {
+    for version in ["HTTP/1.0", "HTTP/1.1"] {
+        for end in [End::HalfClose, End::Deadline, End::Kill] {
+            let begin = chunked_stream_head() + &chunk(&events(1, 2));
+            let script = vec![Step::Write(begin), Step::Pause(READ_TIMEOUT)];
+            let mut site = start_scripted("geo", vec![script]).await;
+            let request = head("POST", "/stream/kept/1", version, "part", "content-length: 0\r\n");
+            let (connection, received) = begin_exchange(&site, request, "token-2").await;
+            match end {
+                End::HalfClose => connection.shutdown(Shutdown::Write).expect("open"),
+                End::Deadline => {}
+                End::Kill => {
+                    site.nodes[0].process.signal("TERM");
+                    site.nodes[0].process.kill();
+                }
+            }
+            let (received, is_reset) = finish_exchange(connection, received).await;
+            let is_chunked = received.contains("transfer-encoding: chunked");
+            assert_eq!(is_chunked, version == "HTTP/1.1", "{received}");
+            let looks_whole = if is_chunked { received.contains("\r\n0\r\n") } else { !is_reset };
+            assert!(!looks_whole, "{version} {end:?}: {received}");
+        }
+    }
+}
+
+/// Guards against a request that a caller holds beyond its deadline because it does not read.
+#[ntex::test]
+async fn caller_that_reads_nothing_does_not_hold_its_request() {
+    let body = "x".repeat(UNREAD_BYTES);
+    let rest = format!("content-length: {UNREAD_BYTES}\r\n\r\n{body}");
+    let site = start_scripted("desk", vec![sealed("200 OK", &rest)]).await;
+    let (connection, received) =
+        begin_exchange(&site, last_head("GET", "/lookup/x", "held"), "").await;
+    eventually("the request is sent on", async || {
+        let lines = site.nodes[0].process.lines();
+        lines.iter().any(|line| line.contains("event=sent request=held")).then_some(())
+    })
+    .await;
+    eventually("the request ends", async || {
+        site.metrics(0).await.contains("dandelionfront_requests 0\n").then_some(())
+    })
+    .await;
+    let (received, _) = finish_exchange(connection, received).await;
+    assert!(received.starts_with("HTTP/1.1 200 ") && received.len() < UNREAD_BYTES);
+    assert!(!received.ends_with(LAST_CHUNK), "a part looks whole");
+}
+
 /// Guards against a final answer that callers take for an interim one, after which they wait for
 /// another or take the next one.
 #[ntex::test]
@@ -219,3 +353,21 @@
     let (received, _) = exchange(&site, last_head("POST", "/plain/x", "switch")).await;
     assert!(received.starts_with("HTTP/1.1 502 "), "{received}");
 }
+
+/// Guards against waiting until the deadline for the body of a request that has none, because it
+/// asks for another protocol.
+#[ntex::test]
+async fn request_for_another_protocol_is_refused_at_once() {
+    let site = Site::start(1).await;
+    let upgrade = "connection: upgrade\r\nupgrade: h2c\r\n";
+    for (method, path) in [("GET", "/lookup/x"), ("POST", "/stream/talk/1"), ("CONNECT", "/x")] {
+        let (received, _) =
+            exchange(&site, head(method, path, "HTTP/1.1", "upgrade", upgrade)).await;
+        let mut rest = received.as_str();
+        let (head, body) = take_answer(&mut rest);
+        assert!(head.starts_with("http/1.1 400 "), "{method}: {received}");
+        assert!(body.contains("without Upgrade"), "{method}: {received}");
+        assert_eq!(rest, "", "{method}");
+    }
+    assert!(site.recorded_requests(&site.services).await.is_empty(), "a request ran");
+}
