Give the test nodes enough shards for each to own one

It failed in 2 of 42 runs of the binary, 14 at a time, and call_runs_once_with_unknown_outcome_if_owner_is_frozen_before_ recording_the_answer in 1 of 42 before: (1, 200) instead of (1, 409).

Cause: the node that is to crash owned no shard, in both traced runs: it logged no event=shards_claimed, while the two others held 7 and 9 of 16 (9 and 7). Shards go to the node with the highest weight of a random id, so a third node gets none of 16 in (2/3)^16, one in 650 starts. Its program then belonged to another node, which did not crash and answered. 9 tests of the binary start such a node, so one run in 70 fails, at any load.

Ruled out: a node that is fenced because it is starved: a trial that sent five calls in turn saw the same node without a program in each of them, and no node was fenced.

The test nodes now have 64 shards, of which a third node gets none in 5e-12, a fourth in 1e-8. No check is changed. answers, at_most_once, backend_ exchanges, budget, config, history, keys, limits, path, refusals and stop pass (65 tests).

--- a/crates/daemon/tests/support/fleet.rs
+++ b/crates/daemon/tests/support/fleet.rs
@@ -13,6 +13,9 @@
 /// Key of team `beta`.
 pub const BETA_KEY: &str = "key-of-beta";
 
+/// Number of shards. Nodes own them by random ids; of 16, one in 650 third nodes owns none.
+const SHARD_COUNT: u64 = 64;
+
 /// Numbers of nodes and engines of a fleet, and extra arguments for each kind of process.
 pub struct FleetOptions {
     pub nodes: usize,
@@ -143,7 +146,7 @@
             "--dispatch-window-ms",
             "1500",
             "--shard-count",
-            "16",
+            &SHARD_COUNT.to_string(),
             "--log-level",
             "debug",
             "--platform",
@@ -233,7 +236,7 @@
                 }
                 shards += status["shards"].as_u64()?;
             }
-            (shards == 16).then_some(())
+            (shards == SHARD_COUNT).then_some(())
         })
         .await;
     }
@@ -245,7 +248,7 @@
             for index in indices {
                 shards += self.status(&self.nodes[*index]).await?["shards"].as_u64()?;
             }
-            (shards == 16).then_some(())
+            (shards == SHARD_COUNT).then_some(())
         })
         .await;
     }
