--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage.rs
@@ -19,6 +19,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use log::info;
 use serde::{Deserialize, Serialize};
 
 use super::bucket::BucketLimits;
@@ -46,6 +47,15 @@
     pub first_admitted_ago_ms: u64,
 }
 
+/// What a node knows of a team's limit.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct BucketLevel {
+    /// Tokens left, less the requests that other nodes are estimated to have admitted.
+    pub tokens_left: f64,
+    /// Fraction of the limit that the node and those reporting to it may spend.
+    pub reachable_share: f64,
+}
+
 /// Class of a request, which decides how long it may wait and from which buckets it takes tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestClass {
@@ -225,6 +235,16 @@
         }
     }
 
+    /// Returns what this node knows of the limit of `team`.
+    #[must_use]
+    pub fn level(&self, team: TeamHash, now: Duration) -> BucketLevel {
+        let tokens = self.teams.get(&team).map_or(0.0, |bucket| bucket.tokens);
+        BucketLevel {
+            tokens_left: tokens - self.estimated_unreported(team, now),
+            reachable_share: self.reachable_share(now),
+        }
+    }
+
     /// Returns the admissions of this node since its start.
     #[must_use]
     pub fn own_admitted(&self, now: Duration) -> AdmittedCounts {
@@ -254,8 +274,13 @@
 
     /// Initializes the buckets of the reported teams from the first report received after the
     /// start, less the requests that this node has already admitted.
-    fn seed_from_report(&mut self, admitted: &AdmittedCounts, now: Duration) {
+    fn seed_from_report(&mut self, member: &str, admitted: &AdmittedCounts, now: Duration) {
         self.is_seeded = true;
+        info!(
+            "event=limits_initialized member={member} teams={} uptime_ms={}",
+            admitted.len(),
+            now.as_millis()
+        );
         for (team, count) in admitted {
             let bucket = self.teams.entry(*team).or_default();
             let own_requests = bucket.own_admitted.requests;
@@ -278,7 +303,7 @@
         now: Duration,
     ) {
         if !self.is_seeded {
-            self.seed_from_report(&admitted, now);
+            self.seed_from_report(member, &admitted, now);
         }
         let (interval, timeout) =
             (report_interval(self.members.len()), report_timeout(self.members.len()));
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -84,6 +84,8 @@
     pub store_seconds: Histogram,
     /// Time that requests wait for a token of their team's limit, in seconds.
     pub limit_wait_seconds: Histogram,
+    /// Tokens of teams' limits that were refunded, because no server ran their requests.
+    pub limit_tokens_refunded: IntCounter,
     /// Time from a request's arrival until it is first sent, including waits for the limit, the
     /// store and a connection, in seconds.
     pub added_seconds: Histogram,
@@ -186,6 +188,8 @@
                 "result",
             ),
             store_seconds: registry.histogram("store_seconds", "Duration of store calls"),
+            limit_tokens_refunded: registry
+                .counter("limit_tokens_refunded_total", "Refunded tokens of teams' limits"),
             limit_wait_seconds: registry
                 .histogram("limit_wait_seconds", "Waits of requests for a token of their team"),
             added_seconds: registry
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -11,7 +11,7 @@
 use dandelionfront_coordination::lending::Lender;
 use dandelionfront_coordination::limits::UsageLimiter;
 use dandelionfront_coordination::limits::bucket::BucketLimits;
-use dandelionfront_coordination::limits::usage::{RequestClass, team_hash};
+use dandelionfront_coordination::limits::usage::{BucketLevel, RequestClass, team_hash};
 use dandelionfront_coordination::moves::SessionMoves;
 use dandelionfront_coordination::outage::{RETRY_SPREAD, retry_delay};
 use dandelionfront_coordination::pauses::{PauseCount, PauseWatch};
@@ -284,8 +284,15 @@
         self.prompts.borrow_mut().record(service, prompt, engine.cache_tokens, servers)
     }
 
+    /// Returns what this node knows of the limit of `team`.
+    #[must_use]
+    pub fn limit_level(&self, team: &str) -> BucketLevel {
+        self.limiter.borrow().level(team_hash(team), self.clock.monotonic_now())
+    }
+
     /// Refunds the token of a request that no backend server may have run.
     pub fn refund_limit_token(&self, team: &str) {
+        self.metrics.limit_tokens_refunded.inc();
         self.limiter.borrow_mut().refund(team_hash(team));
     }
 
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dandelionfront_coordination::crashes::RequestKeys;
 use dandelionfront_coordination::ids::TeamId;
-use dandelionfront_coordination::limits::usage::RequestClass;
+use dandelionfront_coordination::limits::usage::{BucketLevel, RequestClass};
 use dandelionfront_coordination::pauses::PauseCount;
 use dandelionfront_coordination::prompts::SharedPart;
 use dandelionfront_coordination::request::RequestContext;
@@ -76,8 +76,9 @@
         log::info!("event=limit_token_lapsed request={} team={}", self.context.id, team.name);
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let class = request_class(self.starts_program, time_left);
-        let table = node.table();
-        self.limit_reservation = LimitReservation::acquire(node, &table, team, class).await?;
+        let (request, table) = (&self.context.id, node.table());
+        self.limit_reservation =
+            LimitReservation::acquire(node, request, &table, team, class).await?;
         Ok(())
     }
 
@@ -98,6 +99,10 @@
 #[derive(Default)]
 pub struct LimitReservation {
     refund_to: Option<(Rc<FrontNode>, TeamId)>,
+    /// Id of the request.
+    request: String,
+    /// What the node knew of the limit once the token was taken.
+    pub level: BucketLevel,
     /// Pauses of the process before the token was taken.
     pauses: PauseCount,
 }
@@ -106,6 +111,7 @@
     /// Takes a token and waits until it may be used.
     async fn acquire(
         node: &Rc<FrontNode>,
+        request: &str,
         table: &RoutingTable,
         team: &AdmittedTeam,
         class: RequestClass,
@@ -115,7 +121,12 @@
         let pauses = node.pause_count();
         let wait = node.acquire_limit_token(spec, class)?;
         node.metrics.limit_wait_seconds.observe(wait.as_secs_f64());
-        let reservation = Self { refund_to: Some((Rc::clone(node), team.name.clone())), pauses };
+        let reservation = Self {
+            refund_to: Some((Rc::clone(node), team.name.clone())),
+            request: request.to_owned(),
+            level: node.limit_level(&team.name),
+            pauses,
+        };
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
@@ -139,6 +150,7 @@
         if let Some((node, team)) = self.refund_to.take()
             && !has_lapsed
         {
+            log::info!("event=limit_token_refunded request={} team={team}", self.request);
             node.refund_limit_token(&team);
         }
     }
@@ -266,7 +278,7 @@
     let time_left = deadline.saturating_duration_since(Instant::now());
     let class = request_class(prepared.starts_program, time_left);
     let limit_reservation = match &team {
-        Some(team) => LimitReservation::acquire(node, &table, team, class).await?,
+        Some(team) => LimitReservation::acquire(node, &context.id, &table, team, class).await?,
         None => LimitReservation::default(),
     };
     let placement_key = prepared.placement_key;
--- a/crates/daemon/src/front/request/sent.rs
+++ b/crates/daemon/src/front/request/sent.rs
@@ -29,11 +29,12 @@
         let (moved_from, move_cause) = session_move
             .as_ref()
             .map_or(("-", "-"), |moved| (moved.from.as_str(), moved.cause.label()));
+        let limit = self.admitted.limit_reservation.level;
         let input_bytes = self.admitted.turn.as_ref().and_then(RunningTurn::input_bytes);
         log::info!(
             "event=sent request={} program={} fingerprint={:016x} path={} body_bytes={} route={} \
              version={} team={} server={} time_left_ms={} reused={} via={} load={:.2} {} \
-             limit_per_s={} added_ms={} software=\"{}\" resume_after={} resumes={} \
+             limit_per_s={} limit_tokens_left={:.1} limit_share={:.2} added_ms={} software=\"{}\" resume_after={} resumes={} \
              previous_turn={} input_bytes={} session={} moved_from={moved_from} \
              move_cause={move_cause} last_server={} last_known_by={}",
             self.admitted.context.id,
@@ -51,6 +52,8 @@
             self.node.placement.borrow().load(server, self.node.clock.monotonic_now()),
             self.speed_text(server),
             limit_text(self.limit_in_force(server)),
+            limit.tokens_left,
+            limit.reachable_share,
             added.as_millis(),
             server.software,
             self.last_event.map_or("-".to_owned(), |event| event.to_string()),
