Keep the token of a request that was sent when its caller leaves

Cause: a request's token was kept only once its answer, or the loss of its connection, had shown that it may have run. A caller that leaves in between ends the handling of the request, and the token went back although a server ran the request. The token is now in use from just before the bytes are queued, and free again only when the request is shown not to have run. Ruled out: requests that were never sent or that servers refused keep their refund (requests_that_no_server_ran_do_not_count_toward_the_limit, which fails without it).

--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -94,8 +94,8 @@
     }
 }
 
-/// A token taken from a team's limit; refunded on drop unless a backend server may have run the
-/// request or the process has stood still since.
+/// A token taken from a team's limit; refunded on drop unless the request was sent and may have run,
+/// or the process has stood still since.
 #[derive(Default)]
 pub struct LimitReservation {
     refund_to: Option<(Rc<FrontNode>, TeamId)>,
@@ -103,6 +103,8 @@
     request: String,
     /// What the node knew of the limit once the token was taken.
     pub level: BucketLevel,
+    /// Whether the request is being sent, or was sent with an unknown outcome.
+    is_in_use: bool,
     /// Pauses of the process before the token was taken.
     pauses: PauseCount,
 }
@@ -125,6 +127,7 @@
             refund_to: Some((Rc::clone(node), team.name.clone())),
             request: request.to_owned(),
             level: node.limit_level(&team.name),
+            is_in_use: false,
             pauses,
         };
         if !wait.is_zero() {
@@ -138,6 +141,17 @@
         self.refund_to.as_ref().is_some_and(|(node, _)| node.pause_count() != self.pauses)
     }
 
+    /// Records that the request is being sent. Its handling may end at any time, because the caller
+    /// leaves, and the token is not refunded then.
+    pub fn begin_use(&mut self) {
+        self.is_in_use = true;
+    }
+
+    /// Records that the request that was sent did not run.
+    pub fn end_use(&mut self) {
+        self.is_in_use = false;
+    }
+
     /// Keeps the token, because a backend server may have run the request.
     pub fn commit(&mut self) {
         self.refund_to = None;
@@ -149,6 +163,7 @@
         let has_lapsed = self.has_lapsed();
         if let Some((node, team)) = self.refund_to.take()
             && !has_lapsed
+            && !self.is_in_use
         {
             log::info!("event=limit_token_refunded request={} team={team}", self.request);
             node.refund_limit_token(&team);
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -181,6 +181,7 @@
         }
         let sent_at = Instant::now();
         self.record_sending(&server, time_left, &connection);
+        self.admitted.limit_reservation.begin_use();
         let Ok(outcome) = timeout_at(deadline, connection.send(request)).await else {
             self.mark_may_have_run(&server.id);
             return Err(self.deadline_failure());
@@ -188,6 +189,7 @@
         let response = match outcome {
             SendOutcome::Answered(response) => response,
             SendOutcome::NotSent(cause) => {
+                self.admitted.limit_reservation.end_use();
                 if !connection.is_reused {
                     self.record_failure(&server, "send", &cause);
                     self.excluded.push(server.id.clone());
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -40,6 +40,7 @@
         self.note_announcements(server, &response, &kind);
         match kind {
             ResponseKind::NotRun(status) => {
+                self.admitted.limit_reservation.end_use();
                 log::info!(
                     "event=not_run request={} server={} {head} reused={}",
                     self.admitted.context.id,
--- a/crates/daemon/tests/abandoned_requests.rs
+++ b/crates/daemon/tests/abandoned_requests.rs
@@ -1,4 +1,5 @@
-//! Callers that leave while a backend server runs their requests.
+//! Tokens of a team's limit whose requests end without an answer: their callers leave, or no backend
+//! server runs them.
 
 mod support;
 
@@ -9,7 +10,7 @@
 use dandelionfront_standins::site::{Runner, RunnerSettings};
 use serde_json::json;
 use support::http::eventually;
-use support::site::{HOST, Site, SiteRunner};
+use support::site::{Call, HOST, Site, SiteRunner};
 
 /// Key of a team with a rate of one request in 100 seconds and a burst of [`BURST`] requests.
 const LIMITED_KEY: &str = "key-of-limited";
@@ -19,8 +20,8 @@
 /// Interval between checks of whether a request has reached the server.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Starts a node before a single server, which runs requests and does not answer in time.
-async fn start_site() -> (Site, SiteRunner) {
+/// Starts a node before a single server, which takes `delay` for each answer.
+async fn start_site(delay: Duration) -> (Site, SiteRunner) {
     let mut site = Site::start(1).await;
     let limited =
         json!({ "name": "limited", "apiKeys": [LIMITED_KEY], "ratePerS": 0.01, "burst": BURST });
@@ -30,7 +31,7 @@
     let settings = RunnerSettings {
         id: "scripted-0".to_owned(),
         event_count: 1,
-        delay_ms: u32::try_from(ANSWER_DELAY.as_millis()).expect("short"),
+        delay_ms: u32::try_from(delay.as_millis()).expect("short"),
     };
     let listen = "127.0.0.1:0".parse().expect("valid");
     let address = Runner::spawn(listen, settings).expect("starts");
@@ -81,7 +82,7 @@
 
 /// Sends twice as many requests as the team's burst, whose callers leave; returns how many ran.
 async fn run_abandoned(path: &str) -> usize {
-    let (site, server) = start_site().await;
+    let (site, server) = start_site(ANSWER_DELAY).await;
     for number in 0..2 * BURST {
         abandon(&site, &server, path, number).await;
     }
@@ -97,3 +98,25 @@
         assert!(ran <= BURST, "{ran} requests to {path} ran, {BURST} allowed");
     }
 }
+
+/// Guards against a team that is refused within its limit, because requests that no server ran count.
+#[ntex::test]
+async fn requests_that_no_server_ran_do_not_count_toward_the_limit() {
+    let (site, server) = start_site(Duration::ZERO).await;
+    let headers = [("deadline-ms", "300")];
+    let send = async |id: String| {
+        let call = Call { id: &id, key: LIMITED_KEY, headers: &headers, ..Call::default() };
+        site.send(0, &call).await.expect("the node answers")
+    };
+    site.set_faults(&server.address, &json!({ "refuse": u32::MAX })).await;
+    for number in 0..2 * BURST {
+        let reply = send(format!("refused-{number}")).await;
+        assert_eq!((reply.status, reply.run().as_str()), (503, "not_run"), "{}", reply.body);
+    }
+    site.set_faults(&server.address, &json!({ "refuse": 0 })).await;
+    // The bucket of a new node is half full.
+    for number in 0..BURST / 2 {
+        let reply = send(format!("taken-{number}")).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+}
