Count what nodes out of reach and earlier processes may have admitted

Cause, in two places: a node took requests that it had not been told of for requests that nobody had admitted. The estimate of a silent node's requests was dropped at the report timeout, so that its tokens were free on both sides of a cut, and what a killed process had admitted since its last report was never charged. A restarted process started half full, added what had accrued since its start, took the first report for all there is to know, and shared its tokens with as many other restarted ones without knowing their rates.

Change: a node that misses two reports is assumed to use at least its share of each limit; at the timeout the estimate is charged, until its next report or for good if it comes from a new process. A process that finds its own row was restarted: its buckets start with a debt unless it hears a settled node, requests that it can't know of are charged at their share, and for four report intervals it uses a part of the tokens that falls with the number of others that are restarted too. Reports tell the uptime after the protocol number; builds that don't tell it count as settled by their first admission.

--- a/crates/coordination/src/limits/usage.rs
+++ b/crates/coordination/src/limits/usage/mod.rs
@@ -7,7 +7,13 @@
 //! exceeded in any time window by at most what other nodes admit between two reports. A node that
 //! no longer reports may be partitioned and still admit requests, so an equal share of the limit
 //! stays reserved for it until it is removed after [`FORGET_AFTER`], and when it reports again, until
-//! both nodes have had the time to tell each other all their counts.
+//! both nodes have had the time to tell each other all their counts. Until a node that misses its
+//! reports is considered unreachable, it is assumed to use that share, and what it may have admitted
+//! in this time stays charged.
+//!
+//! A restarted node does not know what was admitted before. While other nodes have run for as short a
+//! time as itself, it leaves the tokens in its bucket to them as well, and if it hears no other, as
+//! after a restart of the whole fleet, its buckets start with a debt.
 //!
 //! Near the limit, requests of started programs take precedence over new programs, because
 //! finishing a few programs is worth more than starting many. The first turn of a program also
@@ -16,12 +22,17 @@
 //! program bucket holds fewer tokens than that average, or if the team's bucket is below the
 //! reserve for started programs.
 
+mod member;
+mod team_bucket;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use log::info;
 use serde::{Deserialize, Serialize};
 
+use self::member::Member;
+use self::team_bucket::TeamBucket;
 use super::bucket::BucketLimits;
 
 /// Hash of a team's name, as in reports.
@@ -92,6 +103,12 @@
 const WAIT_DIVISOR: u32 = 3;
 /// Number of rounds in which a change is reported, because reports may be lost.
 const REPORTED_ROUNDS: u64 = 3;
+/// Number of report intervals without a report after which a node is late. It may be out of reach,
+/// and is assumed to use at least its share of each limit.
+const LATE_AFTER_REPORTS: u32 = 2;
+/// Number of report intervals after its start from which a process knows the rates of the others,
+/// and they know its.
+const SETTLED_AFTER_REPORTS: u32 = 4;
 /// Number of report intervals after which the counts of a node that reports again are known: it
 /// names all teams in its next [`REPORTED_ROUNDS`].
 const KNOWN_AFTER_REPORTS: u32 = 4;
@@ -111,39 +128,6 @@
 const PROGRAM_BUCKET_THRESHOLD: f64 = 0.85;
 /// Fraction of the burst that is reserved for started programs.
 const STARTED_PROGRAMS_RESERVE: f64 = 0.4;
-/// Initial fraction of the burst in a bucket that is not initialized from a report. After a restart
-/// of all nodes, earlier spending is unknown, and with a full bucket a team could exceed its limit.
-const INITIAL_FILL: f64 = 0.5;
-/// Approximate duration of a program. The program bucket can hold the burst and the tokens accrued
-/// in this time, because a program spreads its requests over its duration.
-const PROGRAM_DURATION: Duration = Duration::from_secs(2);
-
-#[derive(Debug)]
-struct Member {
-    incarnation: u64,
-    last_report_at: Duration,
-    /// Time of the first report.
-    heard_since: Duration,
-    /// Time from which its counts are known again after a gap between its reports.
-    known_from: Duration,
-    admitted: AdmittedCounts,
-    rates_per_s: HashMap<TeamHash, f64>,
-}
-
-#[derive(Debug, Default)]
-struct TeamBucket {
-    /// Tokens left; negative while the team has spent more than has accrued.
-    tokens: f64,
-    /// Tokens in the program bucket; negative while new programs have taken more than has accrued.
-    program_tokens: f64,
-    updated_at: Duration,
-    own_admitted: Admitted,
-    /// Time of this node's first admission.
-    first_admitted_at: Option<Duration>,
-    /// Round of reports in which `own_admitted` changed last.
-    changed_in_round: u64,
-}
-
 /// Token buckets of all teams, and the members that share them.
 #[derive(Debug, Default)]
 pub struct UsageLimiter {
@@ -151,6 +135,8 @@
     teams: HashMap<TeamHash, TeamBucket>,
     /// Whether the buckets were initialized from the report of another node.
     is_seeded: bool,
+    /// Time at which this process learned that an earlier one of this node served callers.
+    restarted_at: Option<Duration>,
     /// Number of the current round of reports; each node gets one report in a round.
     round: u64,
     /// Estimated average number of requests per program, and the time of the estimate.
@@ -171,6 +157,12 @@
     report_interval(members).saturating_mul(MISSED_REPORTS_MAX)
 }
 
+/// Returns the time without a report after which a node is late, in a fleet with `members` other
+/// nodes.
+fn late_after(members: usize) -> Duration {
+    report_interval(members).saturating_mul(LATE_AFTER_REPORTS)
+}
+
 /// Returns the hash of a team's name.
 #[must_use]
 pub fn team_hash(team: &str) -> TeamHash {
@@ -179,6 +171,12 @@
 }
 
 impl UsageLimiter {
+    /// Records that an earlier process of this node served callers, so that requests from before the
+    /// start of this one count toward the limits.
+    pub fn note_restart(&mut self, now: Duration) {
+        self.restarted_at = Some(now);
+    }
+
     /// Takes a token for one request of `team` and returns the delay before it may be sent.
     ///
     /// A new program is never delayed. Any other request may wait for its token for a fraction of
@@ -194,20 +192,27 @@
         class: RequestClass,
         now: Duration,
     ) -> Result<Duration, Duration> {
+        self.charge_silent_members(now);
         let reachable_share = self.reachable_share(now);
-        let estimated_unreported = self.estimated_unreported(team, now);
+        let unreported = self.estimate_unreported(team, limits.rate_per_s, now);
+        let settled_share = self.settled_share(now);
         let requests_per_program = self.requests_per_program(now);
         let round = self.round;
-        let bucket = self.teams.entry(team).or_insert_with(|| TeamBucket::initial(limits));
-        bucket.accrue(limits, reachable_share, now);
-        let available = bucket.tokens - estimated_unreported;
-        let rate_per_s = (limits.rate_per_s * reachable_share).max(f64::MIN_POSITIVE);
+        let is_spending_known = self.restarted_at.is_none() || self.hears_settled_member();
+        let bucket = self
+            .teams
+            .entry(team)
+            .or_insert_with(|| TeamBucket::initial(limits, is_spending_known));
+        bucket.accrue(limits, reachable_share, unreported.late, now);
+        let available = bucket.available(unreported.total(), settled_share);
+        let usable_share = reachable_share * settled_share;
+        let rate_per_s = (limits.rate_per_s * usable_share).max(f64::MIN_POSITIVE);
         let wait = seconds((1.0 - available).max(0.0) / rate_per_s);
         if wait > class.wait_max() {
             return Err(wait);
         }
         if class == RequestClass::NewProgram {
-            let burst = limits.burst * reachable_share;
+            let burst = limits.burst * usable_share;
             let missing_program_tokens = requests_per_program - bucket.program_tokens;
             let missing_reserve = burst * STARTED_PROGRAMS_RESERVE - available;
             if available < burst * PROGRAM_BUCKET_THRESHOLD
@@ -240,7 +245,7 @@
     pub fn level(&self, team: TeamHash, now: Duration) -> BucketLevel {
         let tokens = self.teams.get(&team).map_or(0.0, |bucket| bucket.tokens);
         BucketLevel {
-            tokens_left: tokens - self.estimated_unreported(team, now),
+            tokens_left: tokens - self.estimate_unreported_by_limits(team, now).total(),
             reachable_share: self.reachable_share(now),
         }
     }
@@ -249,7 +254,9 @@
     #[must_use]
     pub fn own_admitted(&self, now: Duration) -> AdmittedCounts {
         let admitted = self.teams.iter().filter(|(_, bucket)| bucket.first_admitted_at.is_some());
-        admitted.map(|(team, bucket)| (*team, bucket.report(now))).collect()
+        admitted
+            .map(|(team, bucket)| (*team, bucket.report(self.late_requests(*team, now), now)))
+            .collect()
     }
 
     /// Begins a round of reports, in which each other node gets one.
@@ -268,7 +275,7 @@
         let admitted = self.teams.iter().filter(|(_, bucket)| bucket.first_admitted_at.is_some());
         admitted
             .filter(|(team, bucket)| is_due(**team, bucket))
-            .map(|(team, bucket)| (*team, bucket.report(now)))
+            .map(|(team, bucket)| (*team, bucket.report(self.late_requests(*team, now), now)))
             .collect()
     }
 
@@ -282,15 +289,7 @@
             now.as_millis()
         );
         for (team, count) in admitted {
-            let bucket = self.teams.entry(*team).or_default();
-            let own_requests = bucket.own_admitted.requests;
-            *bucket = TeamBucket {
-                own_admitted: bucket.own_admitted,
-                first_admitted_at: bucket.first_admitted_at,
-                changed_in_round: bucket.changed_in_round,
-                ..TeamBucket::from_report(count, now)
-            };
-            bucket.tokens -= signed_difference(own_requests, 0);
+            self.teams.entry(*team).or_default().initialize(count, now);
         }
     }
 
@@ -310,14 +309,7 @@
         let known = self.members.remove(member);
         let is_new = known.as_ref().is_none_or(|known| known.last_report_at.is_zero());
         let is_restarted = known.as_ref().is_some_and(|known| known.incarnation != incarnation);
-        let mut known = known.unwrap_or_else(|| Member {
-            incarnation,
-            last_report_at: now,
-            heard_since: now,
-            known_from: Duration::ZERO,
-            admitted: AdmittedCounts::new(),
-            rates_per_s: HashMap::new(),
-        });
+        let mut known = known.unwrap_or_else(|| Member::heard(incarnation, now));
         if is_new {
             known.heard_since = now;
         } else if now >= known.last_report_at + timeout {
@@ -327,8 +319,13 @@
             self.teams.values_mut().for_each(|bucket| bucket.changed_in_round = round);
         }
         if is_restarted {
-            known.admitted.clear();
+            known.restart(&mut self.teams, interval);
+        } else {
+            known.return_charges(&mut self.teams);
         }
+        known.note_admissions(&admitted, interval * SETTLED_AFTER_REPORTS);
+        let is_settling = self.is_settling(now);
+        let nodes = self.members.len() + 2;
         let requests_per_program = self.requests_per_program(now);
         // Delayed reports may arrive together; without a minimum interval, the rate would be
         // overestimated.
@@ -342,11 +339,10 @@
         for (team, count) in admitted {
             let before = known.admitted.insert(team, count);
             // The first counts may include requests from before the member was heard.
-            let before = before.unwrap_or_else(|| {
-                let first_admitted_ago = Duration::from_millis(count.first_admitted_ago_ms);
-                let is_recent = now > known.heard_since + first_admitted_ago;
-                if is_recent { Admitted::default() } else { count }
-            });
+            let first_admitted_ago = Duration::from_millis(count.first_admitted_ago_ms);
+            let is_recent = now > known.heard_since + first_admitted_ago;
+            let is_unknown = before.is_none() && !is_recent;
+            let before = before.unwrap_or(if is_recent { Admitted::default() } else { count });
             // A refund may lower a count; a negative difference returns tokens to the bucket.
             let delta = signed_difference(count.requests, before.requests);
             let started = signed_difference(count.programs, before.programs);
@@ -354,6 +350,11 @@
                 Some(bucket) => {
                     bucket.tokens -= delta;
                     bucket.program_tokens -= started * requests_per_program;
+                    if is_unknown && is_settling {
+                        // Some of its requests came after this process had started.
+                        let fair_rate_per_s = bucket.fair_rate_per_s(nodes);
+                        bucket.tokens -= fair_rate_per_s * now.min(interval).as_secs_f64();
+                    }
                 }
                 // This node has not served the team yet; the reported bucket already reflects
                 // earlier usage.
@@ -369,16 +370,17 @@
         self.members.insert(member.to_owned(), known);
     }
 
+    /// Records for how long the process of another node has run, as told with its report.
+    pub fn note_uptime(&mut self, member: &str, uptime: Duration) {
+        let settled_after = report_interval(self.members.len()) * SETTLED_AFTER_REPORTS;
+        if let Some(member) = self.members.get_mut(member) {
+            member.is_settled |= uptime >= settled_after;
+        }
+    }
+
     /// Adds a node from the membership table that has not reported yet.
     pub fn note_listed(&mut self, member: &str) {
-        self.members.entry(member.to_owned()).or_insert_with(|| Member {
-            incarnation: 0,
-            last_report_at: Duration::ZERO,
-            heard_since: Duration::ZERO,
-            known_from: Duration::ZERO,
-            admitted: AdmittedCounts::new(),
-            rates_per_s: HashMap::new(),
-        });
+        self.members.entry(member.to_owned()).or_insert_with(Member::listed);
     }
 
     /// Removes a node that shut down gracefully.
@@ -408,9 +410,7 @@
         let is_reporting =
             |member: &&Member| member.is_reporting(now, report_timeout) && now >= member.known_from;
         let reporting = self.members.values().filter(is_reporting).count();
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred members")]
-        let share = (reporting + 1) as f64 / (self.members.len() + 1) as f64;
-        share
+        count_f64(reporting + 1) / count_f64(self.members.len() + 1)
     }
 
     /// Returns the other nodes and whether each has reported within the report timeout.
@@ -447,70 +447,109 @@
     }
 
     /// Returns an estimate of the requests that other nodes admitted since their last reports.
-    fn estimated_unreported(&self, team: TeamHash, now: Duration) -> f64 {
-        let report_timeout = report_timeout(self.members.len());
-        self.members
-            .values()
-            .filter(|member| member.is_reporting(now, report_timeout))
-            .map(|member| {
-                let rate = member.rates_per_s.get(&team).copied().unwrap_or_default();
-                rate * now.saturating_sub(member.last_report_at).as_secs_f64()
-            })
-            .sum()
+    fn estimate_unreported(&self, team: TeamHash, rate_per_s: f64, now: Duration) -> Unreported {
+        let timeout = report_timeout(self.members.len());
+        let late_after = late_after(self.members.len());
+        let fair_rate_per_s = fair_rate_per_s(rate_per_s, self.members.len() + 1);
+        let mut unreported = Unreported::default();
+        for member in self.members.values().filter(|member| member.is_reporting(now, timeout)) {
+            let elapsed = now.saturating_sub(member.last_report_at);
+            if elapsed > late_after {
+                unreported.late += member.estimate_late(team, fair_rate_per_s, elapsed);
+            } else {
+                unreported.in_time += member.estimate(team, elapsed);
+            }
+        }
+        unreported
     }
-}
 
-impl Member {
-    fn is_reporting(&self, now: Duration, report_timeout: Duration) -> bool {
-        now < self.last_report_at + report_timeout && self.last_report_at > Duration::ZERO
+    /// Returns the estimate for the limit with which the team's last request came.
+    fn estimate_unreported_by_limits(&self, team: TeamHash, now: Duration) -> Unreported {
+        let rate_per_s = self.teams.get(&team).map_or(0.0, |bucket| bucket.rate_per_s);
+        self.estimate_unreported(team, rate_per_s, now)
+    }
+
+    /// Returns an estimate of the requests of nodes that are late.
+    fn late_requests(&self, team: TeamHash, now: Duration) -> f64 {
+        let (timeout, late_after) =
+            (report_timeout(self.members.len()), late_after(self.members.len()));
+        let is_late = |member: &Member| {
+            member.is_reporting(now, timeout) && !member.is_reporting(now, late_after)
+        };
+        if self.members.values().any(is_late) {
+            self.estimate_unreported_by_limits(team, now).late
+        } else {
+            0.0
+        }
+    }
+
+    /// Charges the requests that nodes may have admitted until the report timeout, from which a share
+    /// is reserved for them; without it, their tokens would be free again.
+    fn charge_silent_members(&mut self, now: Duration) {
+        let timeout = report_timeout(self.members.len());
+        let nodes = self.members.len() + 1;
+        let silent = self.members.values_mut().filter(|member| member.is_silent(now, timeout));
+        for member in silent.filter(|member| member.charged.is_empty()) {
+            for (team, bucket) in &mut self.teams {
+                let requests = member.estimate_late(*team, bucket.fair_rate_per_s(nodes), timeout);
+                member.charge(*team, bucket, requests);
+            }
+        }
     }
-}
 
-impl TeamBucket {
-    /// Returns the bucket of a team that no node has reported. Its first update adds the tokens
-    /// accrued since time zero of the clock, which is the start of the process.
-    fn initial(limits: BucketLimits) -> Self {
-        let tokens = limits.burst * INITIAL_FILL;
-        Self { tokens, program_tokens: tokens, ..Self::default() }
+    /// Returns whether this process was restarted so recently that nodes do not know each other's
+    /// rates yet.
+    fn is_settling(&self, now: Duration) -> bool {
+        let settled_after = report_interval(self.members.len()) * SETTLED_AFTER_REPORTS;
+        self.restarted_at.is_some_and(|restarted_at| now < restarted_at + settled_after)
     }
 
-    /// Returns the bucket of a team as reported by another node.
-    fn from_report(count: &Admitted, now: Duration) -> Self {
-        #[expect(clippy::cast_precision_loss, reason = "bursts are small")]
-        let (tokens, program_tokens) = (count.tokens_left as f64, count.program_tokens_left as f64);
-        Self { tokens, program_tokens, updated_at: now, ..Self::default() }
+    fn hears_settled_member(&self) -> bool {
+        self.members.values().any(|member| member.is_settled)
     }
 
-    fn report(&self, now: Duration) -> Admitted {
-        #[expect(clippy::cast_possible_truncation, reason = "bursts are small")]
-        let (tokens_left, program_tokens_left) =
-            (self.tokens.floor() as i64, self.program_tokens.floor() as i64);
-        let first_admitted_at = self.first_admitted_at.unwrap_or(now);
-        let first_admitted_ago = now.saturating_sub(first_admitted_at);
-        let first_admitted_ago_ms = u64::try_from(first_admitted_ago.as_millis());
-        Admitted {
-            tokens_left,
-            program_tokens_left,
-            first_admitted_ago_ms: first_admitted_ago_ms.unwrap_or(u64::MAX),
-            ..self.own_admitted
+    /// Returns the fraction of the tokens that this node may use while it and other nodes, which
+    /// were restarted as well, do not know of each other's requests.
+    ///
+    /// Each of them could use all tokens. A few are reached by few requests, so that the fraction
+    /// falls with the square of their number.
+    fn settled_share(&self, now: Duration) -> f64 {
+        if !self.is_settling(now) {
+            return 1.0;
         }
+        let timeout = report_timeout(self.members.len());
+        let is_unsettled =
+            |member: &&Member| member.is_reporting(now, timeout) && !member.is_settled;
+        let unsettled = count_f64(self.members.values().filter(is_unsettled).count());
+        1.0 / (1.0 + unsettled * unsettled / count_f64(self.members.len() + 1))
     }
+}
+
+/// Estimated requests of other nodes since their last reports.
+#[derive(Debug, Default)]
+struct Unreported {
+    /// Requests of the nodes whose next reports are due.
+    in_time: f64,
+    /// Requests of the nodes that are late.
+    late: f64,
+}
 
-    fn accrue(&mut self, limits: BucketLimits, reachable_share: f64, now: Duration) {
-        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
-        let burst = limits.burst.max(1.0) * reachable_share;
-        let accrued = elapsed_s * limits.rate_per_s * reachable_share;
-        let program_burst =
-            burst + limits.rate_per_s * reachable_share * PROGRAM_DURATION.as_secs_f64();
-        self.tokens = (self.tokens + accrued).min(burst.max(1.0));
-        self.program_tokens = (self.program_tokens + accrued).min(program_burst);
-        // The debt is bounded, because a larger one would delay new programs for longer than the
-        // overload lasts.
-        self.program_tokens = self.program_tokens.max(-program_burst);
-        self.updated_at = now;
+impl Unreported {
+    fn total(&self) -> f64 {
+        self.in_time + self.late
     }
 }
 
+/// Returns an equal part of a team's rate for one of `nodes` nodes.
+fn fair_rate_per_s(rate_per_s: f64, nodes: usize) -> f64 {
+    rate_per_s / count_f64(nodes)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a few hundred nodes")]
+fn count_f64(count: usize) -> f64 {
+    count as f64
+}
+
 fn seconds(value: f64) -> Duration {
     Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX)
 }
--- a/crates/coordination/tests/usage_restarts.rs
+++ b/crates/coordination/tests/usage_restarts.rs
@@ -66,6 +66,7 @@
     nodes: Vec<Node>,
     now: Duration,
     team: TeamHash,
+    limits: BucketLimits,
     demand_per_s: f64,
     /// Nodes that are cut off from the others, but not from each other.
     cut_off: Vec<usize>,
@@ -73,23 +74,26 @@
     loss: f64,
     random: StdRng,
     sent: Vec<Sent>,
+    refused: usize,
 }
 
 impl Fleet {
     /// Starts all nodes within 0.3 s, and lets 8 s pass before the first request.
     fn new(seed: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
-        let started_at = (0..NODES).map(|_| Duration::from_millis(random.random_range(0..300)));
+        let started_at = (0..NODES).map(|_| STEP * random.random_range(0..30));
         let nodes = started_at.map(|started_at| Node::start(1, started_at)).collect();
         let mut fleet = Self {
             nodes,
             now: Duration::ZERO,
             team: team_hash("alpha"),
+            limits: LIMITS,
             demand_per_s: 0.0,
             cut_off: Vec::new(),
             loss: 0.0,
             random,
             sent: Vec::new(),
+            refused: 0,
         };
         fleet.run_for(Duration::from_secs(8));
         fleet.demand_per_s = DEMAND_PER_S;
@@ -113,6 +117,9 @@
         let Some(uptime) = now.checked_sub(node.started_at) else { return };
         if !node.has_list && uptime >= LIST_READ_AFTER {
             node.has_list = true;
+            if node.incarnation > 1 {
+                node.limiter.note_restart(uptime);
+            }
             let others = (0..NODES).filter(|other| *other != index);
             others.for_each(|other| node.limiter.note_listed(&name(other)));
         }
@@ -143,12 +150,15 @@
     fn deliver(&mut self, from: usize, to: usize, incarnation: u64, report: &AdmittedCounts) {
         let is_cut = self.cut_off.contains(&from) != self.cut_off.contains(&to);
         let is_lost = self.loss > 0.0 && self.random.random_bool(self.loss);
+        let sender_started_at = self.nodes[from].started_at;
         let receiver = &mut self.nodes[to];
         if is_cut || is_lost || !receiver.is_running(self.now) {
             return;
         }
         let now = self.now.saturating_sub(receiver.started_at);
+        let uptime = self.now.saturating_sub(sender_started_at);
         receiver.limiter.note_report(&name(from), incarnation, report.clone(), now);
+        receiver.limiter.note_uptime(&name(from), uptime);
     }
 
     fn send_requests(&mut self) {
@@ -174,8 +184,9 @@
             RequestClass::Other { time_left: Duration::from_secs(3) }
         };
         let uptime = now.saturating_sub(self.nodes[node].started_at);
-        if let Ok(wait) = self.nodes[node].limiter.take(self.team, LIMITS, class, uptime) {
-            self.sent.push(Sent { at: now + wait, node });
+        match self.nodes[node].limiter.take(self.team, self.limits, class, uptime) {
+            Ok(wait) => self.sent.push(Sent { at: now + wait, node }),
+            Err(_) => self.refused += 1,
         }
     }
 
@@ -230,8 +241,10 @@
 
 /// Plays `scenario` with several seeds and returns the busiest window of each.
 fn busiest_windows(scenario: impl Fn(&mut Fleet)) -> Vec<usize> {
-    let windows = (1..=5).map(|seed| {
+    let leads = [200, 1_000, 2_000, 4_000, 6_000].map(Duration::from_millis);
+    let windows = (1..=10).zip(leads.into_iter().cycle()).map(|(seed, lead)| {
         let mut fleet = Fleet::new(seed);
+        fleet.run_for(lead);
         scenario(&mut fleet);
         fleet.busiest_window()
     });
@@ -261,7 +274,6 @@
 fn limit_holds_when_all_nodes_are_restarted_twice() {
     check_windows(|fleet| {
         let all: Vec<usize> = (0..NODES).collect();
-        fleet.run_for(6 * SECOND);
         fleet.restart(&all);
         fleet.run_for(Duration::from_millis(2_300));
         fleet.restart(&all);
@@ -273,7 +285,6 @@
 #[test]
 fn limit_holds_when_nodes_are_cut_off_and_others_restarted() {
     check_windows(|fleet| {
-        fleet.run_for(6 * SECOND);
         fleet.cut_off = fleet.choose(0.4);
         fleet.run_for(2 * SECOND);
         let restarted = fleet.choose(0.6);
@@ -289,7 +300,6 @@
 fn limit_holds_when_half_of_the_nodes_are_cut_off_and_all_restarted() {
     check_windows(|fleet| {
         let all: Vec<usize> = (0..NODES).collect();
-        fleet.run_for(6 * SECOND);
         fleet.cut_off = fleet.choose(0.5);
         fleet.run_for(SECOND);
         fleet.restart(&all);
@@ -304,7 +314,6 @@
 fn limit_holds_when_reports_are_lost_and_half_of_the_nodes_restarted_twice() {
     check_windows(|fleet| {
         fleet.loss = 0.3;
-        fleet.run_for(6 * SECOND);
         let restarted = fleet.choose(0.5);
         fleet.restart(&restarted);
         fleet.run_for(Duration::from_millis(2_300));
@@ -312,3 +321,51 @@
         fleet.run_for(8 * SECOND);
     });
 }
+
+/// Limits of a large and a small team.
+const SERVED_LIMITS: [BucketLimits; 2] = [LIMITS, BucketLimits { rate_per_s: 10.0, burst: 10.0 }];
+/// Fraction of the rate that a team sends whose requests should be served.
+const SERVED_DEMAND: f64 = 0.6;
+
+/// Lets callers send less than the limit during `scenario`, which returns the requests that were
+/// refused although they were to be served; at most a tenth of all may be.
+fn check_refusals(scenario: impl Fn(&mut Fleet) -> usize) {
+    for limits in SERVED_LIMITS {
+        for seed in 1..=5 {
+            let mut fleet = Fleet::new(seed);
+            (fleet.limits, fleet.demand_per_s) = (limits, SERVED_DEMAND * limits.rate_per_s);
+            fleet.run_for(3 * SECOND);
+            let refused = scenario(&mut fleet);
+            let all = fleet.sent.len() + fleet.refused;
+            println!("{} per second: {refused} of {all} refused", limits.rate_per_s);
+            assert!(refused * 10 <= all, "{refused} of {all} refused");
+        }
+    }
+}
+
+/// Guards against refusals within the limit while nodes are restarted a few at a time.
+#[test]
+fn team_within_its_limit_is_served_while_nodes_are_restarted_in_turn() {
+    check_refusals(|fleet| {
+        for first in (0..NODES).step_by(4) {
+            let restarted: Vec<usize> = (first..(first + 4).min(NODES)).collect();
+            fleet.restart(&restarted);
+            fleet.run_for(SECOND);
+        }
+        fleet.refused
+    });
+}
+
+/// Guards against refusals within the limit for more than two seconds after a restart of all nodes,
+/// whose buckets start with a debt.
+#[test]
+fn team_within_its_limit_is_served_two_seconds_after_all_nodes_were_restarted() {
+    check_refusals(|fleet| {
+        let all: Vec<usize> = (0..NODES).collect();
+        fleet.restart(&all);
+        fleet.run_for(DOWN + LIST_READ_AFTER + READY_AFTER + 2 * SECOND);
+        let refused_until_now = fleet.refused;
+        fleet.run_for(12 * SECOND);
+        fleet.refused - refused_until_now
+    });
+}
--- a/crates/daemon/src/front/connection/peers/membership.rs
+++ b/crates/daemon/src/front/connection/peers/membership.rs
@@ -49,7 +49,10 @@
     async fn refresh_membership(&self, node: &FrontNode) -> Result<(), RowStoreError> {
         let own = self.address.to_string();
         let (mut rows, _) = node.store.read_part(NODES_TABLE, "").await?;
-        if !rows.iter().any(|row| row.key == own) {
+        if rows.iter().any(|row| row.key == own) {
+            self.note_earlier_process(node);
+        } else {
+            self.is_registered.set(true);
             self.write_row(node, &own, 0, Some(node.settings.zone.as_bytes())).await?;
             // Of two nodes that register at the same time, at least the one that writes last finds
             // the other by this second read.
@@ -68,6 +71,15 @@
         Ok(())
     }
 
+    /// Tells the limiter of an earlier process with this node's address, whose row was found.
+    fn note_earlier_process(&self, node: &FrontNode) {
+        if self.is_registered.replace(true) {
+            return;
+        }
+        log::info!("event=restarted member={}", self.address);
+        node.limiter.borrow_mut().note_restart(node.clock.monotonic_now());
+    }
+
     async fn write_row(
         &self,
         node: &FrontNode,
--- a/crates/daemon/src/front/connection/peers/mod.rs
+++ b/crates/daemon/src/front/connection/peers/mod.rs
@@ -212,6 +212,8 @@
     socket: UdpSocket,
     address: SocketAddr,
     incarnation: u64,
+    /// Whether this process has registered the node, or knows that an earlier one did.
+    is_registered: Cell<bool>,
     /// Incarnation in the last report of each node.
     incarnations: RefCell<HashMap<SocketAddr, u64>>,
     /// Loads of the backend servers whose keeper is this node.
@@ -246,6 +248,7 @@
             socket,
             address,
             incarnation: rand::random(),
+            is_registered: Cell::default(),
             incarnations: RefCell::default(),
             keeper: RefCell::default(),
             queries: RefCell::default(),
--- a/crates/daemon/src/front/connection/peers/reports.rs
+++ b/crates/daemon/src/front/connection/peers/reports.rs
@@ -12,6 +12,13 @@
 use super::{Message, Peers, members};
 use crate::front::process::FrontNode;
 
+/// What follows the [`ReportExtension`] of a report; later builds append after it.
+#[derive(Debug, Serialize, Deserialize)]
+struct ReportUptime {
+    /// Time for which the process has run, in milliseconds.
+    uptime_ms: u64,
+}
+
 /// State of a node, sent to the other nodes.
 #[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Report {
@@ -26,6 +33,19 @@
     has_store: bool,
 }
 
+impl ReportUptime {
+    fn at(now: Duration) -> Self {
+        Self { uptime_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX) }
+    }
+
+    /// Returns the uptime in what follows a report; `None` if the sender's build does not tell it.
+    fn decode(trailer: &[u8]) -> Option<Duration> {
+        let (_, rest) = postcard::take_from_bytes::<ReportExtension>(trailer).ok()?;
+        let (uptime, _) = postcard::take_from_bytes::<Self>(rest).ok()?;
+        Some(Duration::from_millis(uptime.uptime_ms))
+    }
+}
+
 impl Peers {
     /// Sends reports until the process ends; each other node gets one in a report interval.
     pub async fn send_reports(&self, node: &FrontNode) {
@@ -61,7 +81,8 @@
             has_store: !node.store_reachability.is_unreachable() && node.table().version() > 0,
         };
         let encoded = postcard::to_allocvec(&Message::Report(report))
-            .and_then(|bytes| postcard::to_extend(&ReportExtension::own(), bytes));
+            .and_then(|bytes| postcard::to_extend(&ReportExtension::own(), bytes))
+            .and_then(|bytes| postcard::to_extend(&ReportUptime::at(now), bytes));
         match encoded {
             Ok(bytes) => {
                 for receiver in receivers {
@@ -87,6 +108,9 @@
             self.keeper.borrow_mut().forget(&sender.to_string());
         }
         apply_report(node, sender, report);
+        if let Some(uptime) = ReportUptime::decode(trailer) {
+            node.limiter.borrow_mut().note_uptime(&sender.to_string(), uptime);
+        }
         self.note_protocol(node, &sender.to_string(), trailer);
     }
 }
