Charge the last requests of a node that leaves

A node that stops in order sends a last report and is removed. No test shows it; at the report interval of the test fleets the difference is below a request.

--- a/crates/daemon/src/front/connection/peers/reports.rs
+++ b/crates/daemon/src/front/connection/peers/reports.rs
@@ -118,17 +118,17 @@
 fn apply_report(node: &FrontNode, sender: SocketAddr, report: Report) {
     let member = sender.to_string();
     let now = node.clock.monotonic_now();
-    if report.is_leaving {
-        log::info!("event=member_left member={member}");
-        node.limiter.borrow_mut().forget(&member);
-        node.store_reachability.update_relay(sender, false, Duration::ZERO);
-        return;
-    }
     let admitted = report.admitted.into_iter().collect();
     let members = {
         let mut limiter = node.limiter.borrow_mut();
         limiter.note_report(&member, report.incarnation, admitted, now);
         limiter.members(now).count()
     };
+    if report.is_leaving {
+        log::info!("event=member_left member={member}");
+        node.limiter.borrow_mut().forget(&member);
+        node.store_reachability.update_relay(sender, false, Duration::ZERO);
+        return;
+    }
     node.store_reachability.update_relay(sender, report.has_store, report_timeout(members));
 }
