Answer every request that a planned stop meets

Once the load balancer has noticed the stop, a request whose deadline lies beyond the end of the process is refused as not run (503, stopping), so that its caller reaches another node at once. Earlier ones are taken, and what still runs shortly before the end is answered with 504, unknown, instead of a reset. A new connection is not idle for its first second. Ruled out: tunnels, which are refused during a stop already.

--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -76,6 +76,8 @@
     NotReady,
     /// The node cannot confirm that its configuration is current.
     ConfigStale,
+    /// The node stops before the request's deadline.
+    Stopping,
 }
 
 /// Row of the refusal table: kind, label, HTTP status and default retry delay in milliseconds.
@@ -110,6 +112,7 @@
     RefusalRow(RefusalKind::Cancelled, "cancelled", 409, None),
     RefusalRow(RefusalKind::NotReady, "not_ready", 503, Some(1_000)),
     RefusalRow(RefusalKind::ConfigStale, "config_stale", 503, Some(500)),
+    RefusalRow(RefusalKind::Stopping, "stopping", 503, Some(100)),
 ];
 
 impl RefusalKind {
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -28,6 +28,10 @@
 use crate::front::process::FrontNode;
 use crate::front::request;
 
+/// Time for which a stopping node waits for the first request of a new connection, whose caller did
+/// not know of the stop.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
+
 /// A caller's request, read completely.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -77,8 +81,10 @@
 async fn serve(node: Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
     let connection = CallerConnection::open(stream, node.table().limits().header_max_bytes)?;
     let _open = node.caller_connections.track();
+    let mut is_new = true;
     loop {
-        let Some((head, payload)) = next_request(&node, &connection).await? else {
+        let request = next_request(&node, &connection, std::mem::take(&mut is_new)).await?;
+        let Some((head, payload)) = request else {
             return connection.io.shutdown().await;
         };
         if !serve_request(&node, &connection, head, payload).await? {
@@ -92,8 +98,9 @@
 async fn next_request(
     node: &Rc<FrontNode>,
     connection: &CallerConnection,
+    is_new: bool,
 ) -> io::Result<Option<(Request, PayloadType)>> {
-    match receive_head(node, connection).await {
+    match receive_head(node, connection, is_new).await {
         HeadReceived::Nothing | HeadReceived::Completely(Ok(None)) => Ok(None),
         HeadReceived::Partly(time_limit) => {
             let message = format!(
@@ -131,8 +138,13 @@
 }
 
 /// Waits for a request head. Once its first byte has arrived, the connection is not idle: a
-/// stopping node does not close it, and the head must arrive within its own time limit.
-async fn receive_head(node: &Rc<FrontNode>, connection: &CallerConnection) -> HeadReceived {
+/// stopping node does not close it, and the head must arrive within its own time limit. A new
+/// connection is not idle at once either.
+async fn receive_head(
+    node: &Rc<FrontNode>,
+    connection: &CallerConnection,
+    is_new: bool,
+) -> HeadReceived {
     let CallerConnection { io, codec, .. } = connection;
     let limits = node.table().limits().clone();
     let mut receiving = pin!(io.recv(codec));
@@ -145,10 +157,16 @@
             Poll::Pending => Poll::Pending,
         }
     });
+    let idle_close = async {
+        node.stop.wait_for_idle_close().await;
+        if is_new {
+            tokio::time::sleep(FIRST_REQUEST_WAIT).await;
+        }
+    };
     let begin = tokio::select! {
         biased;
         begin = timeout(limits.idle_timeout, begin) => begin,
-        () = node.stop.wait_for_idle_close() => return HeadReceived::Nothing,
+        () = idle_close => return HeadReceived::Nothing,
     };
     match begin {
         Err(_) => HeadReceived::Nothing,
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -16,6 +16,7 @@
 use super::logs::{self, LogBuffer};
 use super::metrics::FrontMetrics;
 use super::node::{FrontNode, StoreAccess};
+use super::stop::UNREADY_NOTICED_AFTER;
 use crate::cli::FrontArgs;
 use crate::front::connection::backend_reach::probe_backends;
 use crate::front::connection::paced::{PacedTransport, StorePacer};
@@ -39,11 +40,10 @@
 const STOP_RELEASE_WINDOW: Duration = Duration::from_secs(10);
 /// Delay between the stop signal and the closing of idle caller connections.
 const STOP_IDLE_CLOSE_DELAY: Duration = Duration::from_millis(1_200);
-/// Minimum duration of a shutdown: the load balancer checks readiness every second and sends new
-/// connections until two checks have failed.
-const STOP_DURATION_MIN: Duration = Duration::from_millis(3_200);
 /// Time reserved at the end of the platform's grace period for the final writes.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Time reserved before these for the answers to requests that are given up.
+const STOP_ANSWERS_MARGIN: Duration = Duration::from_millis(200);
 /// Interval between checks of whether the shutdown can finish.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -201,15 +201,15 @@
         node.caller_connections.get(),
         node.caller_requests.get()
     );
-    node.stop.leave();
+    let deadline = started_at + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
+    node.stop.leave(deadline.checked_sub(STOP_ANSWERS_MARGIN).unwrap_or(started_at));
     tokio::time::sleep(STOP_IDLE_CLOSE_DELAY).await;
     node.stop.close_idle();
-    let deadline = started_at + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < deadline {
         let is_idle = node.caller_requests.get() == 0
             && node.tunnels.get() == 0
             && node.lender.open_count() == 0;
-        if is_idle && started_at.elapsed() >= STOP_DURATION_MIN {
+        if is_idle && started_at.elapsed() >= UNREADY_NOTICED_AFTER {
             break;
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/daemon/src/front/process/stop.rs
+++ b/crates/daemon/src/front/process/stop.rs
@@ -2,9 +2,14 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
+/// Time from the stop signal after which the load balancer sends no new connections: it checks
+/// readiness every second, and two checks must have failed.
+pub const UNREADY_NOTICED_AFTER: Duration = Duration::from_millis(3_200);
+
 /// Phase of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -19,20 +24,55 @@
 #[derive(Debug)]
 pub struct StopSignal {
     phase: watch::Sender<Phase>,
+    schedule: watch::Sender<Option<StopSchedule>>,
+}
+
+/// Times of a graceful shutdown.
+#[derive(Debug, Clone, Copy)]
+struct StopSchedule {
+    began_at: Instant,
+    /// Time at which requests that are still in flight are given up.
+    requests_end_at: Instant,
 }
 
 impl Default for StopSignal {
     fn default() -> Self {
-        Self { phase: watch::Sender::new(Phase::Serving) }
+        Self { phase: watch::Sender::new(Phase::Serving), schedule: watch::Sender::new(None) }
     }
 }
 
 impl StopSignal {
-    /// Starts the shutdown: answers carry `Connection: close` from now on.
-    pub fn leave(&self) {
+    /// Starts the shutdown: answers carry `Connection: close` from now on, and requests end at
+    /// `requests_end_at` at the latest.
+    pub fn leave(&self, requests_end_at: Instant) {
+        let schedule = StopSchedule { began_at: Instant::now(), requests_end_at };
+        self.schedule.send_replace(Some(schedule));
         self.phase.send_replace(Phase::Leaving);
     }
 
+    /// Returns whether a request with this deadline may outlast the process and comes so late that
+    /// its caller reaches another node at once.
+    #[must_use]
+    pub fn is_too_late_for(&self, deadline: Instant) -> bool {
+        self.schedule.borrow().is_some_and(|schedule| {
+            deadline > schedule.requests_end_at
+                && schedule.began_at.elapsed() >= UNREADY_NOTICED_AFTER
+        })
+    }
+
+    /// Waits until requests that are still in flight must be given up.
+    pub async fn wait_for_requests_end(&self) {
+        let mut schedule = self.schedule.subscribe();
+        // `self` holds the sender, so waiting cannot fail.
+        let Ok(schedule) = schedule.wait_for(Option::is_some).await.map(|schedule| *schedule)
+        else {
+            return;
+        };
+        if let Some(schedule) = schedule {
+            tokio::time::sleep_until(schedule.requests_end_at.into()).await;
+        }
+    }
+
     /// Signals that idle connections must be closed.
     pub fn close_idle(&self) {
         self.phase.send_replace(Phase::Closing);
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -267,6 +267,10 @@
     require_whole_turn(&context, &route)?;
     let time_limit = context.deadline.unwrap_or(TIME_LIMIT_DEFAULT).min(route.timeout);
     let deadline = request.arrived_at + time_limit;
+    if node.stop.is_too_late_for(deadline) {
+        let message = "the node stops before the request's deadline; send it to another node";
+        return Err(Refusal::not_run(RefusalKind::Stopping, message));
+    }
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
     let is_resumable = route.repeat == RepeatPolicy::ResumableStream;
     let mut stream = is_resumable.then(|| stream_id(&context, team_name, &request.body));
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -182,7 +182,12 @@
         let sent_at = Instant::now();
         self.record_sending(&server, time_left, &connection);
         self.admitted.limit_reservation.begin_use();
-        let Ok(outcome) = timeout_at(deadline, connection.send(request)).await else {
+        let outcome = tokio::select! {
+            biased;
+            outcome = timeout_at(deadline, connection.send(request)) => outcome.ok(),
+            () = self.node.stop.wait_for_requests_end() => None,
+        };
+        let Some(outcome) = outcome else {
             self.mark_may_have_run(&server.id);
             return Err(self.deadline_failure());
         };
