--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -256,19 +256,22 @@
 
 /// Unconditional write by a test that acts as the operator or a backend server.
 ///
-/// The row's partition is the empty string. `value` is stored as JSON text; if it is absent or
-/// null, the row is removed.
+/// The row's partition is the empty string. `value` is stored as JSON text, `bytes` as they are; if
+/// both are absent or null, the row is removed.
 #[derive(Debug, Deserialize)]
 struct DirectWrite {
     table: String,
     key: String,
     value: Option<Value>,
+    bytes: Option<Vec<u8>>,
 }
 
-async fn put_row(store: Shared, write: Json<DirectWrite>) -> HttpResponse {
-    let write = write.into_inner();
+async fn put_row(store: Shared, body: Bytes) -> HttpResponse {
+    let Ok(write) = serde_json::from_slice::<DirectWrite>(&body) else {
+        return HttpResponse::BadRequest().body("not a write; send table, key and value or bytes");
+    };
     let name = (write.table, String::new(), write.key);
-    let value = write.value.map(|value| value.to_string().into_bytes());
+    let value = write.bytes.or(write.value.map(|value| value.to_string().into_bytes()));
     let outcome = lock(&store.rows).transact(&[], vec![(name, value)]);
     match outcome {
         Ok(version) => HttpResponse::Ok().json(&json!({ "ver": version })),
