Refuse to resume a stream whose origin may be out of date

The origin of an unnamed stream now counts only if all asked nodes answer and those that know one agree; else the request is refused as not run (503, stream_unknown), and event=origin_uncertain tells why. Named streams have one origin and are found as before. Ruled out: the list of servers, since a resumed stream needs a server of the recorded version and waits for a current list after a pause.

--- a/crates/coordination/src/limits/usage/mod.rs
+++ b/crates/coordination/src/limits/usage/mod.rs
@@ -416,6 +416,12 @@
         count_f64(reporting + 1) / count_f64(self.members.len() + 1)
     }
 
+    /// Returns whether there is no other node.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.members.is_empty()
+    }
+
     /// Returns the other nodes and whether each has reported within the report timeout.
     pub fn members(&self, now: Duration) -> impl Iterator<Item = (&MemberId, bool)> {
         let report_timeout = report_timeout(self.members.len());
--- a/crates/daemon/src/front/connection/peers/origin_query.rs
+++ b/crates/daemon/src/front/connection/peers/origin_query.rs
@@ -24,10 +24,30 @@
 struct PendingQuery {
     /// Nodes that have not answered.
     unanswered: RefCell<HashSet<SocketAddr>>,
-    origin: RefCell<Option<StreamOrigin>>,
+    origins: RefCell<Vec<StreamOrigin>>,
+    /// Whether the first known origin decides the query.
+    is_first_enough: bool,
     is_decided: Notify,
 }
 
+/// Answers to a query.
+#[derive(Debug)]
+pub struct OriginAnswers {
+    /// Different origins that the asked nodes know.
+    pub origins: Vec<StreamOrigin>,
+    /// Whether all of them answered.
+    pub is_complete: bool,
+}
+
+impl PendingQuery {
+    fn take_answers(&self) -> OriginAnswers {
+        OriginAnswers {
+            origins: self.origins.take(),
+            is_complete: self.unanswered.borrow().is_empty(),
+        }
+    }
+}
+
 /// Undecided queries by stream; the request that waits for the answer holds the query.
 #[derive(Debug, Default)]
 pub struct OriginQueries {
@@ -36,27 +56,29 @@
 
 impl OriginQueries {
     /// Asks nodes for the origin of a stream, repeatedly if they do not answer; returns as soon as
-    /// one of them knows it or all have answered.
+    /// all have answered, or one of them knows it and `is_first_enough`.
     pub async fn ask(
         &self,
         key: QueryKey,
         nodes: &[SocketAddr],
+        is_first_enough: bool,
         send: impl Fn(SocketAddr),
-    ) -> Option<StreamOrigin> {
-        if nodes.is_empty() {
-            return None;
-        }
+    ) -> OriginAnswers {
         let query = Rc::new(PendingQuery {
             unanswered: RefCell::new(nodes.iter().copied().collect()),
-            origin: RefCell::default(),
+            origins: RefCell::default(),
+            is_first_enough,
             is_decided: Notify::new(),
         });
+        if nodes.is_empty() {
+            return query.take_answers();
+        }
         self.pending.borrow_mut().entry(key).or_default().push(Rc::downgrade(&query));
         for _ in 0..ROUNDS_MAX {
             let unanswered: Vec<SocketAddr> = query.unanswered.borrow().iter().copied().collect();
             unanswered.into_iter().for_each(&send);
             if timeout(REPEAT_INTERVAL, query.is_decided.notified()).await.is_ok() {
-                return query.origin.take();
+                return query.take_answers();
             }
         }
         log::info!(
@@ -64,7 +86,7 @@
             key.0,
             query.unanswered.borrow(),
         );
-        None
+        query.take_answers()
     }
 
     /// Applies the answer of a node.
@@ -75,10 +97,12 @@
         for query in queries {
             let mut unanswered = query.unanswered.borrow_mut();
             unanswered.remove(&sender);
-            if origin.is_some() {
-                query.origin.replace(origin.cloned());
+            let mut origins = query.origins.borrow_mut();
+            if let Some(origin) = origin.filter(|origin| !origins.contains(origin)) {
+                origins.push(origin.clone());
             }
-            if origin.is_some() || unanswered.is_empty() {
+            let is_found = query.is_first_enough && !origins.is_empty();
+            if is_found || unanswered.is_empty() {
                 query.is_decided.notify_one();
             }
         }
--- a/crates/daemon/src/front/connection/peers/origins.rs
+++ b/crates/daemon/src/front/connection/peers/origins.rs
@@ -21,7 +21,11 @@
     }
 
     /// Returns the origin of a stream, from this node or from those that may keep it; `None` if
-    /// none of them knows it or answers in time.
+    /// none of them knows it or it is uncertain.
+    ///
+    /// A stream that its caller names has one origin. Of streams with the same body the newest is
+    /// meant, which a node that was out of reach may have missed: then the origin is certain only if
+    /// all nodes that are asked answer, and those that know one agree.
     pub async fn find_origin(
         &self,
         node: &FrontNode,
@@ -29,15 +33,30 @@
         sought: SoughtStream,
     ) -> Option<StreamOrigin> {
         let known = self.origins.borrow().find(session, sought).cloned();
-        // Another node may have begun a newer stream with the same body.
-        let is_certain = matches!(sought, SoughtStream::Request(_));
-        if is_certain && known.is_some() {
+        let is_named = matches!(sought, SoughtStream::Request(_));
+        if is_named && known.is_some() {
             return known;
         }
         let asked = holders(node, session, ASKED_NODES);
         let message = Message::StreamQuery { session, sought };
         let send = |receiver| self.send(receiver, &message);
-        self.origin_queries.ask((session, sought), &asked, send).await.or(known)
+        let answers = self.origin_queries.ask((session, sought), &asked, is_named, send).await;
+        if is_named {
+            return answers.origins.into_iter().next();
+        }
+        let has_asked = !asked.is_empty() || node.limiter.borrow().is_alone();
+        let mut origins: Vec<StreamOrigin> = answers.origins.into_iter().chain(known).collect();
+        origins.dedup();
+        if has_asked && answers.is_complete && origins.len() <= 1 {
+            return origins.pop();
+        }
+        log::info!(
+            "event=origin_uncertain session={session:016x} asked={} is_complete={} origins={}",
+            asked.len(),
+            answers.is_complete,
+            origins.len(),
+        );
+        None
     }
 }
 
