Look for late nodes once for all teams of a report

The estimate of late nodes was preceded by a search for one for each team of a report. One search serves all; the two ways to list a node's admissions share it. No behaviour changes: the model's windows are the same.

--- a/crates/coordination/src/limits/usage/mod.rs
+++ b/crates/coordination/src/limits/usage/mod.rs
@@ -243,9 +243,11 @@
     /// Returns what this node knows of the limit of `team`.
     #[must_use]
     pub fn level(&self, team: TeamHash, now: Duration) -> BucketLevel {
-        let tokens = self.teams.get(&team).map_or(0.0, |bucket| bucket.tokens);
+        let bucket = self.teams.get(&team);
+        let (tokens, rate_per_s) =
+            bucket.map_or((0.0, 0.0), |bucket| (bucket.tokens, bucket.rate_per_s));
         BucketLevel {
-            tokens_left: tokens - self.estimate_unreported_by_limits(team, now).total(),
+            tokens_left: tokens - self.estimate_unreported(team, rate_per_s, now).total(),
             reachable_share: self.reachable_share(now),
         }
     }
@@ -253,10 +255,7 @@
     /// Returns the admissions of this node since its start.
     #[must_use]
     pub fn own_admitted(&self, now: Duration) -> AdmittedCounts {
-        let admitted = self.teams.iter().filter(|(_, bucket)| bucket.first_admitted_at.is_some());
-        admitted
-            .map(|(team, bucket)| (*team, bucket.report(self.late_requests(*team, now), now)))
-            .collect()
+        self.admitted_of(|_, _| true, now)
     }
 
     /// Begins a round of reports, in which each other node gets one.
@@ -272,10 +271,30 @@
             self.round < bucket.changed_in_round + REPORTED_ROUNDS
                 || (u64::from(team) + self.round).is_multiple_of(REFRESH_ROUNDS)
         };
-        let admitted = self.teams.iter().filter(|(_, bucket)| bucket.first_admitted_at.is_some());
-        admitted
-            .filter(|(team, bucket)| is_due(**team, bucket))
-            .map(|(team, bucket)| (*team, bucket.report(self.late_requests(*team, now), now)))
+        self.admitted_of(is_due, now)
+    }
+
+    /// Returns the admissions of this node since its start for some of the teams that it admitted.
+    fn admitted_of(
+        &self,
+        is_included: impl Fn(TeamHash, &TeamBucket) -> bool,
+        now: Duration,
+    ) -> AdmittedCounts {
+        let has_late_member = self.has_late_member(now);
+        let is_included = |team: TeamHash, bucket: &TeamBucket| {
+            bucket.first_admitted_at.is_some() && is_included(team, bucket)
+        };
+        self.teams
+            .iter()
+            .filter(|(team, bucket)| is_included(**team, bucket))
+            .map(|(team, bucket)| {
+                let late = if has_late_member {
+                    self.estimate_unreported(*team, bucket.rate_per_s, now).late
+                } else {
+                    0.0
+                };
+                (*team, bucket.report(late, now))
+            })
             .collect()
     }
 
@@ -472,24 +491,12 @@
         unreported
     }
 
-    /// Returns the estimate for the limit with which the team's last request came.
-    fn estimate_unreported_by_limits(&self, team: TeamHash, now: Duration) -> Unreported {
-        let rate_per_s = self.teams.get(&team).map_or(0.0, |bucket| bucket.rate_per_s);
-        self.estimate_unreported(team, rate_per_s, now)
-    }
-
-    /// Returns an estimate of the requests of nodes that are late.
-    fn late_requests(&self, team: TeamHash, now: Duration) -> f64 {
-        let (timeout, late_after) =
-            (report_timeout(self.members.len()), late_after(self.members.len()));
-        let is_late = |member: &Member| {
+    fn has_late_member(&self, now: Duration) -> bool {
+        let timeout = report_timeout(self.members.len());
+        let late_after = late_after(self.members.len());
+        self.members.values().any(|member| {
             member.is_reporting(now, timeout) && !member.is_reporting(now, late_after)
-        };
-        if self.members.values().any(is_late) {
-            self.estimate_unreported_by_limits(team, now).late
-        } else {
-            0.0
-        }
+        })
     }
 
     /// Charges the requests that nodes may have admitted until the report timeout, from which a share
