Refuse requests during the final writes of a planned stop

Cause, from the trace and the code: between the decision that the node is idle and its end lie writes to the store, and requests were taken meanwhile; new connections now live long enough to send one. They are refused as not run, and the node waits for the answers. request_during_the_final_writes_is_not_cut passed on the code before as well, so it does not show the fault.

--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -214,9 +214,14 @@
         }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    // Requests that arrive during the final writes are refused.
+    node.stop.end();
     let now = node.clock.monotonic_now();
     node.ledgers.release_unused_since(now.saturating_sub(STOP_RELEASE_WINDOW)).await;
     peers.announce_leaving(node).await;
+    while node.caller_requests.get() > 0 && Instant::now() < deadline {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
     log::info!(
         "event=stopped elapsed_ms={} connections={} requests={}",
         started_at.elapsed().as_millis(),
--- a/crates/daemon/src/front/process/stop.rs
+++ b/crates/daemon/src/front/process/stop.rs
@@ -18,6 +18,8 @@
     Leaving,
     /// Idle connections are closed.
     Closing,
+    /// The process is about to end; no request is taken.
+    Ending,
 }
 
 /// Notifies the connections of a node of its shutdown.
@@ -54,10 +56,11 @@
     /// its caller reaches another node at once.
     #[must_use]
     pub fn is_too_late_for(&self, deadline: Instant) -> bool {
-        self.schedule.borrow().is_some_and(|schedule| {
+        let may_outlast_process = self.schedule.borrow().is_some_and(|schedule| {
             deadline > schedule.requests_end_at
                 && schedule.began_at.elapsed() >= UNREADY_NOTICED_AFTER
-        })
+        });
+        may_outlast_process || *self.phase.borrow() >= Phase::Ending
     }
 
     /// Waits until requests that are still in flight must be given up.
@@ -78,6 +81,11 @@
         self.phase.send_replace(Phase::Closing);
     }
 
+    /// Signals that the process is about to end.
+    pub fn end(&self) {
+        self.phase.send_replace(Phase::Ending);
+    }
+
     /// Returns whether the shutdown has started.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/daemon/tests/stop_late_requests.rs
+++ b/crates/daemon/tests/stop_late_requests.rs
@@ -71,3 +71,32 @@
     let early = early.expect("the early request is answered");
     assert_eq!((early.status, early.run().as_str()), (504, "unknown"), "{}", early.body);
 }
+
+/// Guards against requests that are taken while an idle node makes its final writes, and are cut when
+/// it ends.
+#[ntex::test]
+async fn request_during_the_final_writes_is_not_cut() {
+    let mut site = Site::start(1).await;
+    let engine = site.start_engine(400).await;
+    let headers = [("program-id", "p-1"), ("token-usage", "100,50"), ("token-budget", "100000")];
+    let path = "/stream/talk/a";
+    let turn = Call { id: "turn", path, headers: &headers, ..Call::default() };
+    assert_eq!(site.send(0, &turn).await.expect("the node answers").status, 200);
+    // The claim on the budget is released at the end, by a write that takes this time.
+    site.set_faults(&site.store, &json!({ "delay_ms": 700 })).await;
+    site.nodes[0].process.signal("TERM");
+    let mut answers = Vec::new();
+    while site.nodes[0].process.try_exit().is_none() {
+        let id = format!("late-{}", answers.len());
+        let call = Call { id: &id, path, ..Call::default() };
+        let reply = site.send(0, &call).await;
+        answers.push((id, reply));
+        // Longer than the interval in which the node looks for requests in flight.
+        ntex::time::sleep(Duration::from_millis(120)).await;
+    }
+    let ran = ids_that_ran(&site, &engine).await;
+    for (id, reply) in answers {
+        let is_answered = reply.is_ok_and(|reply| reply.status == 200 || reply.run() == "not_run");
+        assert!(is_answered || !ran.contains(&id), "{id} ran and got no answer");
+    }
+}
