--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -31,6 +31,8 @@
     pub answer_lag_ms: u32,
     /// Seed of the times for which answers are held.
     pub lag_seed: u64,
+    /// Table whose rows can't be read: the metadata store answers 503; empty for none.
+    pub unreadable_table: String,
 }
 
 /// Applies the configured faults to calls.
@@ -68,6 +70,11 @@
         }
     }
 
+    /// Returns whether reads of a table are answered with 503.
+    pub fn is_unreadable(&self, table: &str) -> bool {
+        lock(&self.faults).unreadable_table == table
+    }
+
     /// Returns the number of transactions per second that are executed, if it is limited.
     pub fn transactions_per_s_max(&self) -> Option<usize> {
         let limit = lock(&self.faults).transactions_per_s_max;
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -206,6 +206,9 @@
         return response;
     }
     *lock(&store.reads).entry(query.table.clone()).or_default() += 1;
+    if store.faults.is_unreadable(&query.table) {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let (page, has_more) = {
         let tables = lock(&store.rows);
         let mut rows = tables.range(&query.table, &query.part, &query.from);
