Admit no request before the other nodes are known

Callers saw: teams got more than their limit after restarts beside a store that answered some calls late or not at all.

Cause: a node admitted requests as soon as it had a configuration. Until it has read the list of nodes it takes itself for the only one, so that it uses the whole limit, starts with half a burst, and knows of no earlier process. It also has not read the quarantined requests, and takes itself for having asked all others about the origin of a stream. The platform forwards callers to nodes that are not ready: for up to two misses after a restart, and to all nodes of a zone of which less than half are in rotation.

Change: a request waits for the list, for at most 750 ms and a third of its time, and is refused with 503 (not_ready) after that.

Evidence: restarted_limits, 15 of 10 requests before, at most 10 now.

--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -24,6 +24,8 @@
 use dandelionfront_coordination::turns::{TurnRecord, Turns, store_retry_delay};
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::{NodeSettings, StoreClient};
+use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::clock::FrontClock;
 use super::metrics::FrontMetrics;
@@ -111,7 +113,7 @@
     /// Whether the list of backend servers was read at least once.
     has_read_servers: Cell<bool>,
     /// Whether the list of the other nodes was read at least once and they had time to report.
-    has_read_members: Cell<bool>,
+    has_read_members: watch::Sender<bool>,
 }
 
 impl FrontNode {
@@ -163,7 +165,7 @@
             freshness: RefCell::new(Freshness::new(settings.key_withdrawal)),
             pauses: RefCell::default(),
             has_read_servers: Cell::new(false),
-            has_read_members: Cell::new(false),
+            has_read_members: watch::Sender::new(false),
             clock,
             settings,
         }
@@ -321,7 +323,7 @@
     pub fn is_ready(&self) -> bool {
         self.table().version() > 0
             && self.has_read_servers.get()
-            && self.has_read_members.get()
+            && self.has_read_members()
             && !self.stop.is_stopping()
             && !self.store_reachability.is_isolated()
     }
@@ -355,12 +357,19 @@
     /// Returns whether the list of the other nodes was read and they had time to report.
     #[must_use]
     pub fn has_read_members(&self) -> bool {
-        self.has_read_members.get()
+        *self.has_read_members.borrow()
+    }
+
+    /// Waits until the list of the other nodes was read and they had time to report; returns `false`
+    /// after `wait_max`.
+    pub async fn wait_for_members(&self, wait_max: Duration) -> bool {
+        let mut has_read_members = self.has_read_members.subscribe();
+        timeout(wait_max, has_read_members.wait_for(|has_read| *has_read)).await.is_ok()
     }
 
     /// Records that the list of the other nodes was read and that they had time to report.
     pub fn record_members_read(&self) {
-        if !self.has_read_members.replace(true) {
+        if !self.has_read_members.send_replace(true) {
             let covered = self.limiter.borrow().reachable_share(self.clock.monotonic_now());
             log::info!("event=members_known covered_share={covered:.2}");
         }
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -21,6 +21,12 @@
 use crate::front::connection::caller::CallerRequest;
 use crate::front::process::FrontNode;
 
+/// Maximum wait of a request for the list of the other nodes; a caller that is refused would typically
+/// retry after about this time.
+const MEMBERS_WAIT_MAX: Duration = Duration::from_millis(750);
+/// A request may wait for the list for its time limit divided by this.
+const MEMBERS_WAIT_DIVISOR: u32 = 3;
+
 /// A request that was admitted and may be sent to a backend server.
 pub struct Admitted {
     /// Decoded request headers.
@@ -223,6 +229,9 @@
         program: context.program.as_ref().map(|program| program.id.clone()),
         ..RequestLabels::default()
     };
+    if let Err(refusal) = require_members(node, &context).await {
+        return Err(RefusedRequest { labels, refusal });
+    }
     let identified = match identify(node, request) {
         Ok(identified) => identified,
         Err(refusal) => return Err(RefusedRequest { labels, refusal }),
@@ -233,6 +242,29 @@
     result.map_err(|refusal| RefusedRequest { labels, refusal })
 }
 
+/// Waits until the node knows the others. Callers reach a node before it is ready: for some time
+/// after a restart, and if most nodes of its zone are not ready either. Until then it does not know
+/// what other nodes and earlier processes spent of the limits, nor which requests are quarantined.
+async fn require_members(node: &FrontNode, context: &RequestContext) -> Result<(), Refusal> {
+    if node.has_read_members() || node.table().version() == 0 {
+        return Ok(());
+    }
+    let waited_since = Instant::now();
+    let time_limit = context.deadline.unwrap_or(TIME_LIMIT_DEFAULT);
+    let is_known =
+        node.wait_for_members(MEMBERS_WAIT_MAX.min(time_limit / MEMBERS_WAIT_DIVISOR)).await;
+    log::info!(
+        "event=waited_for_members request={} is_known={is_known} waited_ms={}",
+        context.id,
+        waited_since.elapsed().as_millis(),
+    );
+    if is_known {
+        return Ok(());
+    }
+    let message = "the list of the other nodes has not arrived yet; retry shortly";
+    Err(Refusal::not_run(RefusalKind::NotReady, message))
+}
+
 fn identify(node: &FrontNode, request: &CallerRequest) -> Result<Identified, Refusal> {
     let table = node.table();
     if table.version() == 0 {
--- a/crates/daemon/tests/restarted_limits.rs
+++ b/crates/daemon/tests/restarted_limits.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use futures_util::future::join_all;
 use serde_json::json;
 use support::http::{Reply, eventually};
 use support::site::{Call, Site};
@@ -36,13 +37,12 @@
 
 /// Sends as many requests as the burst allows, and returns how many ran.
 async fn send_burst(site: &Site, name: &str) -> usize {
-    let mut ran = 0;
-    for number in 0..BURST {
+    let replies = (0..BURST).map(async |number| {
         let reply = send(site, &format!("{name}-{number}")).await;
         assert!([200, 429, 503].contains(&reply.status), "{}", reply.body);
-        ran += usize::from(reply.status == 200);
-    }
-    ran
+        usize::from(reply.status == 200)
+    });
+    join_all(replies).await.into_iter().sum()
 }
 
 /// Guards against a team that gets more than its limit, because each process starts with tokens that
