Bound the debt after a restart by what nodes spend between reports

Cause: after a restart of all nodes each bucket started half a burst below zero. What earlier processes may have spent beyond the limit is what nodes admit until they know each other's rates, and three nodes know them after 0.4 s, so that the debt was far larger than that.

Ruled out: a lower reach alone; the first request is refused at a full reach.

Change: the debt is half of what accrues until the rates are known, at most half the burst. At 75 nodes with a burst of a second that is what it was.

--- a/crates/coordination/src/limits/usage/mod.rs
+++ b/crates/coordination/src/limits/usage/mod.rs
@@ -163,6 +163,11 @@
     report_interval(members).saturating_mul(LATE_AFTER_REPORTS)
 }
 
+/// Returns the time from its start after which a process knows the rates of `members` other nodes.
+fn settled_after(members: usize) -> Duration {
+    report_interval(members) * SETTLED_AFTER_REPORTS
+}
+
 /// Returns the hash of a team's name.
 #[must_use]
 pub fn team_hash(team: &str) -> TeamHash {
@@ -199,10 +204,14 @@
         let requests_per_program = self.requests_per_program(now);
         let round = self.round;
         let is_spending_known = self.restarted_at.is_none() || self.hears_settled_member();
-        let bucket = self
-            .teams
-            .entry(team)
-            .or_insert_with(|| TeamBucket::initial(limits, is_spending_known));
+        let settled_after = settled_after(self.members.len());
+        let bucket = self.teams.entry(team).or_insert_with(|| {
+            if is_spending_known {
+                TeamBucket::initial(limits)
+            } else {
+                TeamBucket::restarted(limits, settled_after)
+            }
+        });
         bucket.accrue(limits, reachable_share, unreported.late, now);
         let available = bucket.available(unreported.total(), settled_share);
         let usable_share = reachable_share * settled_share;
@@ -342,7 +351,7 @@
         } else {
             known.return_charges(&mut self.teams);
         }
-        known.note_admissions(&admitted, interval * SETTLED_AFTER_REPORTS);
+        known.note_admissions(&admitted, settled_after(self.members.len()));
         // Since the timeout, a share of each limit was reserved for it.
         let reserved_for = now.saturating_sub(known.last_report_at + timeout);
         let is_settling = self.is_settling(now);
@@ -394,7 +403,7 @@
 
     /// Records for how long the process of another node has run, as told with its report.
     pub fn note_uptime(&mut self, member: &str, uptime: Duration) {
-        let settled_after = report_interval(self.members.len()) * SETTLED_AFTER_REPORTS;
+        let settled_after = settled_after(self.members.len());
         if let Some(member) = self.members.get_mut(member) {
             member.is_settled |= uptime >= settled_after;
         }
@@ -516,7 +525,7 @@
     /// Returns whether this process was restarted so recently that nodes do not know each other's
     /// rates yet.
     fn is_settling(&self, now: Duration) -> bool {
-        let settled_after = report_interval(self.members.len()) * SETTLED_AFTER_REPORTS;
+        let settled_after = settled_after(self.members.len());
         self.restarted_at.is_some_and(|restarted_at| now < restarted_at + settled_after)
     }
 
--- a/crates/coordination/src/limits/usage/team_bucket.rs
+++ b/crates/coordination/src/limits/usage/team_bucket.rs
@@ -7,9 +7,9 @@
 
 /// Initial fraction of the burst in a bucket that is not initialized from a report.
 const INITIAL_FILL: f64 = 0.5;
-/// The same after a restart of all nodes. Earlier spending is unknown, and may have exceeded what had
-/// accrued.
-const RESTARTED_FILL: f64 = -0.5;
+/// Fraction of the burst, or of what accrues until the rates are known, that earlier processes may have
+/// spent beyond the limit.
+const RESTART_DEBT: f64 = 0.5;
 /// Approximate duration of a program. The program bucket can hold the burst and the tokens accrued
 /// in this time, because a program spreads its requests over its duration.
 const PROGRAM_DURATION: Duration = Duration::from_secs(2);
@@ -34,10 +34,17 @@
 impl TeamBucket {
     /// Returns the bucket of a team that no node has reported. Its first update adds the tokens
     /// accrued since time zero of the clock, which is the start of the process.
-    pub fn initial(limits: BucketLimits, is_spending_known: bool) -> Self {
-        let program_tokens = limits.burst * INITIAL_FILL;
-        let tokens = if is_spending_known { program_tokens } else { limits.burst * RESTARTED_FILL };
-        Self { tokens, program_tokens, ..Self::default() }
+    pub fn initial(limits: BucketLimits) -> Self {
+        let tokens = limits.burst * INITIAL_FILL;
+        Self { tokens, program_tokens: tokens, ..Self::default() }
+    }
+
+    /// Returns the bucket of a team after a restart of all nodes, where earlier spending is unknown.
+    /// It may have exceeded the limit by what nodes admit until they know each other's rates, which
+    /// takes `settled_after`.
+    pub fn restarted(limits: BucketLimits, settled_after: Duration) -> Self {
+        let accrued = limits.rate_per_s * settled_after.as_secs_f64();
+        Self { tokens: -limits.burst.min(accrued) * RESTART_DEBT, ..Self::initial(limits) }
     }
 
     /// Sets the tokens to those that another node reports, less the requests that this node has
--- a/crates/coordination/tests/usage_restarts.rs
+++ b/crates/coordination/tests/usage_restarts.rs
@@ -383,3 +383,21 @@
         fleet.refused - refused_until_now
     });
 }
+
+/// Guards against refusals within the limit by the nodes of a small fleet, which soon know each other's
+/// rates, once they admit requests after a restart of all of them.
+#[test]
+fn team_within_its_limit_is_served_once_the_nodes_of_a_small_fleet_know_each_other() {
+    let limits = BucketLimits { rate_per_s: 1_000.0, burst: 1_000.0 };
+    let known_at = Duration::from_millis(300);
+    let mut node = Node::start(2, Duration::ZERO);
+    node.limiter.note_restart(Duration::from_millis(50));
+    for other in 1..3 {
+        node.limiter.note_report(&name(other), 2, AdmittedCounts::new(), known_at);
+    }
+    let class = RequestClass::Other { time_left: Duration::from_secs(3) };
+    for number in 0..30 {
+        let result = node.limiter.take(team_hash("alpha"), limits, class, known_at);
+        assert_eq!(result, Ok(Duration::ZERO), "request {number}");
+    }
+}
