Model a lowered limit that some nodes learn late

A limit of 220 a second is lowered to 110; four tenths of 75 nodes learn it 3 s later.

A node of the model admits requests 250 ms after it has read the list of nodes, as nodes do since they wait for it.

--- a/crates/coordination/tests/usage_restarts.rs
+++ b/crates/coordination/tests/usage_restarts.rs
@@ -26,7 +26,7 @@
 const WINDOW_MAX: usize = 746;
 /// Time from the start of a process until it has read the list of the other nodes.
 const LIST_READ_AFTER: Duration = Duration::from_millis(300);
-/// Time from then until callers reach it.
+/// Time from then until it admits requests.
 const READY_AFTER: Duration = Duration::from_millis(250);
 /// Time from the end of a process until the next one starts.
 const DOWN: Duration = Duration::from_millis(500);
@@ -67,6 +67,8 @@
     now: Duration,
     team: TeamHash,
     limits: BucketLimits,
+    /// Nodes that have not learned of a change of the limits, and the ones that they know.
+    outdated: (Vec<usize>, BucketLimits),
     demand_per_s: f64,
     /// Nodes that are cut off from the others, but not from each other.
     cut_off: Vec<usize>,
@@ -88,6 +90,7 @@
             now: Duration::ZERO,
             team: team_hash("alpha"),
             limits: LIMITS,
+            outdated: (Vec::new(), LIMITS),
             demand_per_s: 0.0,
             cut_off: Vec::new(),
             loss: 0.0,
@@ -184,7 +187,9 @@
             RequestClass::Other { time_left: Duration::from_secs(3) }
         };
         let uptime = now.saturating_sub(self.nodes[node].started_at);
-        match self.nodes[node].limiter.take(self.team, self.limits, class, uptime) {
+        let (outdated, former_limits) = &self.outdated;
+        let limits = if outdated.contains(&node) { *former_limits } else { self.limits };
+        match self.nodes[node].limiter.take(self.team, limits, class, uptime) {
             Ok(wait) => self.sent.push(Sent { at: now + wait, node }),
             Err(_) => self.refused += 1,
         }
@@ -322,6 +327,22 @@
     });
 }
 
+/// Guards against requests beyond a lowered limit, because some nodes learn of it late.
+#[test]
+fn lowered_limit_holds_once_all_nodes_know_it() {
+    check_windows(|fleet| {
+        fleet.limits = BucketLimits { rate_per_s: 220.0, burst: 220.0 };
+        fleet.run_for(8 * SECOND);
+        fleet.outdated = (fleet.choose(0.4), fleet.limits);
+        fleet.limits = LIMITS;
+        fleet.run_for(3 * SECOND);
+        fleet.outdated.0.clear();
+        let known_at = fleet.now;
+        fleet.run_for(10 * SECOND);
+        fleet.sent.retain(|sent| sent.at >= known_at);
+    });
+}
+
 /// Limits of a large and a small team.
 const SERVED_LIMITS: [BucketLimits; 2] = [LIMITS, BucketLimits { rate_per_s: 10.0, burst: 10.0 }];
 /// Fraction of the rate that a team sends whose requests should be served.
