Wait until an unread answer is held before waiting for its end

Cause, from the node's log: the request was answered whole after 551 ms of its 4 s. The test waits until dandelionfront_requests is 0 before it reads; the gauge is updated every 250 ms, so that it may still be 0 from the start, and the caller read at once.

Ruled out: a fault of the node; it sent what the caller read.

Change: the test waits until the gauge is 1, then until it is 0.

--- a/crates/daemon/tests/one_connection.rs
+++ b/crates/daemon/tests/one_connection.rs
@@ -336,10 +336,11 @@
         lines.iter().any(|line| line.contains("event=sent request=held")).then_some(())
     })
     .await;
-    eventually("the request ends", async || {
-        site.metrics(0).await.contains("dandelionfront_requests 0\n").then_some(())
-    })
-    .await;
+    // The gauge is updated from time to time, and is 0 at first.
+    for (step, count) in [("the request is held", 1), ("the request ends", 0)] {
+        let line = format!("dandelionfront_requests {count}\n");
+        eventually(step, async || site.metrics(0).await.contains(&line).then_some(())).await;
+    }
     let (received, _) = finish_exchange(connection, received).await;
     assert!(received.starts_with("HTTP/1.1 200 ") && received.len() < UNREAD_BYTES);
     assert!(!received.ends_with(LAST_CHUNK), "a part looks whole");
