Charge an equal part for a process that was killed before its report

Cause: what a killed process admitted after its last report was estimated by its last known rate, which is zero if the demand has just risen. Nodes that are late have been charged an equal part of the limit at least, killed ones not.

Ruled out: that a single settled node is trusted for all others; no change if half of them must be settled.

Change: a new process of a node is charged with an equal part for the interval after the last report of the one before. A node that was never heard has no earlier process.

--- a/crates/coordination/src/limits/usage/member.rs
+++ b/crates/coordination/src/limits/usage/member.rs
@@ -81,11 +81,17 @@
     }
 
     /// Prepares for the counts of a new process. What the last one admitted in the `interval` after
-    /// its last report is never reported and stays charged.
-    pub fn restart(&mut self, teams: &mut HashMap<TeamHash, TeamBucket>, interval: Duration) {
+    /// its last report, which may have been its first, is never reported and stays charged.
+    pub fn restart(
+        &mut self,
+        teams: &mut HashMap<TeamHash, TeamBucket>,
+        interval: Duration,
+        nodes: usize,
+    ) {
         if self.charged.is_empty() {
             for (team, bucket) in teams {
-                bucket.tokens -= self.estimate(*team, interval);
+                let fair_rate_per_s = bucket.fair_rate_per_s(nodes);
+                bucket.tokens -= self.estimate_late(*team, fair_rate_per_s, interval);
             }
         }
         self.charged.clear();
--- a/crates/coordination/src/limits/usage/mod.rs
+++ b/crates/coordination/src/limits/usage/mod.rs
@@ -336,7 +336,8 @@
             (report_interval(self.members.len()), report_timeout(self.members.len()));
         let known = self.members.remove(member);
         let is_new = known.as_ref().is_none_or(|known| known.last_report_at.is_zero());
-        let is_restarted = known.as_ref().is_some_and(|known| known.incarnation != incarnation);
+        let is_restarted =
+            !is_new && known.as_ref().is_some_and(|it| it.incarnation != incarnation);
         let mut known = known.unwrap_or_else(|| Member::heard(incarnation, now));
         if is_new {
             known.heard_since = now;
@@ -346,8 +347,9 @@
             let round = self.round;
             self.teams.values_mut().for_each(|bucket| bucket.changed_in_round = round);
         }
+        let nodes = self.members.len() + 2;
         if is_restarted {
-            known.restart(&mut self.teams, interval);
+            known.restart(&mut self.teams, interval, nodes);
         } else {
             known.return_charges(&mut self.teams);
         }
@@ -355,7 +357,6 @@
         // Since the timeout, a share of each limit was reserved for it.
         let reserved_for = now.saturating_sub(known.last_report_at + timeout);
         let is_settling = self.is_settling(now);
-        let nodes = self.members.len() + 2;
         let requests_per_program = self.requests_per_program(now);
         // Delayed reports may arrive together; without a minimum interval, the rate would be
         // overestimated.
--- a/crates/coordination/tests/usage_restarts.rs
+++ b/crates/coordination/tests/usage_restarts.rs
@@ -286,6 +286,40 @@
     });
 }
 
+/// Restarts a part of the nodes three times while callers send five times the rate, with 20 seeds.
+fn check_repeated_restarts(limits: BucketLimits, lead: Duration, part: f64, window_max: usize) {
+    let windows = (1..=20).map(|seed| {
+        let mut fleet = Fleet::new(seed);
+        (fleet.limits, fleet.demand_per_s) = (limits, 5.0 * limits.rate_per_s);
+        fleet.run_for(lead);
+        for _ in 0..3 {
+            let restarted = fleet.choose(part);
+            fleet.restart(&restarted);
+            fleet.run_for(Duration::from_millis(2_300));
+        }
+        fleet.run_for(6 * SECOND);
+        fleet.busiest_window()
+    });
+    let windows: Vec<usize> = windows.collect();
+    let is_kept = windows.iter().all(|window| *window <= window_max);
+    assert!(is_kept, "{windows:?} in a window, {window_max} allowed");
+}
+
+/// Guards against tokens of processes that are killed soon after the demand has risen, before they have
+/// reported their requests.
+#[test]
+fn limit_holds_when_most_nodes_are_restarted_soon_after_the_demand_rises() {
+    check_repeated_restarts(LIMITS, Duration::from_millis(400), 0.6, WINDOW_MAX);
+}
+
+/// Guards against the same when only a few nodes of a fleet go on, and a team has few requests a node.
+#[test]
+fn limit_of_a_smaller_team_holds_when_nearly_all_nodes_are_restarted_three_times() {
+    let limits = BucketLimits { rate_per_s: 30.0, burst: 30.0 };
+    // The 180 that rate and burst allow, plus a tolerance of 10 % and 20 requests.
+    check_repeated_restarts(limits, 4 * SECOND, 0.9, 218);
+}
+
 /// Guards against nodes that use the estimated requests of nodes they no longer hear.
 #[test]
 fn limit_holds_when_nodes_are_cut_off_and_others_restarted() {
