--- a/crates/coordination/src/limits/usage/member.rs
+++ b/crates/coordination/src/limits/usage/member.rs
@@ -81,7 +81,8 @@
     }
 
     /// Prepares for the counts of a new process. What the last one admitted in the `interval` after
-    /// its last report, which may have been its first, is never reported and stays charged.
+    /// its last report is never reported and stays charged: an equal part of the limit at least,
+    /// because its last known rate may be from before the demand rose.
     pub fn restart(
         &mut self,
         teams: &mut HashMap<TeamHash, TeamBucket>,
--- a/crates/coordination/tests/usage_restarts.rs
+++ b/crates/coordination/tests/usage_restarts.rs
@@ -312,7 +312,7 @@
     check_repeated_restarts(LIMITS, Duration::from_millis(400), 0.6, WINDOW_MAX);
 }
 
-/// Guards against the same when only a few nodes of a fleet go on, and a team has few requests a node.
+/// Guards against a smaller team's unreported requests when only a few nodes of the fleet go on.
 #[test]
 fn limit_of_a_smaller_team_holds_when_nearly_all_nodes_are_restarted_three_times() {
     let limits = BucketLimits { rate_per_s: 30.0, burst: 30.0 };
