--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -83,7 +83,7 @@
     store.put("op", "config", Some(&config(7, &[])));
     let of_a: Vec<_> = (0..2).map(|number| Node::start(number, &network, &store_of_a, 300)).collect();
     let mut nodes = of_a;
-    nodes.extend((2..4).map(|number| Node::start(number, &network, &address, 300)));
+    nodes.extend((2..4).map(|number| Node::start_in("zone-b", number, &network, &address, 300)));
     if !wait_until(Duration::from_secs(20), || nodes.iter().all(Node::is_ready)) {
         eprintln!("the nodes did not become ready");
         drop(nodes);
--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -1013,17 +1013,21 @@
 
 impl Node {
     pub fn start(number: usize, network: &str, store: &str, memory_mb: u32) -> Self {
+        Self::start_in("zone-a", number, network, store, memory_mb)
+    }
+
+    pub fn start_in(zone: &str, number: usize, network: &str, store: &str, memory_mb: u32) -> Self {
         let ip = format!("{network}.{}", 11 + number);
         let ports: Vec<u16> = (0..4).map(|_| free_port(&ip)).collect();
         let (front, ready) = (format!("{ip}:{}", ports[0]), format!("{ip}:{}", ports[1]));
         let text = format!(
-            "nodeName = \"edge-zone-a-{number}\"\nrole = \"front\"\nmachineClass = \"edge\"\n\
-             serves = [\"edge\"]\nip = \"{ip}\"\nzone = \"zone-a\"\nregion = \"region\"\n\
+            "nodeName = \"edge-{zone}-{number}\"\nrole = \"front\"\nmachineClass = \"edge\"\n\
+             serves = [\"edge\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"region\"\n\
              portRange = [{peer},{peer}]\nseeds = []\nbootstrap = true\ninFailureBudget = false\n\
              discovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"agent\",\"stream\",\
              \"engine\",\"tenants\",\"quota\",\"platform\"]\n\
-             [zones]\nzone-a = \"region\"\n\
+             [zones]\nzone-a = \"region\"\nzone-b = \"region\"\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{ip}:{control}\"\n\
              [limits]\ncpuShare = 0.25\ncpuCores = 1\nmemoryMb = {memory_mb}\nmaxFds = 8200\n\
              linkMbps = 1000.0\ndiskMb = 0\n\
