Log how reads of the configuration fail, and by which version requests are admitted

A failing read of a table was logged once, without its duration and without what had arrived; no metric counted such reads; no line named the version by which a request was admitted, its age, or the limit that closed an idle connection.

Now store_lost, store_still_lost (at the 2nd, 4th, 8th ... failure) and store_regained tell duration, failures and, for a call that ran out of time, its limit and the bytes of the body; config_seen tells size and duration; sent and refused the version and its age; caller_idle the limit and the version. Metrics: config_bytes, changes_failed_total{table}, callers_idle_total. No logic changes.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -169,7 +169,15 @@
         () = idle_close => return HeadReceived::Nothing,
     };
     match begin {
-        Err(_) => HeadReceived::Nothing,
+        Err(_) => {
+            node.metrics.callers_idle.inc();
+            log::info!(
+                "event=caller_idle limit_ms={} version={}",
+                limits.idle_timeout.as_millis(),
+                node.table().version(),
+            );
+            HeadReceived::Nothing
+        }
         Ok(Some(received)) => HeadReceived::Completely(received),
         Ok(None) => {
             // Keeps a stopping node from ending the process.
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dandelionfront_coordination::rows::RowStoreError;
 use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
 use http::{Method, Request, header};
@@ -51,7 +51,13 @@
         }
     }
 
-    async fn exchange(&self, request: &StoreRequest) -> Result<StoreReply, RowStoreError> {
+    /// Makes a call on a connection that is closed with an unfinished call; `received_bytes` counts
+    /// the bytes of the response's body.
+    async fn exchange(
+        &self,
+        request: &StoreRequest,
+        received_bytes: &Cell<usize>,
+    ) -> Result<StoreReply, RowStoreError> {
         loop {
             let mut connection = match self.pool.take(self.address, REUSE_IDLE_MAX, &[]) {
                 Some(connection) => connection,
@@ -71,12 +77,18 @@
                 SendOutcome::Lost(detail) => return Err(RowStoreError::AnswerLost { detail }),
             };
             let status = response.status().as_u16();
-            let body = response.into_body().collect().await;
-            let body =
-                body.map_err(|error| RowStoreError::AnswerLost { detail: error.to_string() });
-            let body = body?.to_bytes();
+            let mut incoming = response.into_body();
+            let mut body = BytesMut::new();
+            while let Some(frame) = incoming.frame().await {
+                let frame = frame
+                    .map_err(|error| RowStoreError::AnswerLost { detail: error.to_string() })?;
+                if let Ok(data) = frame.into_data() {
+                    body.extend_from_slice(&data);
+                    received_bytes.set(body.len());
+                }
+            }
             self.pool.put(self.address, connection);
-            return Ok(StoreReply { status, body });
+            return Ok(StoreReply { status, body: body.freeze() });
         }
     }
 
@@ -147,9 +159,15 @@
     ) -> Result<StoreReply, RowStoreError> {
         let started_at = Instant::now();
         self.metrics.store_calls.with_label_values(&[operation(&request.path)]).inc();
-        let result = timeout(time_limit, self.exchange(&request)).await.unwrap_or_else(|_| {
+        let received_bytes = Cell::new(0);
+        let exchange = self.exchange(&request, &received_bytes);
+        let result = timeout(time_limit, exchange).await.unwrap_or_else(|_| {
             self.record_lost_response(request.timeout);
-            let detail = format!("no answer within {} ms", time_limit.as_millis());
+            let detail = format!(
+                "no whole answer within {} ms, {} bytes of its body",
+                time_limit.as_millis(),
+                received_bytes.get()
+            );
             Err(RowStoreError::AnswerLost { detail })
         });
         let taken = started_at.elapsed();
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -96,6 +96,12 @@
     pub config_version: IntGauge,
     /// Time since the configuration was last confirmed as current, in milliseconds; -1 if never.
     pub config_age_ms: IntGauge,
+    /// Size of the active configuration, in bytes.
+    pub config_bytes: IntGauge,
+    /// Failed reads of changes of the platform's tables, by table.
+    pub changes_failed: IntCounterVec,
+    /// Connections of callers that were closed because they were idle for too long.
+    pub callers_idle: IntCounter,
     /// Backend servers in the list.
     pub servers: IntGauge,
     /// Backend servers that take no new work.
@@ -199,6 +205,14 @@
             config_version: registry.gauge("config_version", "Configuration in force"),
             config_age_ms: registry
                 .gauge("config_age_milliseconds", "Time since the configuration was proved new"),
+            config_bytes: registry.gauge("config_bytes", "Size of the configuration in force"),
+            changes_failed: registry.counter_vec(
+                "changes_failed_total",
+                "Failed reads of changes of the platform's tables, by table",
+                "table",
+            ),
+            callers_idle: registry
+                .counter("callers_idle_total", "Connections closed after the idle time"),
             servers: registry.gauge("servers", "Backend servers in the list"),
             servers_draining: registry.gauge("servers_draining", "Those that take no new work"),
             servers_cold: registry.gauge("servers_cold", "Backend servers that are cold"),
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -188,6 +188,13 @@
         self.table.replace(table);
     }
 
+    /// Returns the time since the configuration was last confirmed as current, in milliseconds; -1 if
+    /// it never was.
+    #[must_use]
+    pub fn config_age_ms(&self) -> i64 {
+        self.freshness.borrow().age(self.clock.boot_now()).map_or(-1, millis_i64)
+    }
+
     /// Records that the store had no newer valid configuration at `requested_at`.
     pub fn confirm_config(&self, requested_at: Duration) {
         let was_fresh = self.freshness.borrow().is_fresh(self.clock.boot_now());
@@ -209,8 +216,7 @@
         if freshness.is_fresh(now) {
             return Ok(());
         }
-        // -1 if never confirmed.
-        let age_ms = freshness.age(now).map_or(-1, millis_i64);
+        let age_ms = self.config_age_ms();
         let message =
             format!("the configuration was last proved current {age_ms} ms ago; retry elsewhere");
         Err(self.during_outage(Refusal::not_run(RefusalKind::ConfigStale, message)))
@@ -340,8 +346,7 @@
 
     /// Updates the gauges of the configuration's age and of open requests and connections.
     pub fn update_gauges(&self) {
-        let age = self.freshness.borrow().age(self.clock.boot_now());
-        self.metrics.config_age_ms.set(age.map_or(-1, millis_i64));
+        self.metrics.config_age_ms.set(self.config_age_ms());
         self.metrics.requests.set(gauge_value(self.caller_requests.get()));
         self.metrics.connections.set(gauge_value(self.caller_connections.get()));
         let (servers, placement) = (self.servers.borrow(), self.placement.borrow());
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::crashes::RequestKeys;
-use dandelionfront_coordination::ids::TeamId;
+use dandelionfront_coordination::ids::{ConfigVersion, TeamId};
 use dandelionfront_coordination::limits::usage::{BucketLevel, RequestClass};
 use dandelionfront_coordination::pauses::PauseCount;
 use dandelionfront_coordination::prompts::SharedPart;
@@ -31,6 +31,8 @@
 pub struct Admitted {
     /// Decoded request headers.
     pub context: RequestContext,
+    /// Configuration by which the request was admitted.
+    pub config: ConfigBelief,
     /// Route that matched at admission.
     pub route: Route,
     /// Service chosen by the route, or the one that began the stream to resume.
@@ -187,6 +189,15 @@
     pub priority: Option<u8>,
 }
 
+/// The configuration by which a request was admitted.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigBelief {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Time since it was last confirmed as current, in milliseconds; -1 if it never was.
+    pub age_ms: i64,
+}
+
 /// What identifies a request in the log.
 #[derive(Debug, Default)]
 pub struct RequestLabels {
@@ -291,6 +302,7 @@
     identified: Identified,
 ) -> Result<Admitted, Refusal> {
     let Identified { table, route, team, keys } = identified;
+    let config = ConfigBelief { version: table.version(), age_ms: node.config_age_ms() };
     if context.id.is_empty() {
         let message = "the request has no Request-Id; send a new one with each attempt";
         return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
@@ -340,6 +352,7 @@
         target: target(request).to_owned(),
         keys,
         context,
+        config,
         service,
         stream,
         origin,
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -71,7 +71,7 @@
     node.metrics.count_refusal(refusal.kind);
     log::info!(
         "event=refused request={} program={} team={} fingerprint={} path={} kind={} status={} \
-         elapsed_ms={} message=\"{refusal}\"",
+         version={} config_age_ms={} elapsed_ms={} message=\"{refusal}\"",
         labels.id,
         labels.program.as_deref().unwrap_or("-"),
         labels.team.as_deref().unwrap_or("-"),
@@ -79,6 +79,8 @@
         request.head.path(),
         refusal.kind.label(),
         refusal.kind.http_status(),
+        node.table().version(),
+        node.config_age_ms(),
         request.arrived_at.elapsed().as_millis(),
     );
     responder.refuse(&labels.id, refusal).await
--- a/crates/daemon/src/front/request/sent.rs
+++ b/crates/daemon/src/front/request/sent.rs
@@ -35,7 +35,7 @@
             "event=sent request={} program={} fingerprint={:016x} path={} body_bytes={} route={} \
              version={} team={} server={} time_left_ms={} reused={} via={} load={:.2} {} \
              limit_per_s={} limit_tokens_left={:.1} limit_share={:.2} added_ms={} software=\"{}\" resume_after={} resumes={} \
-             previous_turn={} input_bytes={} session={} moved_from={moved_from} \
+             previous_turn={} admitted_version={} config_age_ms={} input_bytes={} session={} moved_from={moved_from} \
              move_cause={move_cause} last_server={} last_known_by={}",
             self.admitted.context.id,
             self.admitted.context.program.as_ref().map_or("-", |program| program.id.as_str()),
@@ -59,6 +59,8 @@
             self.last_event.map_or("-".to_owned(), |event| event.to_string()),
             self.admitted.context.resumes.as_deref().unwrap_or("-"),
             self.admitted.context.previous_turn.as_deref().unwrap_or("-"),
+            self.admitted.config.version,
+            self.admitted.config.age_ms,
             input_bytes.unwrap_or(self.admitted.body.len()),
             self.admitted.context.program.as_ref().map_or("-", |program| program.session.as_str()),
             self.last_server.as_ref().map_or("-", |last| last.id.as_str()),
--- a/crates/daemon/src/front/version/follow.rs
+++ b/crates/daemon/src/front/version/follow.rs
@@ -30,11 +30,17 @@
     version: Option<u64>,
     /// Newest version seen; responses with an older one are stale.
     newest: u64,
-    /// Whether the last read failed.
-    is_failing: bool,
+    /// Reads that failed since the last successful one.
+    failures: u32,
+    /// Time of the first of them.
+    failing_since: Option<Duration>,
 }
 
 impl Cursor {
+    fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Advances to the version of a response; returns `false` if the response is stale.
     fn advance(&mut self, version: u64) -> bool {
         if version < self.newest {
@@ -60,7 +66,7 @@
         let requested_at = node.clock.boot_now();
         // After a failure, the call does not wait, so that its response confirms at once that the
         // configuration is current.
-        let wait = if cursor.is_failing { Duration::ZERO } else { CONFIG_POLL_WAIT };
+        let wait = if cursor.is_failing() { Duration::ZERO } else { CONFIG_POLL_WAIT };
         match read(&node, &mut cursor, OPERATOR_TABLE, wait).await {
             Ok(Some(update)) => {
                 let now = node.clock.boot_now();
@@ -70,7 +76,7 @@
                 node.peers.note_zone_states(&node, &states, since_read);
                 let (Update::Snapshot(rows) | Update::Changes(rows)) = update;
                 for row in rows.iter().filter(|row| row.key == CONFIG_KEY) {
-                    adopt_config(&node, row);
+                    adopt_config(&node, row, now.saturating_sub(requested_at));
                 }
                 node.confirm_config(requested_at);
             }
@@ -97,17 +103,23 @@
     }
 }
 
-fn adopt_config(node: &FrontNode, row: &RowChange) {
+/// Adopts the configuration in `row` if it is newer; `read_time` is the duration of the read, with
+/// the wait for the change.
+fn adopt_config(node: &FrontNode, row: &RowChange, read_time: Duration) {
     let Some(value) = &row.value else { return };
     match config::decode(value) {
         Ok(table) => {
             let (version, known) = (table.version(), node.table().version());
             let is_newer = version > known;
             log::info!(
-                "event=config_seen version={version} previous={known} row_version={} adopted={is_newer}",
+                "event=config_seen version={version} previous={known} row_version={} adopted={is_newer} \
+                 bytes={} read_ms={}",
                 row.version,
+                value.len(),
+                read_time.as_millis(),
             );
             if is_newer {
+                node.metrics.config_bytes.set(i64::try_from(value.len()).unwrap_or(i64::MAX));
                 node.adopt_table(table);
             }
         }
@@ -192,27 +204,45 @@
 /// Reads the changes since the last read, or the whole table; returns `None` when the response is
 /// stale.
 ///
-/// Logs when calls start to fail and when they succeed again.
+/// Logs when calls start to fail, how they go on to fail, and when they succeed again.
 async fn read(
     node: &FrontNode,
     cursor: &mut Cursor,
     table: &str,
     wait: Duration,
 ) -> Result<Option<Update>, RowStoreError> {
+    let started_at = node.clock.boot_now();
     let result = read_once(node, cursor, table, wait).await;
+    let now = node.clock.boot_now();
     match &result {
-        Ok(_) if cursor.is_failing => {
-            log::info!("event=store_regained table={table} version={}", cursor.newest);
+        Ok(_) => {
+            if let Some(failing_since) = cursor.failing_since.take() {
+                log::info!(
+                    "event=store_regained table={table} version={} failures={} lost_ms={}",
+                    cursor.newest,
+                    cursor.failures,
+                    now.saturating_sub(failing_since).as_millis(),
+                );
+            }
+            cursor.failures = 0;
         }
-        Err(error) if !cursor.is_failing => {
-            log::warn!(
-                "event=store_lost table={table} version={} cause=\"{error}\"",
-                cursor.newest
-            );
+        Err(error) => {
+            node.metrics.changes_failed.with_label_values(&[table]).inc();
+            cursor.failures = cursor.failures.saturating_add(1);
+            cursor.failing_since.get_or_insert(started_at);
+            let event = if cursor.failures == 1 { "store_lost" } else { "store_still_lost" };
+            // Few lines of a long outage.
+            if cursor.failures.is_power_of_two() {
+                log::warn!(
+                    "event={event} table={table} version={} failures={} elapsed_ms={} \
+                     cause=\"{error}\"",
+                    cursor.newest,
+                    cursor.failures,
+                    now.saturating_sub(started_at).as_millis(),
+                );
+            }
         }
-        _ => {}
     }
-    cursor.is_failing = result.is_err();
     result
 }
 
