Show large configurations that are never in force at nodes with slow links

Its log (store_still_lost) shows reads of the table that are cut off after 0.4 to 1 s, with 115 to 162 KB of the answer, and a removed route that needs no key is served by version 3 with a configuration that was last confirmed 60 s ago. The stand-in proxy bounds the bytes that pass from the store over all connections.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ntex::web::{self, HttpResponse, types::Json, types::State};
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,8 @@
     pub trickle_after_bytes: usize,
     /// Closes the connections opened before the faults were last set.
     pub close_open: bool,
+    /// Bytes a second that pass from the target over all connections together; 0 for any number.
+    pub bytes_per_s: u32,
 }
 
 /// TCP proxy that forwards connections to one target and injects faults.
@@ -42,6 +44,8 @@
 pub struct FaultProxy {
     target: SocketAddr,
     faults: Mutex<ProxyFaults>,
+    /// Time at which all bytes that were sent so far have passed, if their rate is limited.
+    idle_from: Mutex<Instant>,
     /// Incremented each time the faults are replaced.
     generation: watch::Sender<u64>,
 }
@@ -57,8 +61,12 @@
         control: SocketAddr,
         target: SocketAddr,
     ) -> io::Result<(SocketAddr, SocketAddr)> {
-        let proxy =
-            Arc::new(Self { target, faults: Mutex::default(), generation: watch::Sender::new(0) });
+        let proxy = Arc::new(Self {
+            target,
+            faults: Mutex::default(),
+            idle_from: Mutex::new(Instant::now()),
+            generation: watch::Sender::new(0),
+        });
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
@@ -78,6 +86,18 @@
         *lock(&self.faults) = faults;
         self.generation.send_modify(|generation| *generation += 1);
     }
+
+    /// Waits until `bytes` have passed at a rate of `bytes_per_s`, after all that were sent before.
+    async fn pass(&self, bytes: usize, bytes_per_s: u32) {
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        let duration = Duration::from_secs(1) * bytes / bytes_per_s;
+        let passed_at = {
+            let mut idle_from = lock(&self.idle_from);
+            *idle_from = (*idle_from).max(Instant::now()) + duration;
+            *idle_from
+        };
+        tokio::time::sleep_until(passed_at.into()).await;
+    }
 }
 
 async fn put_faults(proxy: State<Arc<FaultProxy>>, faults: Json<ProxyFaults>) -> HttpResponse {
@@ -147,6 +167,9 @@
         let allowed = read_bytes.min(limit.saturating_sub(forwarded_bytes));
         let is_trickled = is_from_target && faults.trickle_ms > 0;
         let at_once = if is_trickled { faults.trickle_after_bytes.min(allowed) } else { allowed };
+        if is_from_target && faults.bytes_per_s > 0 {
+            proxy.pass(at_once, faults.bytes_per_s).await;
+        }
         if to.write_all(&chunk[..at_once]).await.is_err() {
             return;
         }
