Bound answers of the store by their progress, not by the time of the whole

Cause: a call to the store had one time limit for head and body, five times the measured time of small calls (120 ms to 1 s). A configuration of 1.1 MB takes 0.4 s on an idle link of 22 Mbit/s. Each read was cut off and began anew after 50 to 250 ms, the link was full of answers that nobody read to their end, and small calls that succeeded kept the limit low. A node that read through another one waited for the head until that one had the whole answer.

Ruled out: processor, memory, the store (it counts each of these calls as answered), decoding.

Change: the time limit holds until the head arrives; then the body may take as long as it brings 16 KB a second (in the first half second, 16 KB or its end). The measured response time is that of heads. A relaying node passes an answer on as it arrives, and closes the connection if it breaks off.

--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -1,9 +1,11 @@
 //! Accepting connections, reading bodies and sending short responses, for all listeners of a node.
 
+use std::fmt::Display;
 use std::io;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
 use ntex::SharedCfg;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
@@ -13,6 +15,9 @@
 use ntex::io::Io;
 use ntex::util::Either;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+use crate::transfer::Transfer;
 
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -21,6 +26,9 @@
 /// connection.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum time for which a receiver of a forwarded response may not read.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Accepts connections until the process ends and serves each in its own task.
 pub async fn accept<S, F>(name: &'static str, listener: TcpListener, serve: S)
 where
@@ -102,7 +110,7 @@
 pub async fn discard_rest(io: &Io, decoder: &PayloadDecoder) {
     let rest = async { while let Ok(Some(PayloadItem::Chunk(_))) = io.recv(decoder).await {} };
     // If the caller is still sending after the timeout, its connection is reset.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
 }
 
 /// Sends a complete response.
@@ -117,17 +125,64 @@
     content_type: &'static str,
     body: &[u8],
 ) -> io::Result<()> {
-    let mut response = Response::new(status).drop_body();
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
-    let size = match body.len() {
-        0 => BodySize::Empty,
-        length => BodySize::Sized(length as u64),
-    };
-    io.encode(Message::Item((response, size)), codec).map_err(io::Error::other)?;
+    encode_head(io, codec, status, content_type, Some(body.len() as u64))?;
     if !body.is_empty() {
-        let chunk = ntex::util::Bytes::copy_from_slice(body);
-        io.encode(Message::Chunk(Some(chunk)), codec).map_err(io::Error::other)?;
+        encode(io, codec, chunk(body))?;
     }
-    io.encode(Message::Chunk(None), codec).map_err(io::Error::other)?;
+    encode(io, codec, Message::Chunk(None))?;
     io.flush(true).await
 }
+
+/// Sends a response whose body arrives in parts, and waits when its receiver reads slowly.
+///
+/// # Errors
+///
+/// Fails when the body does not arrive or its receiver does not read it in time. The connection must
+/// then be closed, so that the response looks incomplete.
+pub async fn forward_response<S, D, E>(
+    io: &Io,
+    codec: &Codec,
+    status: StatusCode,
+    content_type: &'static str,
+    length: Option<u64>,
+    body: &mut Transfer<S>,
+) -> io::Result<()>
+where
+    S: Stream<Item = Result<D, E>> + Unpin,
+    D: AsRef<[u8]>,
+    E: Display,
+{
+    encode_head(io, codec, status, content_type, length)?;
+    while let Some(part) = body.next_part().await.map_err(io::Error::other)? {
+        encode(io, codec, chunk(part.as_ref()))?;
+        timeout(FORWARD_TIMEOUT, io.flush(false)).await??;
+    }
+    encode(io, codec, Message::Chunk(None))?;
+    timeout(FORWARD_TIMEOUT, io.flush(true)).await?
+}
+
+/// Encodes the head of a response; one without a declared length is sent in chunks.
+fn encode_head(
+    io: &Io,
+    codec: &Codec,
+    status: StatusCode,
+    content_type: &'static str,
+    length: Option<u64>,
+) -> io::Result<()> {
+    let mut response = Response::new(status).drop_body();
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    let size = match length {
+        Some(0) => BodySize::Empty,
+        Some(length) => BodySize::Sized(length),
+        None => BodySize::Stream,
+    };
+    encode(io, codec, Message::Item((response, size)))
+}
+
+fn chunk(bytes: &[u8]) -> Message<(Response<()>, BodySize)> {
+    Message::Chunk(Some(ntex::util::Bytes::copy_from_slice(bytes)))
+}
+
+fn encode(io: &Io, codec: &Codec, message: Message<(Response<()>, BodySize)>) -> io::Result<()> {
+    io.encode(message, codec).map_err(io::Error::other)
+}
--- a/crates/daemon/src/front/connection/reach.rs
+++ b/crates/daemon/src/front/connection/reach.rs
@@ -224,7 +224,7 @@
             Rc::clone(relay_transports.entry(relay).or_insert_with(new))
         };
         let reply = transport.call(request).await?;
-        if reply.status == ANSWER_LOST_STATUS {
+        if reply.status == ANSWER_LOST_STATUS.as_u16() {
             let detail = format!("{relay} got no answer");
             return Err(RowStoreError::AnswerLost { detail });
         }
--- a/crates/daemon/src/front/connection/relay_server.rs
+++ b/crates/daemon/src/front/connection/relay_server.rs
@@ -8,19 +8,19 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::rows::RowStoreError;
-use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
+use dandelionfront_platform::store::StoreRequest;
 use ntex::http::h1::PayloadType;
 use ntex::http::{Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::store::HttpTransport;
+use super::store::{HttpTransport, OpenReply};
 use super::{listener, tunnel_server};
 use crate::consts::JSON;
 use crate::front::process::FrontNode;
 
 /// Status which tells the calling node that the store's response was lost, so that the call may
 /// have taken effect.
-pub const ANSWER_LOST_STATUS: u16 = 504;
+pub const ANSWER_LOST_STATUS: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// Maximum size of a request head.
 const HEAD_MAX_BYTES: usize = 8 * 1024;
 /// Maximum size of a request body; larger than the store itself accepts.
@@ -56,19 +56,35 @@
             }
         };
         let Ok(body) = body else { break };
-        let reply = if node.store_reachability.is_unreachable() {
-            let body = Bytes::from_static(b"the store is unreachable from here; try another node");
-            StoreReply { status: 503, body }
-        } else {
-            call(&direct, &head, body).await
-        };
-        let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        listener::send_response(&io, &codec, status, JSON, &reply.body).await?;
+        if node.store_reachability.is_unreachable() {
+            let refusal = b"the store is unreachable from here; try another node";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            listener::send_response(&io, &codec, status, JSON, refusal).await?;
+            continue;
+        }
+        // The response is passed on as it arrives, so that a large one begins in time.
+        match open(&direct, &head, body).await {
+            Ok(mut reply) => {
+                let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+                let (length, body) = (reply.length, &mut reply.body);
+                listener::forward_response(&io, &codec, status, JSON, length, body).await?;
+                direct.reuse(reply);
+            }
+            Err(error) => {
+                let message = error.to_string();
+                let status = failure_status(&error);
+                listener::send_response(&io, &codec, status, JSON, message.as_bytes()).await?;
+            }
+        }
     }
     io.shutdown().await
 }
 
-async fn call(direct: &HttpTransport, head: &Request, body: Bytes) -> StoreReply {
+async fn open(
+    direct: &HttpTransport,
+    head: &Request,
+    body: Bytes,
+) -> Result<OpenReply, RowStoreError> {
     let target = head.uri().path_and_query().map_or("/", |target| target.as_str());
     let request = StoreRequest {
         method: head.method().clone(),
@@ -78,14 +94,15 @@
         timeout: CALL_TIMEOUT,
         class: None,
     };
-    direct.call(request).await.unwrap_or_else(|error| {
-        let status = match error {
-            RowStoreError::AnswerLost { .. } | RowStoreError::Malformed { .. } => {
-                ANSWER_LOST_STATUS
-            }
-            // The call had no effect.
-            RowStoreError::Unreachable { .. } | RowStoreError::Refused { .. } => 503,
-        };
-        StoreReply { status, body: Bytes::from(error.to_string()) }
-    })
+    direct.open(&request).await
+}
+
+fn failure_status(error: &RowStoreError) -> StatusCode {
+    match error {
+        RowStoreError::AnswerLost { .. } | RowStoreError::Malformed { .. } => ANSWER_LOST_STATUS,
+        // The call had no effect.
+        RowStoreError::Unreachable { .. } | RowStoreError::Refused { .. } => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
 }
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -6,21 +6,23 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dandelionfront_coordination::rows::RowStoreError;
 use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
 use http::{Method, Request, header};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyDataStream, Full};
+use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout;
 
 use super::backend::{BackendConnection, BackendPool, SendOutcome};
 use crate::consts::JSON;
 use crate::front::process::metrics::FrontMetrics;
+use crate::transfer::Transfer;
 
 /// Maximum idle time of a connection that is reused.
 const REUSE_IDLE_MAX: Duration = Duration::from_secs(3);
 
-/// Lower bound of the response timeout; several times the store's response time under low load.
+/// Lower bound of the time until a response begins; several times the store's response time under low load.
 const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(120);
 /// Response timeout as a multiple of the measured response time.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 5;
@@ -28,6 +30,19 @@
 /// timeout by the quotient.
 const RESPONSE_TIMEOUT_DECAY: u32 = 4;
 
+/// Response of the store whose body is still arriving.
+#[derive(Debug)]
+pub struct OpenReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Length of the body, if the head declares it.
+    pub length: Option<u64>,
+    /// Body.
+    pub body: Transfer<BodyDataStream<Incoming>>,
+    /// Connection on which the body arrives.
+    connection: BackendConnection,
+}
+
 /// HTTP transport with its own connection pool.
 pub struct HttpTransport {
     address: SocketAddr,
@@ -51,13 +66,9 @@
         }
     }
 
-    /// Makes a call on a connection that is closed with an unfinished call; `received_bytes` counts
-    /// the bytes of the response's body.
-    async fn exchange(
-        &self,
-        request: &StoreRequest,
-        received_bytes: &Cell<usize>,
-    ) -> Result<StoreReply, RowStoreError> {
+    /// Sends a call, on a connection that is closed with an unfinished call, and waits for the head
+    /// of the response.
+    async fn exchange(&self, request: &StoreRequest) -> Result<OpenReply, RowStoreError> {
         loop {
             let mut connection = match self.pool.take(self.address, REUSE_IDLE_MAX, &[]) {
                 Some(connection) => connection,
@@ -77,18 +88,9 @@
                 SendOutcome::Lost(detail) => return Err(RowStoreError::AnswerLost { detail }),
             };
             let status = response.status().as_u16();
-            let mut incoming = response.into_body();
-            let mut body = BytesMut::new();
-            while let Some(frame) = incoming.frame().await {
-                let frame = frame
-                    .map_err(|error| RowStoreError::AnswerLost { detail: error.to_string() })?;
-                if let Ok(data) = frame.into_data() {
-                    body.extend_from_slice(&data);
-                    received_bytes.set(body.len());
-                }
-            }
-            self.pool.put(self.address, connection);
-            return Ok(StoreReply { status, body: body.freeze() });
+            let length = response.body().size_hint().exact();
+            let body = Transfer::new(BodyDataStream::new(response.into_body()));
+            return Ok(OpenReply { status, length, body, connection });
         }
     }
 
@@ -146,7 +148,7 @@
 #[async_trait(?Send)]
 impl Transport for HttpTransport {
     async fn call(&self, request: StoreRequest) -> Result<StoreReply, RowStoreError> {
-        let time_limit = request.wait + self.response_timeout.get().min(request.timeout);
+        let time_limit = self.time_limit(&request);
         self.call_within(request, time_limit).await
     }
 }
@@ -158,25 +160,20 @@
         time_limit: Duration,
     ) -> Result<StoreReply, RowStoreError> {
         let started_at = Instant::now();
-        self.metrics.store_calls.with_label_values(&[operation(&request.path)]).inc();
-        let received_bytes = Cell::new(0);
-        let exchange = self.exchange(&request, &received_bytes);
-        let result = timeout(time_limit, exchange).await.unwrap_or_else(|_| {
-            self.record_lost_response(request.timeout);
-            let detail = format!(
-                "no whole answer within {} ms, {} bytes of its body",
-                time_limit.as_millis(),
-                received_bytes.get()
-            );
-            Err(RowStoreError::AnswerLost { detail })
-        });
-        let taken = started_at.elapsed();
+        let result = self.open_within(&request, time_limit).await;
+        let result = match result {
+            Ok(OpenReply { status, body, connection, .. }) => match body.rest().await {
+                Ok(body) => {
+                    self.pool.put(self.address, connection);
+                    Ok(StoreReply { status, body })
+                }
+                Err(error) => Err(RowStoreError::AnswerLost { detail: error.to_string() }),
+            },
+            Err(error) => Err(error),
+        };
         // The duration of other calls includes the wait for a change.
         if request.wait.is_zero() {
-            self.metrics.store_seconds.observe(taken.as_secs_f64());
-            if result.is_ok() {
-                self.record_response_time(taken);
-            }
+            self.metrics.store_seconds.observe(started_at.elapsed().as_secs_f64());
         }
         if let Err(error) = &result {
             self.metrics.store_failures.inc();
@@ -184,4 +181,45 @@
         }
         result
     }
+
+    /// Sends a call and waits for the head of the response for at most `time_limit`.
+    async fn open_within(
+        &self,
+        request: &StoreRequest,
+        time_limit: Duration,
+    ) -> Result<OpenReply, RowStoreError> {
+        let started_at = Instant::now();
+        self.metrics.store_calls.with_label_values(&[operation(&request.path)]).inc();
+        let result = timeout(time_limit, self.exchange(request)).await.unwrap_or_else(|_| {
+            self.record_lost_response(request.timeout);
+            let detail = format!("no answer within {} ms", time_limit.as_millis());
+            Err(RowStoreError::AnswerLost { detail })
+        });
+        if request.wait.is_zero() && result.is_ok() {
+            self.record_response_time(started_at.elapsed());
+        }
+        result
+    }
+
+    fn time_limit(&self, request: &StoreRequest) -> Duration {
+        request.wait + self.response_timeout.get().min(request.timeout)
+    }
+
+    /// Sends a call and waits for the head of the response, whose body the caller reads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be reached or does not begin to answer in time.
+    pub async fn open(&self, request: &StoreRequest) -> Result<OpenReply, RowStoreError> {
+        let result = self.open_within(request, self.time_limit(request)).await;
+        if result.is_err() {
+            self.metrics.store_failures.inc();
+        }
+        result
+    }
+
+    /// Keeps the connection of a response whose body was read to its end.
+    pub fn reuse(&self, reply: OpenReply) {
+        self.pool.put(self.address, reply.connection);
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod request;
 pub mod settings;
+pub mod transfer;
 #[cfg(feature = "trial")]
 pub mod trial;
 pub mod version;
