--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -92,14 +92,8 @@
     /// Time from a request's arrival to its first event, in seconds; covers all event streams,
     /// although the help text mentions only turns.
     pub first_event_seconds: Histogram,
-    /// Version of the active configuration.
-    pub config_version: IntGauge,
-    /// Time since the configuration was last confirmed as current, in milliseconds; -1 if never.
-    pub config_age_ms: IntGauge,
-    /// Size of the active configuration, in bytes.
-    pub config_bytes: IntGauge,
-    /// Failed reads of changes of the platform's tables, by table.
-    pub changes_failed: IntCounterVec,
+    /// The active configuration.
+    pub config: ConfigMetrics,
     /// Connections of callers that were closed because they were idle for too long.
     pub callers_idle: IntCounter,
     /// Backend servers in the list.
@@ -126,6 +120,35 @@
     pub connections: IntGauge,
 }
 
+/// Metrics of the active configuration and of the reads that keep it current.
+#[derive(Debug, Clone)]
+pub struct ConfigMetrics {
+    /// Version.
+    pub version: IntGauge,
+    /// Time since it was last confirmed as current, in milliseconds; -1 if never.
+    pub age_ms: IntGauge,
+    /// Size, in bytes.
+    pub bytes: IntGauge,
+    /// Failed reads of changes of the platform's tables, by table.
+    pub changes_failed: IntCounterVec,
+}
+
+impl ConfigMetrics {
+    fn new(registry: &MetricRegistry) -> Self {
+        Self {
+            version: registry.gauge("config_version", "Configuration in force"),
+            age_ms: registry
+                .gauge("config_age_milliseconds", "Time since the configuration was proved new"),
+            bytes: registry.gauge("config_bytes", "Size of the configuration in force"),
+            changes_failed: registry.counter_vec(
+                "changes_failed_total",
+                "Failed reads of changes of the platform's tables, by table",
+                "table",
+            ),
+        }
+    }
+}
+
 impl FrontMetrics {
     /// Creates the metrics.
     ///
@@ -202,15 +225,7 @@
                 .histogram("added_seconds", "Time from a request's arrival to its first sending"),
             first_event_seconds: registry
                 .histogram("first_event_seconds", "Time from a turn's arrival to its first event"),
-            config_version: registry.gauge("config_version", "Configuration in force"),
-            config_age_ms: registry
-                .gauge("config_age_milliseconds", "Time since the configuration was proved new"),
-            config_bytes: registry.gauge("config_bytes", "Size of the configuration in force"),
-            changes_failed: registry.counter_vec(
-                "changes_failed_total",
-                "Failed reads of changes of the platform's tables, by table",
-                "table",
-            ),
+            config: ConfigMetrics::new(&registry),
             callers_idle: registry
                 .counter("callers_idle_total", "Connections closed after the idle time"),
             servers: registry.gauge("servers", "Backend servers in the list"),
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -346,7 +346,7 @@
 
     /// Updates the gauges of the configuration's age and of open requests and connections.
     pub fn update_gauges(&self) {
-        self.metrics.config_age_ms.set(self.config_age_ms());
+        self.metrics.config.age_ms.set(self.config_age_ms());
         self.metrics.requests.set(gauge_value(self.caller_requests.get()));
         self.metrics.connections.set(gauge_value(self.caller_connections.get()));
         let (servers, placement) = (self.servers.borrow(), self.placement.borrow());
--- a/crates/daemon/src/front/version/follow.rs
+++ b/crates/daemon/src/front/version/follow.rs
@@ -119,7 +119,7 @@
                 read_time.as_millis(),
             );
             if is_newer {
-                node.metrics.config_bytes.set(i64::try_from(value.len()).unwrap_or(i64::MAX));
+                node.metrics.config.bytes.set(i64::try_from(value.len()).unwrap_or(i64::MAX));
                 node.adopt_table(table);
             }
         }
@@ -227,7 +227,7 @@
             cursor.failures = 0;
         }
         Err(error) => {
-            node.metrics.changes_failed.with_label_values(&[table]).inc();
+            node.metrics.config.changes_failed.with_label_values(&[table]).inc();
             cursor.failures = cursor.failures.saturating_add(1);
             cursor.failing_since.get_or_insert(started_at);
             let event = if cursor.failures == 1 { "store_lost" } else { "store_still_lost" };
@@ -278,7 +278,7 @@
 impl FrontNode {
     /// Replaces the routing table with a newer one and updates the gauge of its version.
     fn adopt_table(&self, table: RoutingTable) {
-        self.metrics.config_version.set(i64::try_from(table.version()).unwrap_or(i64::MAX));
+        self.metrics.config.version.set(i64::try_from(table.version()).unwrap_or(i64::MAX));
         self.replace_table(Rc::new(table));
         self.note_cold_servers_of_list();
     }
