Apply changed limits to connections that are already waiting

A node took the idle time and the head time when it began to wait for a request, the length of heads once for a connection's life, and the length of a body when it began.

Now a connection follows the limits in force: idle and head time are measured from the same begin against the new limit, heads that have not begun are bounded by it, and bodies while they arrive. Connections are woken only when the limits differ from those before.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -3,12 +3,13 @@
 use std::future::poll_fn;
 use std::io;
 use std::os::fd::{AsFd as _, OwnedFd};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use dandelionfront_coordination::routing::CallerLimits;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::headers;
 use http::header::{CONTENT_LENGTH, EXPECT};
@@ -20,6 +21,7 @@
 use ntex::util::Either;
 use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::listener::{self, BodyError};
@@ -50,6 +52,8 @@
     pub io: Io,
     /// Codec of requests and responses.
     pub codec: Codec,
+    /// Maximum size of a request head that the codec accepts.
+    head_max_bytes: usize,
     /// Second descriptor of the socket, because `io` does not expose its own.
     socket: OwnedFd,
 }
@@ -58,7 +62,15 @@
     fn open(stream: TcpStream, head_max_bytes: usize) -> io::Result<Self> {
         let socket = stream.as_fd().try_clone_to_owned()?;
         let (io, codec) = listener::open(stream, head_max_bytes)?;
-        Ok(Self { io, codec, socket })
+        Ok(Self { io, codec, head_max_bytes, socket })
+    }
+
+    /// Sets the maximum size of request heads; must not be called while one is read.
+    fn set_head_limit(&mut self, head_max_bytes: usize) {
+        if self.head_max_bytes != head_max_bytes {
+            self.head_max_bytes = head_max_bytes;
+            self.codec = listener::codec(head_max_bytes);
+        }
     }
 
     /// Sets whether the system resets the connection when it is closed, as it is when the process
@@ -79,11 +91,11 @@
 
 /// Serves one connection until it is closed.
 async fn serve(node: Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
-    let connection = CallerConnection::open(stream, node.table().limits().header_max_bytes)?;
+    let mut connection = CallerConnection::open(stream, node.table().limits().header_max_bytes)?;
     let _open = node.caller_connections.track();
     let mut is_new = true;
     loop {
-        let request = next_request(&node, &connection, std::mem::take(&mut is_new)).await?;
+        let request = next_request(&node, &mut connection, std::mem::take(&mut is_new)).await?;
         let Some((head, payload)) = request else {
             return connection.io.shutdown().await;
         };
@@ -97,7 +109,7 @@
 /// must be closed.
 async fn next_request(
     node: &Rc<FrontNode>,
-    connection: &CallerConnection,
+    connection: &mut CallerConnection,
     is_new: bool,
 ) -> io::Result<Option<(Request, PayloadType)>> {
     match receive_head(node, connection, is_new).await {
@@ -134,62 +146,95 @@
     /// Its begin, but not the rest within the time limit.
     Partly(Duration),
     /// All of it, the end of the connection or a fault.
-    Completely(Result<Option<(Request, PayloadType)>, Either<DecodeError, io::Error>>),
+    Completely(ReceivedHead),
 }
 
+/// A complete request head, `None` at the end of the connection, or a fault.
+type ReceivedHead = Result<Option<(Request, PayloadType)>, Either<DecodeError, io::Error>>;
+
 /// Waits for a request head. Once its first byte has arrived, the connection is not idle: a
 /// stopping node does not close it, and the head must arrive within its own time limit. A new
-/// connection is not idle at once either.
+/// connection is not idle at once either. Changed limits apply to what has already been waited for,
+/// but the size of a head is limited as when it began.
 async fn receive_head(
     node: &Rc<FrontNode>,
-    connection: &CallerConnection,
+    connection: &mut CallerConnection,
     is_new: bool,
 ) -> HeadReceived {
-    let CallerConnection { io, codec, .. } = connection;
-    let limits = node.table().limits().clone();
-    let mut receiving = pin!(io.recv(codec));
-    let begin = poll_fn(|cx| {
-        // Checked first, because the decoder takes complete lines out of the buffer.
-        let has_begun = io.with_read_buf(|buffer| !buffer.is_empty());
-        match receiving.as_mut().poll(cx) {
-            Poll::Ready(received) => Poll::Ready(Some(received)),
-            Poll::Pending if has_begun => Poll::Ready(None),
-            Poll::Pending => Poll::Pending,
-        }
-    });
-    let idle_close = async {
+    let idle_since = Instant::now();
+    let mut limits = node.caller_limits();
+    let mut idle_close = pin!(async {
         node.stop.wait_for_idle_close().await;
         if is_new {
             tokio::time::sleep(FIRST_REQUEST_WAIT).await;
         }
-    };
-    let begin = tokio::select! {
-        biased;
-        begin = timeout(limits.idle_timeout, begin) => begin,
-        () = idle_close => return HeadReceived::Nothing,
-    };
-    match begin {
-        Err(_) => {
-            node.metrics.callers_idle.inc();
-            log::info!(
-                "event=caller_idle limit_ms={} version={}",
-                limits.idle_timeout.as_millis(),
-                node.table().version(),
-            );
-            HeadReceived::Nothing
+    });
+    loop {
+        let CallerLimits { idle_timeout, header_max_bytes, .. } = *limits.borrow_and_update();
+        connection.set_head_limit(header_max_bytes);
+        let CallerConnection { io, codec, .. } = &*connection;
+        let mut receiving = pin!(io.recv(codec));
+        let begin = poll_fn(|cx| {
+            // Checked first, because the decoder takes complete lines out of the buffer.
+            let has_begun = io.with_read_buf(|buffer| !buffer.is_empty());
+            match receiving.as_mut().poll(cx) {
+                Poll::Ready(received) => Poll::Ready(Some(received)),
+                Poll::Pending if has_begun => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            }
+        });
+        tokio::select! {
+            biased;
+            begin = begin => match begin {
+                Some(received) => return HeadReceived::Completely(received),
+                None => return receive_rest(node, receiving, limits).await,
+            },
+            () = wait_since(idle_since, idle_timeout) => {
+                node.metrics.callers_idle.inc();
+                log::info!(
+                    "event=caller_idle limit_ms={} version={}",
+                    idle_timeout.as_millis(),
+                    node.table().version(),
+                );
+                return HeadReceived::Nothing;
+            }
+            () = &mut idle_close => return HeadReceived::Nothing,
+            Ok(()) = limits.changed() => {}
         }
-        Ok(Some(received)) => HeadReceived::Completely(received),
-        Ok(None) => {
-            // Keeps a stopping node from ending the process.
-            let _busy = node.caller_requests.track();
-            match timeout(limits.header_timeout, receiving).await {
-                Ok(received) => HeadReceived::Completely(received),
-                Err(_) => HeadReceived::Partly(limits.header_timeout),
+    }
+}
+
+/// Waits for the rest of a request head.
+async fn receive_rest(
+    node: &FrontNode,
+    mut receiving: Pin<&mut impl Future<Output = ReceivedHead>>,
+    mut limits: watch::Receiver<CallerLimits>,
+) -> HeadReceived {
+    // Keeps a stopping node from ending the process.
+    let _busy = node.caller_requests.track();
+    let begun_at = Instant::now();
+    loop {
+        let header_timeout = limits.borrow_and_update().header_timeout;
+        tokio::select! {
+            biased;
+            received = &mut receiving => return HeadReceived::Completely(received),
+            () = wait_since(begun_at, header_timeout) => {
+                return HeadReceived::Partly(header_timeout);
             }
+            Ok(()) = limits.changed() => {}
         }
     }
 }
 
+/// Waits until `duration` has passed since `since`.
+async fn wait_since(since: Instant, duration: Duration) {
+    match since.checked_add(duration) {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        // Later than the clock can tell.
+        None => std::future::pending().await,
+    }
+}
+
 async fn refuse_and_close(
     node: &FrontNode,
     connection: &CallerConnection,
@@ -212,7 +257,7 @@
 ) -> io::Result<bool> {
     let arrived_at = Instant::now();
     let _busy = node.caller_requests.track();
-    let body_max_bytes = node.table().limits().body_max_bytes;
+    let body_max_bytes = || node.table().limits().body_max_bytes;
     match payload {
         PayloadType::None => handle_request(node, connection, head, Bytes::new(), arrived_at).await,
         // The body of such a request would end with the connection.
@@ -225,7 +270,7 @@
         PayloadType::Payload(decoder) => {
             let time_limit = time_limit(&head);
             let body =
-                timeout(time_limit, read_body(&connection.io, &decoder, &head, body_max_bytes))
+                timeout(time_limit, read_body(&connection.io, &decoder, &head, &body_max_bytes))
                     .await;
             let refusal = match body {
                 Ok(Ok(body)) => {
@@ -241,7 +286,7 @@
                 }
                 Ok(Err(BodyError::TooLong)) => Refusal::not_run(
                     RefusalKind::BodyTooLarge,
-                    format!("the body is over {body_max_bytes} bytes; send a smaller one"),
+                    format!("the body is over {} bytes; send a smaller one", body_max_bytes()),
                 ),
                 Ok(Err(BodyError::Malformed(error))) => Refusal::not_run(
                     RefusalKind::InvalidRequest,
@@ -269,11 +314,11 @@
     io: &Io,
     decoder: &PayloadDecoder,
     head: &Request,
-    max_bytes: usize,
+    max_bytes: &impl Fn() -> usize,
 ) -> Result<Bytes, BodyError> {
     let declared = head.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let declared_bytes: Option<usize> = declared.and_then(|value| value.parse().ok());
-    if declared_bytes.is_some_and(|bytes| bytes > max_bytes) {
+    if declared_bytes.is_some_and(|bytes| bytes > max_bytes()) {
         return Err(BodyError::TooLong);
     }
     if head.version() >= Version::HTTP_11 && head.headers().contains_key(EXPECT) {
--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -59,13 +59,23 @@
 ///
 /// Fails when the socket cannot be registered with the runtime.
 pub fn open(stream: TcpStream, head_max_bytes: usize) -> io::Result<(Io, Codec)> {
+    let config = http_config(head_max_bytes);
+    let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
+    Ok((io, Codec::new(0, config.get())))
+}
+
+/// Creates a codec of requests with heads of at most `head_max_bytes`, and of responses.
+#[must_use]
+pub fn codec(head_max_bytes: usize) -> Codec {
+    Codec::new(0, http_config(head_max_bytes).get())
+}
+
+fn http_config(head_max_bytes: usize) -> SharedCfg {
     let http = HttpServiceConfig::new()
         .set_keepalive(KeepAlive::Os)
         // The codec rejects a request once it has buffered this many bytes.
         .set_max_buf_size(head_max_bytes.saturating_add(1));
-    let config: SharedCfg = SharedCfg::new("HTTP").add(http).into();
-    let io = ntex::rt::from_tcp_stream(stream.into_std()?, config.clone())?;
-    Ok((io, Codec::new(0, config.get())))
+    SharedCfg::new("HTTP").add(http).into()
 }
 
 /// Failure to read a body.
@@ -79,7 +89,7 @@
     Connection(io::Error),
 }
 
-/// Reads a complete body of at most `max_bytes`.
+/// Reads a complete body of at most `max_bytes`, which may change while the body arrives.
 ///
 /// # Errors
 ///
@@ -87,12 +97,12 @@
 pub async fn read_body(
     io: &Io,
     decoder: &PayloadDecoder,
-    max_bytes: usize,
+    max_bytes: impl Fn() -> usize,
 ) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     loop {
         match io.recv(decoder).await {
-            Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max_bytes => {
+            Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max_bytes() => {
                 return Err(BodyError::TooLong);
             }
             Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -18,7 +18,7 @@
 use dandelionfront_coordination::placement::Placement;
 use dandelionfront_coordination::prompts::{SharedPart, SharedPrompts};
 use dandelionfront_coordination::request::PromptPart;
-use dandelionfront_coordination::routing::{RoutingTable, ServiceSpec, Team};
+use dandelionfront_coordination::routing::{CallerLimits, RoutingTable, ServiceSpec, Team};
 use dandelionfront_coordination::rows::SharedRowStore;
 use dandelionfront_coordination::servers::{ServerChange, ServerList};
 use dandelionfront_coordination::turns::{TurnRecord, Turns, store_retry_delay};
@@ -108,6 +108,8 @@
     /// Callers' requests in flight.
     pub caller_requests: ActiveCount,
     table: RefCell<Rc<RoutingTable>>,
+    /// Limits of callers' connections in the active routing table.
+    caller_limits: watch::Sender<CallerLimits>,
     freshness: RefCell<Freshness>,
     pauses: RefCell<PauseWatch>,
     /// Whether the list of backend servers was read at least once.
@@ -162,6 +164,7 @@
             caller_connections: ActiveCount::default(),
             caller_requests: ActiveCount::default(),
             table: RefCell::default(),
+            caller_limits: watch::Sender::default(),
             freshness: RefCell::new(Freshness::new(settings.key_withdrawal)),
             pauses: RefCell::default(),
             has_read_servers: Cell::new(false),
@@ -185,9 +188,20 @@
 
     /// Replaces the active routing table.
     pub fn replace_table(&self, table: Rc<RoutingTable>) {
+        self.caller_limits.send_if_modified(|limits| {
+            let is_changed = limits != table.limits();
+            limits.clone_from(table.limits());
+            is_changed
+        });
         self.table.replace(table);
     }
 
+    /// Returns the limits of callers' connections, which change with the routing table.
+    #[must_use]
+    pub fn caller_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.caller_limits.subscribe()
+    }
+
     /// Returns the time since the configuration was last confirmed as current, in milliseconds; -1 if
     /// it never was.
     #[must_use]
