Refuse routes without a key too while the configuration may have been replaced

Cause: only keys and routes that are not found were checked against the age of the configuration. While no call reaches the store, routes without a key are served as before, since callers gain nothing from a refusal.

--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -236,6 +236,17 @@
         Err(self.during_outage(Refusal::not_run(RefusalKind::ConfigStale, message)))
     }
 
+    /// Checks that the active configuration may be the newest one. A node that reaches the store, but
+    /// has not been told for long that it is, probably fails to read a newer one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store is reached, but the configuration was last confirmed as current too long
+    /// ago.
+    pub fn require_plausible_config(&self) -> Result<(), Refusal> {
+        if self.store_reachability.is_unreachable() { Ok(()) } else { self.require_fresh() }
+    }
+
     /// Adapts the retry delay of a refusal whose cause is the store to the length of the outage, if
     /// no node reaches the store; otherwise, the caller may retry at another node.
     #[must_use]
@@ -346,6 +357,7 @@
             && self.has_read_members()
             && !self.stop.is_stopping()
             && !self.store_reachability.is_isolated()
+            && self.require_plausible_config().is_ok()
     }
 
     /// Records that the list of backend servers was read by a call that began at `requested_at`, and
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -441,6 +441,7 @@
 ) -> Result<Route, Refusal> {
     let host = request.head.headers().get(header::HOST).and_then(|value| value.to_str().ok());
     if let Some(route) = table.route(host.unwrap_or_default(), request.head.path()) {
+        node.require_plausible_config()?;
         return Ok(route.clone());
     }
     // A newer configuration may have the route, so it is reported as unknown only if the active
