Refuse keys while the newest configuration cannot be read

Now the older version is kept but not confirmed until a sound one is read: requests are refused as config_stale after 4.5 s, as when the store cannot be asked.

--- a/crates/daemon/src/front/version/follow.rs
+++ b/crates/daemon/src/front/version/follow.rs
@@ -62,6 +62,7 @@
 pub async fn follow_config(node: Rc<FrontNode>) {
     let mut cursor = Cursor::default();
     let mut last_read_at = None;
+    let mut is_newest_readable = true;
     loop {
         let requested_at = node.clock.boot_now();
         // After a failure, the call does not wait, so that its response confirms at once that the
@@ -76,9 +77,12 @@
                 node.peers.note_zone_states(&node, &states, since_read);
                 let (Update::Snapshot(rows) | Update::Changes(rows)) = update;
                 for row in rows.iter().filter(|row| row.key == CONFIG_KEY) {
-                    adopt_config(&node, row, now.saturating_sub(requested_at));
+                    is_newest_readable = adopt_config(&node, row, now.saturating_sub(requested_at));
+                }
+                // A configuration that cannot be read may withdraw keys.
+                if is_newest_readable {
+                    node.confirm_config(requested_at);
                 }
-                node.confirm_config(requested_at);
             }
             Ok(None) => {
                 log::warn!("event=stale_answer table={OPERATOR_TABLE}");
@@ -104,9 +108,9 @@
 }
 
 /// Adopts the configuration in `row` if it is newer; `read_time` is the duration of the read, with
-/// the wait for the change.
-fn adopt_config(node: &FrontNode, row: &RowChange, read_time: Duration) {
-    let Some(value) = &row.value else { return };
+/// the wait for the change. Returns whether it could be read; a removed one changes nothing.
+fn adopt_config(node: &FrontNode, row: &RowChange, read_time: Duration) -> bool {
+    let Some(value) = &row.value else { return row.is_removed };
     match config::decode(value) {
         Ok(table) => {
             let (version, known) = (table.version(), node.table().version());
@@ -122,6 +126,7 @@
                 node.metrics.config.bytes.set(i64::try_from(value.len()).unwrap_or(i64::MAX));
                 node.adopt_table(table);
             }
+            true
         }
         Err(error) => {
             log::error!(
@@ -129,6 +134,7 @@
                 row.version,
                 node.table().version(),
             );
+            false
         }
     }
 }
--- a/crates/daemon/tests/stale_configs.rs
+++ b/crates/daemon/tests/stale_configs.rs
@@ -71,3 +71,23 @@
     assert_eq!(send_open(&site).await.status, 200);
     assert!(is_ready(&site).await);
 }
+
+/// Guards against keys that stay valid because the configuration that withdraws them is malformed.
+#[ntex::test]
+async fn keys_are_refused_while_the_newest_configuration_is_malformed() {
+    let site = Site::start(1).await;
+    let mut malformed = config(5);
+    malformed["tenants"] = json!([]);
+    malformed["routes"] = json!("none");
+    site.publish(malformed).await;
+    eventually("requests with a key are refused", async || {
+        let reply = site.send(0, &Call::default()).await.ok()?;
+        (reply.status == 503 && reply.kind() == "config_stale").then_some(())
+    })
+    .await;
+    site.publish(config(7)).await;
+    eventually("requests with a key are served", async || {
+        (site.send(0, &Call::default()).await.ok()?.status == 200).then_some(())
+    })
+    .await;
+}
