Bound answers of engines, services, the platform and other nodes on the own interface

Answers of backend servers are now at most 4 MiB, and what is too long ends with an unknown outcome. Answers of the platform and of other nodes are at most 32 MiB; the platform's are bounded by progress instead of one time limit for the whole, which is the cause of the incident in another place (from reading, no test of it).

Both tests of endless_backends failed before and pass now; backend_exchanges and config pass.

--- a/crates/daemon/src/backend/engine.rs
+++ b/crates/daemon/src/backend/engine.rs
@@ -16,7 +16,10 @@
 use super::chat::CompletionAssembler;
 use super::{BackendAnswer, BackendError};
 use crate::connection::exchange::{self, ExchangeError};
-use crate::consts::{DEADLINE_HEADER, JSON, PRIORITY_HEADER, PROGRAM_ID_HEADER, REQUEST_ID_HEADER};
+use crate::consts::{
+    BACKEND_ANSWER_MAX_BYTES, DEADLINE_HEADER, JSON, PRIORITY_HEADER, PROGRAM_ID_HEADER,
+    REQUEST_ID_HEADER,
+};
 
 /// Data of the last event of a stream.
 const DONE: &[u8] = b"[DONE]";
@@ -179,6 +182,8 @@
 struct StreamState<'a> {
     assembler: CompletionAssembler,
     chunks: u64,
+    /// Size of the chunks.
+    received_bytes: usize,
     /// Whether each chunk had its number as its id, as needed to resume the stream.
     is_numbered: bool,
     /// Whether the next chunk must have an id, because it is the first one of a resumed stream.
@@ -199,6 +204,10 @@
             id => self.is_numbered &= id.is_some(),
         }
         self.must_be_numbered = false;
+        self.received_bytes += event.data.len();
+        if self.received_bytes > BACKEND_ANSWER_MAX_BYTES {
+            return Err(lost("sent a completion that is too long"));
+        }
         let data = std::str::from_utf8(&event.data).unwrap_or_default();
         let added = self.assembler.add(data);
         added.map_err(|_| lost("sent a part that is no chunk of the completion"))?;
@@ -229,6 +238,7 @@
         let mut state = StreamState {
             assembler: CompletionAssembler::default(),
             chunks: 0,
+            received_bytes: 0,
             is_numbered: true,
             must_be_numbered: false,
             sink,
--- a/crates/daemon/src/backend/service.rs
+++ b/crates/daemon/src/backend/service.rs
@@ -7,13 +7,14 @@
 use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind, Usage};
 use http::header::CONTENT_TYPE;
 use http::{Method, Request};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use ntex::time::timeout;
 
 use super::{BackendAnswer, BackendError};
 use crate::connection::exchange::{self, ExchangeError};
 use crate::consts::{
-    DEADLINE_HEADER, FENCING_NUMBER_HEADER, IDEMPOTENCY_KEY_HEADER, PROGRAM_ID_HEADER,
+    BACKEND_ANSWER_MAX_BYTES, DEADLINE_HEADER, FENCING_NUMBER_HEADER, IDEMPOTENCY_KEY_HEADER,
+    PROGRAM_ID_HEADER,
 };
 
 /// A call to a plain service.
@@ -82,7 +83,11 @@
         let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
         let status = response.status().as_u16();
         let is_unframed = exchange::is_unframed(&response);
-        let body = response.into_body().collect().await.map_err(|_| lost("cut its answer"))?;
+        let body = Limited::new(response.into_body(), BACKEND_ANSWER_MAX_BYTES).collect().await;
+        let body = body.map_err(|error| match error.downcast::<LengthLimitError>() {
+            Ok(_) => lost("sent an answer that is too long"),
+            Err(_) => lost("cut its answer"),
+        })?;
         // The kernel closes the connections of a killed process in order.
         if is_unframed && exchange::has_ended(&self.address).await {
             return Err(lost("ended during its answer"));
--- a/crates/daemon/src/connection/forward.rs
+++ b/crates/daemon/src/connection/forward.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::clients::proves_not_sent;
-use crate::consts::JSON;
+use crate::consts::{INTERNAL_ANSWER_MAX_BYTES, JSON};
 
 /// Path of forwarded calls.
 pub const CALL_PATH: &str = "/v1/forward/calls";
@@ -144,7 +144,7 @@
     response: &ntex::client::ClientResponse,
     response_timeout: Duration,
 ) -> Result<T, ForwardError> {
-    match timeout(response_timeout, response.body().limit(usize::MAX)).await {
+    match timeout(response_timeout, response.body().limit(INTERNAL_ANSWER_MAX_BYTES)).await {
         Ok(Ok(bytes)) => serde_json::from_slice(&bytes).map_err(|_| ForwardError::Lost),
         _ => Err(ForwardError::Lost),
     }
--- a/crates/daemon/src/consts.rs
+++ b/crates/daemon/src/consts.rs
@@ -17,6 +17,11 @@
 /// Header with the time that the node waits for the backend server, in milliseconds.
 pub const DEADLINE_HEADER: &str = "deadline-ms";
 
+/// Maximum size of the answer of a model engine or a plain service, which is kept until its end.
+pub const BACKEND_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of an answer of the platform or of another node.
+pub const INTERNAL_ANSWER_MAX_BYTES: usize = 32 * 1024 * 1024;
+
 /// Content type of server-sent events.
 pub const EVENT_STREAM: &str = "text/event-stream";
 /// Content type of JSON bodies.
--- a/crates/daemon/src/process/platform.rs
+++ b/crates/daemon/src/process/platform.rs
@@ -15,6 +15,8 @@
 
 use super::metrics::Metrics;
 use crate::connection::clients::proves_not_sent;
+use crate::consts::INTERNAL_ANSWER_MAX_BYTES;
+use crate::transfer::Transfer;
 
 /// Platform services that are called over HTTP.
 #[derive(Debug, Clone)]
@@ -45,12 +47,8 @@
     }
 
     async fn body(&self, response: &ClientResponse) -> PlatformResult<Vec<u8>> {
-        let lost = |detail: String| PlatformError::AnswerLost { detail };
-        match timeout(self.timeout, response.body().limit(usize::MAX)).await {
-            Ok(Ok(bytes)) => Ok(bytes.to_vec()),
-            Ok(Err(error)) => Err(lost(error.to_string())),
-            Err(()) => Err(lost("no complete answer in time".to_owned())),
-        }
+        let body = Transfer::new(response.take_payload(), INTERNAL_ANSWER_MAX_BYTES).rest().await;
+        body.map(Vec::from).map_err(|error| PlatformError::AnswerLost { detail: error.to_string() })
     }
 
     async fn json<T: DeserializeOwned>(
--- a/crates/standins/src/site/faulty.rs
+++ b/crates/standins/src/site/faulty.rs
@@ -18,6 +18,11 @@
 /// Size of each write of an endless answer.
 const WRITE_BYTES: usize = 16 * 1024;
 
+/// Event with a chunk of a chat completion.
+const COMPLETION_CHUNK: &str = "data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\
+                                \"created\":1,\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":\
+                                {\"content\":\"more more more more more more more more\"}}]}\n\n";
+
 /// What the stand-in answers to each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultyAnswer {
@@ -49,6 +54,8 @@
     TrickledEvent,
     /// The head of an event stream and well-formed events without end.
     EndlessEvents,
+    /// The head of an event stream and well-formed chunks of a chat completion without end.
+    EndlessCompletion,
 }
 
 /// The faulty backend server stand-in.
@@ -129,6 +136,7 @@
                 (format!("{stream}id: 1\ndata: "), "more ")
             }
             FaultyAnswer::EndlessComments => (stream, ": more\n\n"),
+            FaultyAnswer::EndlessCompletion => (stream, COMPLETION_CHUNK),
             FaultyAnswer::EndlessEvents => return self.write_events(connection, &stream),
         };
         let mut writer = connection;
