--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -25,9 +25,10 @@
 /// Maximum size of a response's body, several times that of the largest configuration.
 const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
 
-/// Lower bound of the time until a response begins; several times the store's response time under low load.
+/// Lower bound of the time limit until a response begins; several times the store's response time
+/// under low load.
 const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(120);
-/// Response timeout as a multiple of the measured response time.
+/// Time limit as a multiple of the measured time until a response begins.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 5;
 /// Divisor of the difference between the timeout and a lower target; each response lowers the
 /// timeout by the quotient.
