Give answers of the platform as long for each progress as one call had for the whole

The bound by progress gave the body of an answer 500 ms for its first part on the own interface too, where a call has 2 s (platform_timeout).

--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -25,6 +25,9 @@
 /// Maximum size of a response's body, several times that of the largest configuration.
 const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
 
+/// Waiting time for the first part of a response's body, whose begin arrives with its head.
+const BODY_WINDOW: Duration = Duration::from_millis(500);
+
 /// Lower bound of the time limit until a response begins; several times the store's response time
 /// under low load.
 const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(120);
@@ -93,7 +96,8 @@
             };
             let status = response.status().as_u16();
             let length = response.body().size_hint().exact();
-            let body = Transfer::new(BodyDataStream::new(response.into_body()), BODY_MAX_BYTES);
+            let body = BodyDataStream::new(response.into_body());
+            let body = Transfer::new(body, BODY_MAX_BYTES, BODY_WINDOW);
             return Ok(OpenReply { status, length, body, connection });
         }
     }
--- a/crates/daemon/src/process/platform.rs
+++ b/crates/daemon/src/process/platform.rs
@@ -47,7 +47,8 @@
     }
 
     async fn body(&self, response: &ClientResponse) -> PlatformResult<Vec<u8>> {
-        let body = Transfer::new(response.take_payload(), INTERNAL_ANSWER_MAX_BYTES).rest().await;
+        let parts = response.take_payload();
+        let body = Transfer::new(parts, INTERNAL_ANSWER_MAX_BYTES, self.timeout).rest().await;
         body.map(Vec::from).map_err(|error| PlatformError::AnswerLost { detail: error.to_string() })
     }
 
--- a/crates/daemon/src/transfer.rs
+++ b/crates/daemon/src/transfer.rs
@@ -11,10 +11,7 @@
 use snafu::Snafu;
 use tokio::time::timeout;
 
-/// Waiting time within which a transfer must first bring [`PROGRESS_MIN_BYTES`] or end; the begin of
-/// a body arrives with its head.
-const FIRST_WINDOW: Duration = Duration::from_millis(500);
-/// Waiting time within which it must do so from then on.
+/// Least waiting time within which a transfer that has made progress must make more of it.
 const PROGRESS_WINDOW: Duration = Duration::from_secs(1);
 /// Bytes that count as progress; even a slow link brings more.
 const PROGRESS_MIN_BYTES: usize = 16 * 1024;
@@ -50,6 +47,8 @@
     parts: S,
     max_bytes: usize,
     received_bytes: usize,
+    /// Waiting time for each progress after the first.
+    window: Duration,
     /// Bytes since the last progress.
     window_bytes: usize,
     /// Time left to wait for the next progress.
@@ -62,10 +61,18 @@
     D: AsRef<[u8]>,
     E: Display,
 {
-    /// Begins to receive a body of at most `max_bytes`.
+    /// Begins to receive a body of at most `max_bytes`, which must bring [`PROGRESS_MIN_BYTES`] or end
+    /// within a waiting time of `first_window`, and then again and again.
     #[must_use]
-    pub fn new(parts: S, max_bytes: usize) -> Self {
-        Self { parts, max_bytes, received_bytes: 0, window_bytes: 0, window_left: FIRST_WINDOW }
+    pub fn new(parts: S, max_bytes: usize, first_window: Duration) -> Self {
+        Self {
+            parts,
+            max_bytes,
+            received_bytes: 0,
+            window: first_window.max(PROGRESS_WINDOW),
+            window_bytes: 0,
+            window_left: first_window,
+        }
     }
 
     /// Receives the next part; returns `None` at the end of the body.
@@ -93,7 +100,7 @@
         self.window_bytes += bytes;
         if self.window_bytes >= PROGRESS_MIN_BYTES {
             self.window_bytes = 0;
-            self.window_left = PROGRESS_WINDOW;
+            self.window_left = self.window;
         } else {
             self.window_left = self.window_left.saturating_sub(waiting_since.elapsed());
         }
