--- a/crates/daemon/tests/support/fleet.rs
+++ b/crates/daemon/tests/support/fleet.rs
@@ -21,6 +21,8 @@
     pub nodes: usize,
     pub engines: usize,
     pub node_args: Vec<String>,
+    /// Environment variables of the nodes.
+    pub node_environment: Vec<(&'static str, String)>,
     pub engine_args: Vec<String>,
     pub service_args: Vec<String>,
 }
@@ -31,6 +33,7 @@
             nodes: 2,
             engines: 1,
             node_args: Vec::new(),
+            node_environment: Vec::new(),
             engine_args: Vec::new(),
             service_args: Vec::new(),
         }
@@ -54,6 +57,7 @@
     pub service: (ChildProcess, String),
     pub nodes: Vec<Node>,
     node_args: Vec<String>,
+    node_environment: Vec<(&'static str, String)>,
 }
 
 fn strings(args: &[&str]) -> Vec<String> {
@@ -81,6 +85,7 @@
             service,
             nodes: Vec::new(),
             node_args: options.node_args,
+            node_environment: options.node_environment,
         };
         for _ in 0..options.nodes {
             fleet.add_node();
@@ -153,7 +158,9 @@
         ]);
         args.push(format!("http://{platform}"));
         args.extend(self.node_args.iter().cloned());
-        let process = ChildProcess::daemon(&args, environment);
+        let own = self.node_environment.iter().map(|(name, value)| (*name, value.as_str()));
+        let environment: Vec<(&str, &str)> = own.chain(environment.iter().copied()).collect();
+        let process = ChildProcess::daemon(&args, &environment);
         let started = process.wait_for("event=started");
         Node {
             listen: value(&started, "listen"),
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -67,6 +67,15 @@
         Self::spawn(&build.program(), args, &[])
     }
 
+    /// Starts the daemon with at most `descriptors_max` open descriptors.
+    pub fn daemon_within(descriptors_max: u64, args: &[String]) -> Self {
+        let limit = format!("ulimit -n {descriptors_max} && exec \"$0\" \"$@\"");
+        let mut limited = vec!["-c".to_owned(), limit];
+        limited.push(Build::Current.program().display().to_string());
+        limited.extend_from_slice(args);
+        Self::spawn(Path::new("sh"), &limited, &[])
+    }
+
     /// Starts a stand-in, one of the examples of the package `dandelionfront-standins`.
     pub fn standin(name: &str, args: &[String]) -> Self {
         let daemon = Path::new(env!("CARGO_BIN_EXE_dandelionfront"));
--- a/crates/daemon/tests/support/site.rs
+++ b/crates/daemon/tests/support/site.rs
@@ -119,6 +119,30 @@
     pub address: String,
 }
 
+/// Limits in the settings of a node's process.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessLimits {
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Open descriptors, which the system enforces; `None` without a limit of their own.
+    pub descriptors_max: Option<u64>,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> Self {
+        Self { memory_mb: 100, descriptors_max: None }
+    }
+}
+
+impl ProcessLimits {
+    /// Returns the section of the settings file.
+    fn section(&self) -> String {
+        let memory = format!("[limits]\nmemoryMb = {}\n", self.memory_mb);
+        let descriptors = self.descriptors_max.map(|max| format!("maxFds = {max}\n"));
+        memory + &descriptors.unwrap_or_default()
+    }
+}
+
 /// The store, backend servers and nodes of a test.
 pub struct Site {
     pub http: Http,
@@ -303,25 +327,38 @@
 
     /// Adds a node of each of `builds`, like [`Self::add_nodes_with_store`].
     pub fn add_nodes_of(&mut self, builds: &[Build], store: &str) {
-        let nodes = builds.iter().map(|build| Self::start_node(*build, store));
+        let start = |build| Self::start_node(build, store, ProcessLimits::default());
+        let nodes = builds.iter().map(|build| start(*build));
         for mut node in nodes.collect::<Vec<_>>() {
             while !node.wait_until_bound() {
-                node = Self::start_node(node.build, store);
+                node = start(node.build);
             }
             self.nodes.push(node);
         }
     }
 
-    fn start_node(build: Build, store: &str) -> SiteNode {
+    /// Adds a node of the current build whose process has the given limits.
+    pub fn add_limited_node(&mut self, limits: ProcessLimits) {
+        loop {
+            let node = Self::start_node(Build::Current, &self.store, limits);
+            if node.wait_until_bound() {
+                self.nodes.push(node);
+                return;
+            }
+        }
+    }
+
+    fn start_node(build: Build, store: &str, limits: ProcessLimits) -> SiteNode {
         let (listen, ready, metrics) = (free_address(), free_address(), free_address());
         let peer_port = free_address().port();
         let settings = format!(
             "nodeName = \"node\"\nip = \"127.0.0.1\"\nzone = \"zone-a\"\n\
              portRange = [{peer_port},{peer_port}]\nheartbeatMs = 500\n\
              [listen]\nfront = \"{listen}\"\nready = \"{ready}\"\n\
-             [limits]\nmemoryMb = 100\n\
+             {}\
              [bounds]\ndrainMs = 2000\ngraceS = 8\nrevokeMs = 5000\nevacuateMs = 5000\nquotaWindowS = 5\nquotaOverrun = 0.1\n\
              [provider]\naddress = \"{store}\"\n",
+            limits.section(),
         );
         // Two tests may be given the same free port, so it doesn't identify a node.
         let number = SETTINGS_FILES.fetch_add(1, Ordering::Relaxed);
@@ -331,7 +368,10 @@
         let args = ["front", "--settings", &path.display().to_string(), "--metrics-port"];
         let mut args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
         args.push(metrics.port().to_string());
-        let process = ChildProcess::daemon_of(build, &args);
+        let process = match limits.descriptors_max {
+            Some(max) => ChildProcess::daemon_within(max, &args),
+            None => ChildProcess::daemon_of(build, &args),
+        };
         SiteNode {
             process,
             build,
