Share the buffers of callers' connections instead of leaving one behind for each

What callers saw: nothing until the process ran out of memory. Each connection that had ever been open left about 20 KB behind: 9,600 short connections grew a node to 193 MB (64 MB allowed).

Cause: every connection made an HTTP configuration of its own. The I/O library numbers configurations and keeps free read buffers, and a missing I/O configuration, by that number for as long as the thread lives; a buffer that a connection had given back was never used again.

Change: connections with the same limit on heads share a configuration, which includes the I/O configuration.

Ruled out: fragmentation (the growth is linear in connections, whatever they send).

--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -1,5 +1,7 @@
 //! Accepting connections, reading bodies and sending short responses, for all listeners of a node.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::fmt::Display;
 use std::io;
 use std::time::Duration;
@@ -12,7 +14,7 @@
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem};
 use ntex::http::header::{CONTENT_TYPE, HeaderValue};
 use ntex::http::{HttpServiceConfig, KeepAlive, Response, StatusCode};
-use ntex::io::Io;
+use ntex::io::{Io, IoConfig};
 use ntex::util::Either;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -70,12 +72,22 @@
     Codec::new(0, http_config(head_max_bytes).get())
 }
 
+thread_local! {
+    /// Configurations by the maximum size of a head. The connections of each share free buffers,
+    /// which are kept for as long as the thread lives.
+    static HTTP_CONFIGS: RefCell<HashMap<usize, SharedCfg>> = RefCell::default();
+}
+
 fn http_config(head_max_bytes: usize) -> SharedCfg {
-    let http = HttpServiceConfig::new()
-        .set_keepalive(KeepAlive::Os)
-        // The codec rejects a request once it has buffered this many bytes.
-        .set_max_buf_size(head_max_bytes.saturating_add(1));
-    SharedCfg::new("HTTP").add(http).into()
+    let create = || {
+        let http = HttpServiceConfig::new()
+            .set_keepalive(KeepAlive::Os)
+            // The codec rejects a request once it has buffered this many bytes.
+            .set_max_buf_size(head_max_bytes.saturating_add(1));
+        SharedCfg::new("HTTP").add(IoConfig::new()).add(http).into()
+    };
+    HTTP_CONFIGS
+        .with_borrow_mut(|configs| configs.entry(head_max_bytes).or_insert_with(create).clone())
 }
 
 /// Failure to read a body.
