Keep one account of what callers make a node hold

What callers saw: a node that a crowd of large requests met ended, out of memory, or answered nobody: with all descriptors taken by stalled bodies, an ordinary request waited for the 30 s after which these time out.

Cause: each body, head and answer had a limit of its own; nothing bounded all of them together, and nothing bounded connections but the failure of accept.

Change: an account (coordination::holdings) of connections and of the memory of their requests, bound to the memory and descriptors of the settings. A request may hold as much as stays free beside it, so that small requests find room and a single one may take half. If one needs more, requests that are still arriving give up theirs: stalled ones first, the largest before the others, then those that hold more than it needs. They are refused with 503, which promises that they have not run, or closed before their head was read. A new connection takes the place of the one that has not moved for longest. Requests that are being served keep their room; answers are passed on in smaller parts when it is short. Counted are heads, bodies by the memory that they take, prompts and outputs of turns, and answers that are buffered.

Ruled out: a shorter time limit for bodies (slow callers inside the limits, and a crowd that comes back).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod freshness;
 pub mod heartbeat;
 pub mod history;
+pub mod holdings;
 pub mod ids;
 pub mod incarnation;
 pub mod journal;
--- a/crates/coordination/src/refusal.rs
+++ b/crates/coordination/src/refusal.rs
@@ -78,6 +78,8 @@
     ConfigStale,
     /// The node stops before the request's deadline.
     Stopping,
+    /// The process holds too much for other callers.
+    Overloaded,
 }
 
 /// Row of the refusal table: kind, label, HTTP status and default retry delay in milliseconds.
@@ -113,6 +115,7 @@
     RefusalRow(RefusalKind::NotReady, "not_ready", 503, Some(1_000)),
     RefusalRow(RefusalKind::ConfigStale, "config_stale", 503, Some(500)),
     RefusalRow(RefusalKind::Stopping, "stopping", 503, Some(100)),
+    RefusalRow(RefusalKind::Overloaded, "overloaded", 503, Some(500)),
 ];
 
 impl RefusalKind {
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use dandelionfront_coordination::holdings::{Holding, HoldingError, REQUEST_BYTES, Stage};
 use dandelionfront_coordination::routing::CallerLimits;
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::headers;
@@ -18,18 +19,21 @@
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, PayloadDecoder, PayloadType};
 use ntex::io::{Io, IoStatusUpdate};
-use ntex::util::Either;
+use ntex::util::BytesMut;
 use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::timeout;
 
-use super::listener::{self, BodyError};
+use super::listener::{self, BodyError, ReceiveError};
 use super::responder::Responder;
 use crate::consts::TIME_LIMIT_DEFAULT;
 use crate::front::process::FrontNode;
 use crate::front::request;
 
+/// Memory that a head takes at most, as a multiple of its size: its fields are kept in the pages in
+/// which they arrived, and an incomplete one is moved to larger pages.
+const HEAD_MEMORY_FACTOR: u64 = 3;
+
 /// Time for which a stopping node waits for the first request of a new connection, whose caller did
 /// not know of the stop.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
@@ -43,6 +47,8 @@
     pub body: Bytes,
     /// Time at which the head was read.
     pub arrived_at: Instant,
+    /// What the request makes the process hold.
+    pub holding: Rc<Holding>,
 }
 
 /// An open connection from a caller.
@@ -56,13 +62,22 @@
     head_max_bytes: usize,
     /// Second descriptor of the socket, because `io` does not expose its own.
     socket: OwnedFd,
+    /// What the connection makes the process hold.
+    pub holding: Rc<Holding>,
 }
 
 impl CallerConnection {
-    fn open(stream: TcpStream, head_max_bytes: usize) -> io::Result<Self> {
+    fn open(stream: TcpStream, head_max_bytes: usize, holding: Holding) -> io::Result<Self> {
         let socket = stream.as_fd().try_clone_to_owned()?;
         let (io, codec) = listener::open(stream, head_max_bytes)?;
-        Ok(Self { io, codec, head_max_bytes, socket })
+        Ok(Self { io, codec, head_max_bytes, socket, holding: Rc::new(holding) })
+    }
+
+    /// Records that `arrived_bytes` of a request head have arrived.
+    fn hold_head(&self, arrived_bytes: usize) -> Result<(), HoldingError> {
+        let now = Instant::now();
+        self.holding.set_stage(Stage::Arriving, now)?;
+        self.holding.hold(head_memory_bytes(arrived_bytes), now)
     }
 
     /// Sets the maximum size of request heads; must not be called while one is read.
@@ -73,6 +88,13 @@
         }
     }
 
+    /// Frees what has arrived of a head that is refused.
+    fn free_head(&mut self) {
+        self.codec = listener::codec(self.head_max_bytes);
+        self.io.with_read_buf(BytesMut::clear);
+        self.holding.release(u64::MAX, Instant::now());
+    }
+
     /// Sets whether the system resets the connection when it is closed, as it is when the process
     /// is killed, or sends what is left and closes in order.
     ///
@@ -84,6 +106,11 @@
     }
 }
 
+/// Returns the memory of a request of which a head of `head_bytes` has arrived, in bytes.
+fn head_memory_bytes(head_bytes: usize) -> u64 {
+    REQUEST_BYTES + HEAD_MEMORY_FACTOR * head_bytes as u64
+}
+
 /// Accepts connections from callers until the process ends.
 pub async fn accept(node: Rc<FrontNode>, listener: TcpListener) {
     listener::accept("callers", listener, |stream| serve(Rc::clone(&node), stream)).await;
@@ -91,7 +118,16 @@
 
 /// Serves one connection until it is closed.
 async fn serve(node: Rc<FrontNode>, stream: TcpStream) -> io::Result<()> {
-    let mut connection = CallerConnection::open(stream, node.table().limits().header_max_bytes)?;
+    let holding = match node.holdings.open(Instant::now()) {
+        Ok(holding) => holding,
+        Err(error) => {
+            // Closed without reading anything, which tells the caller that no request has run.
+            node.metrics.holdings.displaced.inc();
+            return Err(io::Error::other(error.to_string()));
+        }
+    };
+    let head_max_bytes = node.table().limits().header_max_bytes;
+    let mut connection = CallerConnection::open(stream, head_max_bytes, holding)?;
     let _open = node.caller_connections.track();
     let mut is_new = true;
     loop {
@@ -102,6 +138,12 @@
         if !serve_request(&node, &connection, head, payload).await? {
             return connection.io.shutdown().await;
         }
+        let now = Instant::now();
+        let is_kept = connection.holding.hold(0, now).is_ok()
+            && connection.holding.set_stage(Stage::Idle, now).is_ok();
+        if !is_kept {
+            return connection.io.shutdown().await;
+        }
     }
 }
 
@@ -114,6 +156,12 @@
 ) -> io::Result<Option<(Request, PayloadType)>> {
     match receive_head(node, connection, is_new).await {
         HeadReceived::Nothing | HeadReceived::Completely(Ok(None)) => Ok(None),
+        HeadReceived::Displaced => {
+            node.metrics.holdings.displaced.inc();
+            // Frees what has arrived at once; an orderly end would wait for the caller.
+            connection.io.terminate();
+            Ok(None)
+        }
         HeadReceived::Partly(time_limit) => {
             let message = format!(
                 "the request head did not arrive within {} ms; send it faster",
@@ -124,8 +172,16 @@
             Ok(None)
         }
         HeadReceived::Completely(Ok(Some(item))) => Ok(Some(item)),
-        HeadReceived::Completely(Err(Either::Right(error))) => Err(error),
-        HeadReceived::Completely(Err(Either::Left(error))) => {
+        HeadReceived::Completely(Err(ReceiveError::Connection(error))) => Err(error),
+        HeadReceived::Completely(Err(ReceiveError::Stopped(error))) => {
+            node.metrics.holdings.displaced.inc();
+            connection.free_head();
+            refuse_and_close(node, connection, &error.refusal()).await?;
+            listener::discard_input(&connection.io).await;
+            connection.io.terminate();
+            Ok(None)
+        }
+        HeadReceived::Completely(Err(ReceiveError::Malformed(error))) => {
             let kind = match error {
                 DecodeError::TooLarge(_) | DecodeError::MaxHeaders => RefusalKind::HeadTooLarge,
                 _ => RefusalKind::InvalidRequest,
@@ -145,12 +201,23 @@
     Nothing,
     /// Its begin, but not the rest within the time limit.
     Partly(Duration),
+    /// Nothing or its begin; the connection was closed for the sake of others.
+    Displaced,
     /// All of it, the end of the connection or a fault.
     Completely(ReceivedHead),
 }
 
 /// A complete request head, `None` at the end of the connection, or a fault.
-type ReceivedHead = Result<Option<(Request, PayloadType)>, Either<DecodeError, io::Error>>;
+type ReceivedHead = Result<Option<(Request, PayloadType)>, ReceiveError<HoldingError>>;
+
+/// Receives a request head, and records what has arrived of it.
+async fn recv_head(connection: &CallerConnection) -> ReceivedHead {
+    let CallerConnection { io, codec, .. } = connection;
+    let received = listener::receive(io, codec, |bytes| connection.hold_head(bytes)).await?;
+    let Some((item, head_bytes)) = received else { return Ok(None) };
+    connection.hold_head(head_bytes).map_err(ReceiveError::Stopped)?;
+    Ok(Some(item))
+}
 
 /// Waits for a request head. Once its first byte has arrived, the connection is not idle: a
 /// stopping node does not close it, and the head must arrive within its own time limit. A new
@@ -172,8 +239,8 @@
     loop {
         let CallerLimits { idle_timeout, header_max_bytes, .. } = *limits.borrow_and_update();
         connection.set_head_limit(header_max_bytes);
-        let CallerConnection { io, codec, .. } = &*connection;
-        let mut receiving = pin!(io.recv(codec));
+        let CallerConnection { io, holding, .. } = &*connection;
+        let mut receiving = pin!(recv_head(connection));
         let begin = poll_fn(|cx| {
             // Checked first, because the decoder takes complete lines out of the buffer.
             let has_begun = io.with_read_buf(|buffer| !buffer.is_empty());
@@ -187,7 +254,7 @@
             biased;
             begin = begin => match begin {
                 Some(received) => return HeadReceived::Completely(received),
-                None => return receive_rest(node, receiving, limits).await,
+                None => return receive_rest(node, holding, receiving, limits).await,
             },
             () = wait_since(idle_since, idle_timeout) => {
                 node.metrics.callers_idle.inc();
@@ -199,6 +266,7 @@
                 return HeadReceived::Nothing;
             }
             () = &mut idle_close => return HeadReceived::Nothing,
+            () = holding.displaced() => return HeadReceived::Displaced,
             Ok(()) = limits.changed() => {}
         }
     }
@@ -207,6 +275,7 @@
 /// Waits for the rest of a request head.
 async fn receive_rest(
     node: &FrontNode,
+    holding: &Holding,
     mut receiving: Pin<&mut impl Future<Output = ReceivedHead>>,
     mut limits: watch::Receiver<CallerLimits>,
 ) -> HeadReceived {
@@ -221,6 +290,7 @@
             () = wait_since(begun_at, header_timeout) => {
                 return HeadReceived::Partly(header_timeout);
             }
+            () = holding.displaced() => return HeadReceived::Displaced,
             Ok(()) = limits.changed() => {}
         }
     }
@@ -257,7 +327,6 @@
 ) -> io::Result<bool> {
     let arrived_at = Instant::now();
     let _busy = node.caller_requests.track();
-    let body_max_bytes = || node.table().limits().body_max_bytes;
     match payload {
         PayloadType::None => handle_request(node, connection, head, Bytes::new(), arrived_at).await,
         // The body of such a request would end with the connection.
@@ -268,30 +337,12 @@
             Ok(false)
         }
         PayloadType::Payload(decoder) => {
-            let time_limit = time_limit(&head);
-            let body =
-                timeout(time_limit, read_body(&connection.io, &decoder, &head, &body_max_bytes))
-                    .await;
-            let refusal = match body {
-                Ok(Ok(body)) => {
+            let refusal = match receive_body(node, connection, &decoder, &head).await {
+                Ok(body) => {
                     return handle_request(node, connection, head, body, arrived_at).await;
                 }
-                Ok(Err(BodyError::Connection(error))) => return Err(error),
-                Err(_) => {
-                    let message = format!(
-                        "the body did not arrive within {} ms; send it faster or allow more time",
-                        time_limit.as_millis()
-                    );
-                    Refusal::not_run(RefusalKind::RequestTimeout, message)
-                }
-                Ok(Err(BodyError::TooLong)) => Refusal::not_run(
-                    RefusalKind::BodyTooLarge,
-                    format!("the body is over {} bytes; send a smaller one", body_max_bytes()),
-                ),
-                Ok(Err(BodyError::Malformed(error))) => Refusal::not_run(
-                    RefusalKind::InvalidRequest,
-                    format!("the body is faulty ({error}); send valid chunks"),
-                ),
+                Err(NotReceived::Connection(error)) => return Err(error),
+                Err(NotReceived::Refused(refusal)) => refusal,
             };
             refuse_and_close(node, connection, &refusal).await?;
             listener::discard_rest(&connection.io, &decoder).await;
@@ -300,6 +351,59 @@
     }
 }
 
+/// Reason why no complete body was received.
+enum NotReceived {
+    /// The connection failed.
+    Connection(io::Error),
+    /// The request is refused.
+    Refused(Refusal),
+}
+
+/// Receives a body; its request is refused if the body is too long, too slow or faulty, or if the
+/// process does not hold it.
+async fn receive_body(
+    node: &FrontNode,
+    connection: &CallerConnection,
+    decoder: &PayloadDecoder,
+    head: &Request,
+) -> Result<Bytes, NotReceived> {
+    let time_limit = time_limit(head);
+    let held_bytes = connection.holding.request_bytes();
+    let refusal = tokio::select! {
+        biased;
+        body = read_body(node, connection, decoder, head) => match body {
+            Ok(body) => return Ok(body),
+            Err(BodyError::Connection(error)) => return Err(NotReceived::Connection(error)),
+            Err(BodyError::TooLong) => Refusal::not_run(
+                RefusalKind::BodyTooLarge,
+                format!(
+                    "the body is over {} bytes; send a smaller one",
+                    node.table().limits().body_max_bytes
+                ),
+            ),
+            Err(BodyError::Malformed(error)) => Refusal::not_run(
+                RefusalKind::InvalidRequest,
+                format!("the body is faulty ({error}); send valid chunks"),
+            ),
+            Err(BodyError::NotHeld(error)) => error.refusal(),
+        },
+        () = connection.holding.displaced() => HoldingError::Displaced.refusal(),
+        () = tokio::time::sleep(time_limit) => {
+            let message = format!(
+                "the body did not arrive within {} ms; send it faster or allow more time",
+                time_limit.as_millis()
+            );
+            Refusal::not_run(RefusalKind::RequestTimeout, message)
+        }
+    };
+    if refusal.kind == RefusalKind::Overloaded {
+        node.metrics.holdings.displaced.inc();
+    }
+    // What has arrived of the body was freed.
+    let _ = connection.holding.hold(held_bytes, Instant::now());
+    Err(NotReceived::Refused(refusal))
+}
+
 /// Returns the time within which a request must arrive: the caller's deadline, if it sets one.
 fn time_limit(head: &Request) -> Duration {
     let header =
@@ -308,14 +412,16 @@
 }
 
 /// Reads a body, after sending `100 Continue` if the caller expects it; fails at once when the
-/// declared length exceeds `max_bytes`. An HTTP/1.0 caller would take `100 Continue` for the
+/// declared length exceeds the limit. An HTTP/1.0 caller would take `100 Continue` for the
 /// response.
 async fn read_body(
-    io: &Io,
+    node: &FrontNode,
+    connection: &CallerConnection,
     decoder: &PayloadDecoder,
     head: &Request,
-    max_bytes: &impl Fn() -> usize,
 ) -> Result<Bytes, BodyError> {
+    let CallerConnection { io, holding, .. } = connection;
+    let max_bytes = || node.table().limits().body_max_bytes;
     let declared = head.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let declared_bytes: Option<usize> = declared.and_then(|value| value.parse().ok());
     if declared_bytes.is_some_and(|bytes| bytes > max_bytes()) {
@@ -324,7 +430,19 @@
     if head.version() >= Version::HTTP_11 && head.headers().contains_key(EXPECT) {
         io.encode_slice(b"HTTP/1.1 100 Continue\r\n\r\n").map_err(BodyError::Connection)?;
     }
-    listener::read_body(io, decoder, max_bytes).await
+    let head_bytes = holding.request_bytes();
+    let hold = |body_bytes: usize| {
+        let now = Instant::now();
+        holding.note_progress(now);
+        holding.hold(head_bytes + body_bytes as u64, now)
+    };
+    listener::read_body(io, decoder, declared_bytes, max_bytes, hold).await
+}
+
+/// Returns whether callers must send their next requests on new connections, which the load balancer
+/// sends to a node that is ready.
+fn is_closing(node: &FrontNode) -> bool {
+    node.stop.is_stopping() || node.store_reachability.is_isolated()
 }
 
 /// Serves a completely read request; returns whether the connection may be reused.
@@ -335,10 +453,16 @@
     body: Bytes,
     arrived_at: Instant,
 ) -> io::Result<bool> {
-    let request = CallerRequest { head, body, arrived_at };
+    let now = Instant::now();
+    if let Err(error) = connection.holding.set_stage(Stage::Serving, now) {
+        node.metrics.holdings.displaced.inc();
+        refuse_and_close(node, connection, &error.refusal()).await?;
+        return Ok(false);
+    }
+    let holding = Rc::clone(&connection.holding);
+    let request = CallerRequest { head, body, arrived_at, holding };
     let mut responder = Responder::new(connection, request.head.version());
-    // The load balancer sends the caller's next connection to a node that is ready.
-    if node.stop.is_stopping() || node.store_reachability.is_isolated() {
+    if is_closing(node) {
         responder.close_after_response();
     }
     let is_answered = tokio::select! {
--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -3,19 +3,22 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::Display;
+use std::future::poll_fn;
 use std::io;
+use std::task::Poll;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use dandelionfront_coordination::holdings::HoldingError;
 use futures_util::Stream;
 use ntex::SharedCfg;
+use ntex::codec::Decoder;
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem};
 use ntex::http::header::{CONTENT_TYPE, HeaderValue};
 use ntex::http::{HttpServiceConfig, KeepAlive, Response, StatusCode};
-use ntex::io::{Io, IoConfig};
-use ntex::util::Either;
+use ntex::io::{Io, IoConfig, RecvError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
@@ -90,6 +93,68 @@
         .with_borrow_mut(|configs| configs.entry(head_max_bytes).or_insert_with(create).clone())
 }
 
+/// Failure to receive a head or a part of a body.
+#[derive(Debug)]
+pub enum ReceiveError<E> {
+    /// It is invalid.
+    Malformed(DecodeError),
+    /// The connection failed.
+    Connection(io::Error),
+    /// Its receiver takes no more of it.
+    Stopped(E),
+}
+
+/// Receives the next item and its size in bytes, or `None` at the end of the connection. While it is
+/// incomplete, `check` is called with the size of what has arrived of it, whenever more has.
+///
+/// # Errors
+///
+/// Fails when the item is malformed, the connection fails or `check` fails.
+pub async fn receive<D, E>(
+    io: &Io,
+    decoder: &D,
+    mut check: impl FnMut(usize) -> Result<(), E>,
+) -> Result<Option<(D::Item, usize)>, ReceiveError<E>>
+where
+    D: Decoder<Error = DecodeError>,
+{
+    let (mut taken_bytes, mut checked_bytes) = (0, 0);
+    loop {
+        let polling = poll_fn(|cx| match io.poll_recv_decode(decoder, cx) {
+            Ok(step) => {
+                taken_bytes += step.consumed;
+                if let Some(item) = step.item {
+                    return Poll::Ready(Ok((item, taken_bytes)));
+                }
+                let arrived_bytes = taken_bytes + step.remains;
+                if arrived_bytes == checked_bytes {
+                    return Poll::Pending;
+                }
+                checked_bytes = arrived_bytes;
+                match check(arrived_bytes) {
+                    Ok(()) => Poll::Pending,
+                    Err(error) => Poll::Ready(Err(Err(ReceiveError::Stopped(error)))),
+                }
+            }
+            Err(error) => Poll::Ready(Err(Ok(error))),
+        });
+        return match polling.await {
+            Ok(item) => Ok(Some(item)),
+            Err(Err(stopped)) => Err(stopped),
+            Err(Ok(RecvError::WriteBackpressure)) => {
+                io.flush(false).await.map_err(ReceiveError::Connection)?;
+                continue;
+            }
+            Err(Ok(RecvError::Decoder(error))) => Err(ReceiveError::Malformed(error)),
+            Err(Ok(RecvError::KeepAlive)) => {
+                Err(ReceiveError::Connection(io::ErrorKind::TimedOut.into()))
+            }
+            Err(Ok(RecvError::PeerGone(Some(error)))) => Err(ReceiveError::Connection(error)),
+            Err(Ok(RecvError::PeerGone(None))) => Ok(None),
+        };
+    }
+}
+
 /// Failure to read a body.
 #[derive(Debug)]
 pub enum BodyError {
@@ -99,29 +164,55 @@
     Malformed(DecodeError),
     /// The connection failed.
     Connection(io::Error),
+    /// The process does not hold more for the caller.
+    NotHeld(HoldingError),
 }
 
-/// Reads a complete body of at most `max_bytes`, which may change while the body arrives.
+impl From<ReceiveError<Self>> for BodyError {
+    fn from(error: ReceiveError<Self>) -> Self {
+        match error {
+            ReceiveError::Malformed(error) => Self::Malformed(error),
+            ReceiveError::Connection(error) => Self::Connection(error),
+            ReceiveError::Stopped(error) => error,
+        }
+    }
+}
+
+/// Reads a complete body of at most `max_bytes`, which may change while the body arrives. `hold` is
+/// called with the memory that the body takes before it takes it, and whenever more has arrived.
 ///
 /// # Errors
 ///
-/// Fails when the body is too long or malformed, or when the connection ends first.
+/// Fails when the body is too long or malformed, when the connection ends first or `hold` fails.
 pub async fn read_body(
     io: &Io,
     decoder: &PayloadDecoder,
+    declared_bytes: Option<usize>,
     max_bytes: impl Fn() -> usize,
+    mut hold: impl FnMut(usize) -> Result<(), HoldingError>,
 ) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
+    let mut body = Vec::new();
     loop {
-        match io.recv(decoder).await {
-            Ok(Some(PayloadItem::Chunk(chunk))) if body.len() + chunk.len() > max_bytes() => {
-                return Err(BodyError::TooLong);
+        let item = receive(io, decoder, |waiting_bytes| {
+            hold(body.capacity() + waiting_bytes).map_err(BodyError::NotHeld)
+        });
+        match item.await? {
+            Some((PayloadItem::Chunk(chunk), _)) => {
+                let needed_bytes = body.len() + chunk.len();
+                if needed_bytes > max_bytes() {
+                    return Err(BodyError::TooLong);
+                }
+                let mut capacity_bytes = body.capacity();
+                if needed_bytes > capacity_bytes {
+                    let most_bytes = declared_bytes.unwrap_or_else(&max_bytes);
+                    capacity_bytes = (2 * capacity_bytes).min(most_bytes).max(needed_bytes);
+                    hold(capacity_bytes).map_err(BodyError::NotHeld)?;
+                    body.reserve_exact(capacity_bytes - body.len());
+                }
+                body.extend_from_slice(&chunk);
             }
-            Ok(Some(PayloadItem::Chunk(chunk))) => body.extend_from_slice(&chunk),
-            Ok(Some(PayloadItem::Eof)) => return Ok(body.freeze()),
-            Ok(None) => return Err(BodyError::Connection(io::ErrorKind::UnexpectedEof.into())),
-            Err(Either::Left(error)) => return Err(BodyError::Malformed(error)),
-            Err(Either::Right(error)) => return Err(BodyError::Connection(error)),
+            Some((PayloadItem::Eof, _)) => return Ok(body.into()),
+            None => return Err(BodyError::Connection(io::ErrorKind::UnexpectedEof.into())),
         }
     }
 }
@@ -135,6 +226,16 @@
     let _ = timeout(DISCARD_TIMEOUT, rest).await;
 }
 
+/// Reads and discards whatever a caller sends whose request head was refused, for the same reason.
+pub async fn discard_input(io: &Io) {
+    let input = async {
+        while let Ok(Some(())) = io.read_ready().await {
+            io.with_read_buf(ntex::util::BytesMut::clear);
+        }
+    };
+    let _ = timeout(DISCARD_TIMEOUT, input).await;
+}
+
 /// Sends a complete response.
 ///
 /// # Errors
--- a/crates/daemon/src/front/connection/relay_server.rs
+++ b/crates/daemon/src/front/connection/relay_server.rs
@@ -52,7 +52,7 @@
         let body = match &payload {
             PayloadType::None => Ok(Bytes::new()),
             PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
-                listener::read_body(&io, decoder, || BODY_MAX_BYTES).await
+                listener::read_body(&io, decoder, None, || BODY_MAX_BYTES, |_| Ok(())).await
             }
         };
         let Ok(body) = body else { break };
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -97,12 +97,14 @@
     let transport = PacedTransport::new(Rc::new(transport), Rc::clone(&store_pacer));
     let store = StoreClient::new(Rc::new(transport), STORE_TIMEOUT);
     log::info!(
-        "event=started vm={} zone={} callers={} store={} memory_max_bytes={} version={}",
+        "event=started vm={} zone={} callers={} store={} memory_max_bytes={} sockets_max={} \
+         version={}",
         settings.vm_name,
         settings.zone,
         settings.caller_listen,
         settings.store_address,
         settings.memory_max_bytes,
+        settings.sockets_max.map_or("-".to_owned(), |max| max.to_string()),
         env!("CARGO_PKG_VERSION"),
     );
     let node = Rc::new(FrontNode::new(
@@ -147,12 +149,14 @@
 }
 
 async fn run_housekeeping(node: Rc<FrontNode>) {
+    let mut displaced_count = 0;
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         // Without it, the time between two requests would count as a pause.
         node.pause_count();
         node.pool.prune();
         node.update_gauges();
+        log_displaced(&node, &mut displaced_count);
         let now = node.clock.monotonic_now();
         node.peers.prune(now);
         node.peers.update_protocol(&node);
@@ -169,6 +173,24 @@
     }
 }
 
+/// Logs that callers were turned away since `logged_count` of them, because others needed the room.
+fn log_displaced(node: &FrontNode, logged_count: &mut u64) {
+    let count = node.metrics.holdings.displaced.get();
+    if count == *logged_count {
+        return;
+    }
+    log::warn!(
+        "event=callers_displaced count={} connections={} connections_max={} held_bytes={} \
+         held_max_bytes={}",
+        count - *logged_count,
+        node.caller_connections.get(),
+        node.holdings.limits().connections_max,
+        node.holdings.held_bytes(),
+        node.holdings.limits().memory_max_bytes,
+    );
+    *logged_count = count;
+}
+
 /// Waits for SIGTERM or SIGINT; on SIGHUP, only logs whether the settings file has changed.
 async fn wait_for_stop(settings_path: &Path, node: &FrontNode) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/daemon/src/front/process/metrics.rs
+++ b/crates/daemon/src/front/process/metrics.rs
@@ -118,6 +118,27 @@
     pub requests: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
+    /// What callers make the process hold.
+    pub holdings: HoldingMetrics,
+}
+
+/// Metrics of what callers make the process hold.
+#[derive(Debug, Clone)]
+pub struct HoldingMetrics {
+    /// Memory, in bytes.
+    pub held_bytes: IntGauge,
+    /// Callers that were refused or whose connections were closed because others needed the room.
+    pub displaced: IntCounter,
+}
+
+impl HoldingMetrics {
+    fn new(registry: &MetricRegistry) -> Self {
+        Self {
+            held_bytes: registry.gauge("held_bytes", "Memory held for callers"),
+            displaced: registry
+                .counter("callers_displaced_total", "Callers turned away for want of room"),
+        }
+    }
 }
 
 /// Metrics of the active configuration and of the reads that keep it current.
@@ -246,6 +267,7 @@
                 .gauge("protocol_behind", "Other nodes with a lower protocol number"),
             requests: registry.gauge("requests", "Requests under way"),
             connections: registry.gauge("connections", "Open connections of callers"),
+            holdings: HoldingMetrics::new(&registry),
             registry,
         };
         for kind in RefusalKind::all() {
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -2,11 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use dandelionfront_coordination::cold::ServerStarts;
 use dandelionfront_coordination::crashes::{CrashTable, RequestKeys};
 use dandelionfront_coordination::freshness::Freshness;
+use dandelionfront_coordination::holdings::{HoldingLimits, Holdings};
 use dandelionfront_coordination::ledger::{Ledgers, ReleaseRequester};
 use dandelionfront_coordination::lending::Lender;
 use dandelionfront_coordination::limits::UsageLimiter;
@@ -30,6 +32,7 @@
 use super::clock::FrontClock;
 use super::metrics::FrontMetrics;
 use super::stop::{ActiveCount, StopSignal};
+use crate::descriptors::sockets_max;
 use crate::front::connection::BackendPool;
 use crate::front::connection::backend_reach::BackendReachability;
 use crate::front::connection::paced::StorePacer;
@@ -103,6 +106,8 @@
     pub pool: BackendPool,
     /// Signal of a graceful shutdown.
     pub stop: StopSignal,
+    /// What callers make the process hold.
+    pub holdings: Arc<Holdings>,
     /// Open connections of callers.
     pub caller_connections: ActiveCount,
     /// Callers' requests in flight.
@@ -161,6 +166,10 @@
             tunnels: ActiveCount::default(),
             pool: BackendPool::default(),
             stop: StopSignal::default(),
+            holdings: Holdings::new(HoldingLimits::of_process(
+                settings.memory_max_bytes,
+                sockets_max(settings.sockets_max),
+            )),
             caller_connections: ActiveCount::default(),
             caller_requests: ActiveCount::default(),
             table: RefCell::default(),
@@ -375,6 +384,10 @@
         self.metrics.config.age_ms.set(self.config_age_ms());
         self.metrics.requests.set(gauge_value(self.caller_requests.get()));
         self.metrics.connections.set(gauge_value(self.caller_connections.get()));
+        self.metrics
+            .holdings
+            .held_bytes
+            .set(i64::try_from(self.holdings.held_bytes()).unwrap_or(i64::MAX));
         let (servers, placement) = (self.servers.borrow(), self.placement.borrow());
         let now = self.clock.monotonic_now();
         let slow = servers.all_ready().filter_map(|server| {
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::crashes::RequestKeys;
+use dandelionfront_coordination::holdings::Holding;
 use dandelionfront_coordination::ids::{ConfigVersion, TeamId};
 use dandelionfront_coordination::limits::usage::{BucketLevel, RequestClass};
 use dandelionfront_coordination::pauses::PauseCount;
@@ -15,6 +16,7 @@
 use dandelionfront_coordination::{Refusal, RefusalKind};
 use dandelionfront_platform::headers;
 use http::{HeaderMap, HeaderValue, Method, header};
+use ntex::http::Request;
 
 use super::turn::{self, RunningTurn};
 use crate::consts::TIME_LIMIT_DEFAULT;
@@ -68,6 +70,8 @@
     pub starts_program: bool,
     /// Token taken from the team's limit.
     pub limit_reservation: LimitReservation,
+    /// What the request makes the process hold.
+    pub holding: Rc<Holding>,
 }
 
 impl Admitted {
@@ -227,19 +231,25 @@
     keys: RequestKeys,
 }
 
+fn decode(head: &Request) -> RequestContext {
+    headers::decode_request(|name| head.headers().get(name).and_then(|value| value.to_str().ok()))
+}
+
+fn labels(context: &RequestContext) -> RequestLabels {
+    RequestLabels {
+        id: context.id.clone(),
+        program: context.program.as_ref().map(|program| program.id.clone()),
+        ..RequestLabels::default()
+    }
+}
+
 /// Admits a request or refuses it.
 pub async fn admit(
     node: &Rc<FrontNode>,
     request: &CallerRequest,
 ) -> Result<Admitted, RefusedRequest> {
-    let context = headers::decode_request(|name| {
-        request.head.headers().get(name).and_then(|value| value.to_str().ok())
-    });
-    let mut labels = RequestLabels {
-        id: context.id.clone(),
-        program: context.program.as_ref().map(|program| program.id.clone()),
-        ..RequestLabels::default()
-    };
+    let context = decode(&request.head);
+    let mut labels = labels(&context);
     if let Err(refusal) = require_members(node, &context).await {
         return Err(RefusedRequest { labels, refusal });
     }
@@ -278,18 +288,27 @@
 
 fn identify(node: &FrontNode, request: &CallerRequest) -> Result<Identified, Refusal> {
     let table = node.table();
-    if table.version() == 0 {
-        let message = "no configuration has arrived yet; retry shortly";
-        return Err(Refusal::not_run(RefusalKind::NotReady, message));
-    }
-    let route = find_route(node, &table, request)?;
-    let team = find_team(node, &table, request, &route)?;
+    let (route, team) = find_route_and_team(node, &table, &request.head)?;
     let team_name = team.as_ref().map_or("", |team| team.name.as_str());
     let (method, target) = (request.head.method().as_str(), target(request));
     let keys = RequestKeys::new(team_name, method, target, &request.body);
     Ok(Identified { table, route, team, keys })
 }
 
+fn find_route_and_team(
+    node: &FrontNode,
+    table: &RoutingTable,
+    head: &Request,
+) -> Result<(Route, Option<AdmittedTeam>), Refusal> {
+    if table.version() == 0 {
+        let message = "no configuration has arrived yet; retry shortly";
+        return Err(Refusal::not_run(RefusalKind::NotReady, message));
+    }
+    let route = find_route(node, table, head)?;
+    let team = find_team(node, table, head, &route)?;
+    Ok((route, team))
+}
+
 /// Returns the path and query of a request.
 fn target(request: &CallerRequest) -> &str {
     request.head.uri().path_and_query().map_or("/", |target| target.as_str())
@@ -332,7 +351,7 @@
     let service = choose_service(&route, &context, origin.as_ref())?;
     let service_spec = table.service(&service);
     let prepared =
-        turn::prepare(node, &context, &route, service_spec, team_name, &request.body, deadline)
+        turn::prepare(node, &context, &route, service_spec, team_name, request, deadline)
             .await
             .map_err(|refusal| match refusal.kind {
                 RefusalKind::PlatformUnavailable => node.during_outage(refusal),
@@ -347,6 +366,7 @@
     let placement_key = prepared.placement_key;
     let shared_part = node.record_prompt(&service, service_spec, &context.prompt);
     Ok(Admitted {
+        holding: Rc::clone(&request.holding),
         headers: forwarded_headers(request, team.as_ref(), &route),
         method: request.head.method().clone(),
         target: target(request).to_owned(),
@@ -434,13 +454,9 @@
     Err(Refusal::not_run(RefusalKind::StreamUnknown, message))
 }
 
-fn find_route(
-    node: &FrontNode,
-    table: &RoutingTable,
-    request: &CallerRequest,
-) -> Result<Route, Refusal> {
-    let host = request.head.headers().get(header::HOST).and_then(|value| value.to_str().ok());
-    if let Some(route) = table.route(host.unwrap_or_default(), request.head.path()) {
+fn find_route(node: &FrontNode, table: &RoutingTable, head: &Request) -> Result<Route, Refusal> {
+    let host = head.headers().get(header::HOST).and_then(|value| value.to_str().ok());
+    if let Some(route) = table.route(host.unwrap_or_default(), head.path()) {
         node.require_plausible_config()?;
         return Ok(route.clone());
     }
@@ -456,14 +472,14 @@
 fn find_team(
     node: &FrontNode,
     table: &RoutingTable,
-    request: &CallerRequest,
+    head: &Request,
     route: &Route,
 ) -> Result<Option<AdmittedTeam>, Refusal> {
     if route.is_public || !table.uses_keys() {
         return Ok(None);
     }
     node.require_fresh()?;
-    let key = request.head.headers().get(headers::KEY).and_then(|value| value.to_str().ok());
+    let key = head.headers().get(headers::KEY).and_then(|value| value.to_str().ok());
     let team = key.and_then(|key| table.team_of_key(key));
     let Some((team, key)) = team.zip(key) else {
         return Err(Refusal::not_run(
--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use dandelionfront_coordination::servers::ServerEntry;
@@ -22,6 +22,8 @@
 /// Answers up to this size are read completely before anything is sent to the caller, so that a
 /// truncated answer can still be replaced by another attempt.
 const BUFFERED_MAX_BYTES: usize = 256 * 1024;
+/// Copies of what was read of an answer: one is made for the caller's connection.
+const BUFFERED_COPIES: u64 = 2;
 /// Maximum time for which a refusal's body is read to make its connection reusable.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a body that is read and discarded to make its connection reusable.
@@ -63,6 +65,8 @@
     let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     let mut buffered = BytesMut::new();
     let mut is_head_sent = false;
+    let holding = Rc::clone(&attempts.admitted.holding);
+    let mut held_bytes = 0;
     loop {
         let data = match body.next_chunk(attempts.node, server).await {
             Ok(Some(data)) => data,
@@ -70,7 +74,10 @@
             Err(cause) => return Ok(ForwardOutcome::Incomplete(cause)),
         };
         buffered.extend_from_slice(&data);
-        if buffered.len() > BUFFERED_MAX_BYTES {
+        let data_bytes = BUFFERED_COPIES * data.len() as u64;
+        let is_held = holding.grow(data_bytes, Instant::now()).is_ok();
+        held_bytes += if is_held { data_bytes } else { 0 };
+        if buffered.len() > BUFFERED_MAX_BYTES || !is_held {
             if !is_head_sent {
                 responder
                     .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Unknown)
@@ -79,6 +86,7 @@
             }
             let chunk = buffered.split().freeze();
             responder.send_chunk(chunk).await.map_err(Failure::CallerGone)?;
+            holding.release(std::mem::take(&mut held_bytes), Instant::now());
         }
     }
     let rest = buffered.freeze();
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -16,12 +16,13 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Instant;
 
-use dandelionfront_coordination::Refusal;
+use ntex::http::Request;
 
 pub use self::answer_head::AnswerFault;
 
-use self::admission::{RefusedRequest, RequestLabels};
+use self::admission::RefusedRequest;
 use crate::front::connection::Responder;
 use crate::front::connection::caller::CallerRequest;
 use crate::front::process::FrontNode;
@@ -38,8 +39,8 @@
 ) -> io::Result<()> {
     let admitted = match admission::admit(node, request).await {
         Ok(admitted) => admitted,
-        Err(RefusedRequest { labels, refusal }) => {
-            return refuse(node, request, responder, &labels, &refusal).await;
+        Err(refused) => {
+            return refuse(node, &request.head, request.arrived_at, responder, &refused).await;
         }
     };
     let labels = admitted.labels();
@@ -47,7 +48,8 @@
     match attempt::run(node, admitted, responder).await {
         Ok(()) => Ok(()),
         Err(attempt::Failure::Refused(refusal)) if !responder.is_head_sent() => {
-            refuse(node, request, responder, &labels, &refusal).await
+            let refused = RefusedRequest { labels, refusal };
+            refuse(node, &request.head, request.arrived_at, responder, &refused).await
         }
         Err(failure) => {
             let error = match failure {
@@ -61,13 +63,19 @@
     }
 }
 
-async fn refuse(
+/// Sends and logs the refusal of a request whose head arrived at `arrived_at`.
+///
+/// # Errors
+///
+/// Fails when the refusal could not be sent completely.
+pub async fn refuse(
     node: &FrontNode,
-    request: &CallerRequest,
+    head: &Request,
+    arrived_at: Instant,
     responder: &mut Responder<'_>,
-    labels: &RequestLabels,
-    refusal: &Refusal,
+    refused: &RefusedRequest,
 ) -> io::Result<()> {
+    let RefusedRequest { labels, refusal } = refused;
     node.metrics.count_refusal(refusal.kind);
     log::info!(
         "event=refused request={} program={} team={} fingerprint={} path={} kind={} status={} \
@@ -76,12 +84,12 @@
         labels.program.as_deref().unwrap_or("-"),
         labels.team.as_deref().unwrap_or("-"),
         labels.keys.map_or("-".to_owned(), |keys| format!("{:016x}", keys.exact)),
-        request.head.path(),
+        head.path(),
         refusal.kind.label(),
         refusal.kind.http_status(),
         node.table().version(),
         node.config_age_ms(),
-        request.arrived_at.elapsed().as_millis(),
+        arrived_at.elapsed().as_millis(),
     );
     responder.refuse(&labels.id, refusal).await
 }
--- a/crates/daemon/src/front/request/turn.rs
+++ b/crates/daemon/src/front/request/turn.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::history::{HistoryNode, HistoryReads};
+use dandelionfront_coordination::holdings::{Holding, HoldingError};
 use dandelionfront_coordination::ids::BackendId;
 use dandelionfront_coordination::ledger::ReserveError;
 use dandelionfront_coordination::lending::TurnTokens;
@@ -15,10 +16,14 @@
 };
 use dandelionfront_coordination::{Refusal, RefusalKind};
 
+use crate::front::connection::caller::CallerRequest;
 use crate::front::connection::peers::HistoryPeer;
 use crate::front::connection::peers::tokens::{self, ReservedTokens};
 use crate::front::process::FrontNode;
 
+/// Copies of a turn's input while the turn is stored: in the record and in the call to the store.
+const KEPT_INPUT_COPIES: u64 = 2;
+
 /// A running turn; on drop, its token reservation is settled at the number of delivered tokens.
 pub struct RunningTurn {
     node: Rc<FrontNode>,
@@ -34,6 +39,8 @@
     releases_claim: bool,
     /// Set until the turn is stored, if its route stores turns.
     pending: Option<PendingRecord>,
+    /// What the request makes the process hold.
+    holding: Rc<Holding>,
 }
 
 /// Content of a turn, stored once its stream is complete.
@@ -67,9 +74,10 @@
     route: &Route,
     service: Option<&ServiceSpec>,
     team: &str,
-    body: &Bytes,
+    request: &CallerRequest,
     deadline: Instant,
 ) -> Result<PreparedRequest, Refusal> {
+    let body = &request.body;
     let program = context.program.as_ref();
     let mut placement_key = placement_key(context);
     let budget = program.and_then(|program| Some((program, program.budget_tokens?)));
@@ -89,6 +97,7 @@
         previous_server: None,
         releases_claim: false,
         pending: None,
+        holding: Rc::clone(&request.holding),
     };
     let (mut prompt, mut starts_program) = (body.clone(), false);
     if route.keeps_turns {
@@ -98,6 +107,10 @@
         turn.previous_server = server;
         // All turns of a history share its first turn as the key.
         placement_key = pending.chain.first().unwrap_or(&context.id).clone();
+        let copies_bytes = KEPT_INPUT_COPIES * body.len() as u64;
+        let prompt_bytes = if pending.chain.is_empty() { 0 } else { full_prompt.len() as u64 };
+        let held = request.holding.grow(copies_bytes + prompt_bytes, Instant::now());
+        held.map_err(HoldingError::refusal)?;
         prompt = full_prompt;
         turn.pending = Some(pending);
     }
@@ -213,11 +226,12 @@
     }
 
     /// Records an event that is about to be sent to the caller; returns `false` if the turn's output
-    /// would exceed [`TURN_OUTPUT_MAX_BYTES`], in which case it must not be sent.
+    /// would exceed [`TURN_OUTPUT_MAX_BYTES`] or the room for it, in which case it must not be sent.
     #[must_use]
     pub fn record_event(&mut self, data: &[u8]) -> bool {
         if let Some(pending) = &mut self.pending {
-            if pending.output.len() + data.len() >= TURN_OUTPUT_MAX_BYTES {
+            let is_too_long = pending.output.len() + data.len() >= TURN_OUTPUT_MAX_BYTES;
+            if is_too_long || self.holding.grow(data.len() as u64, Instant::now()).is_err() {
                 return false;
             }
             pending.output.extend_from_slice(data);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 pub mod consts;
 pub mod crash;
+mod descriptors;
 pub mod front;
 pub mod logs;
 pub mod operator;
