Refuse unknown keys and routes before the body is read

What callers saw: a crowd without any key took as much of a node's memory as one with a key.

Cause: key and route were looked at after the whole body had been read.

Change: both are checked once the head has arrived, and again with the whole request, because the configuration may change meanwhile. If all of the body is there already, which is so for short ones, the connection is kept as before; otherwise the refusal announces its close.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -337,6 +337,19 @@
             Ok(false)
         }
         PayloadType::Payload(decoder) => {
+            if let Some(refused) = request::refusal_of_head(node, &head) {
+                let is_whole = listener::skip_arrived(&connection.io, &decoder);
+                let mut responder = Responder::new(connection, head.version());
+                if !is_whole || is_closing(node) {
+                    responder.close_after_response();
+                }
+                request::refuse(node, &head, arrived_at, &mut responder, &refused).await?;
+                if is_whole {
+                    return Ok(connection.codec.keepalive() && !responder.announces_close());
+                }
+                listener::discard_rest(&connection.io, &decoder).await;
+                return Ok(false);
+            }
             let refusal = match receive_body(node, connection, &decoder, &head).await {
                 Ok(body) => {
                     return handle_request(node, connection, head, body, arrived_at).await;
--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -217,6 +217,18 @@
     }
 }
 
+/// Takes what has arrived of a refused request's body; returns whether that is all of it.
+#[must_use]
+pub fn skip_arrived(io: &Io, decoder: &PayloadDecoder) -> bool {
+    loop {
+        match io.decode(decoder) {
+            Ok(Some(PayloadItem::Chunk(_))) => {}
+            Ok(Some(PayloadItem::Eof)) => return true,
+            Ok(None) | Err(_) => return false,
+        }
+    }
+}
+
 /// Reads and discards the rest of a refused request's body.
 ///
 /// Closing a connection that has unread bytes resets it, and the caller may then lose the response.
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -231,6 +231,13 @@
     keys: RequestKeys,
 }
 
+/// Returns the refusal of a request whose body has not been read yet, if its route or its key is
+/// unknown.
+pub fn refusal_of_head(node: &FrontNode, head: &Request) -> Option<RefusedRequest> {
+    let refusal = find_route_and_team(node, &node.table(), head).err()?;
+    Some(RefusedRequest { labels: labels(&decode(head)), refusal })
+}
+
 fn decode(head: &Request) -> RequestContext {
     headers::decode_request(|name| head.headers().get(name).and_then(|value| value.to_str().ok()))
 }
--- a/crates/daemon/src/front/request/mod.rs
+++ b/crates/daemon/src/front/request/mod.rs
@@ -20,6 +20,7 @@
 
 use ntex::http::Request;
 
+pub use self::admission::refusal_of_head;
 pub use self::answer_head::AnswerFault;
 
 use self::admission::RefusedRequest;
