Let other tasks run between the small chunks of bodies, and limit the line before a chunk

What callers saw: beside a crowd that sent chunks of a byte, or a chunk's extensions without end, no ordinary request was answered, and the node lost touch with the store ("the configuration was last proved current 9727 ms ago").

Cause: a page of the read buffer holds over 2,700 chunks of a byte, and each body worked through its page in one go; a crowd of them kept the only thread for seconds between two steps of anything else. Extensions grew the read buffer without a limit, and every page read was scanned again from the chunk's begin.

Change: a body that brings many chunks at once waits for its turn after each 256 of them; one body has the turn, and other tasks run first. The line before a chunk has the limit of a request head.

Ruled out: memory alone (the account held it at 52 MB while ordinary requests failed).

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -24,7 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::listener::{self, BodyError, ReceiveError};
+use super::listener::{self, BodyError, BodyLimits, ReceiveError};
 use super::responder::Responder;
 use crate::consts::TIME_LIMIT_DEFAULT;
 use crate::front::process::FrontNode;
@@ -434,10 +434,13 @@
     head: &Request,
 ) -> Result<Bytes, BodyError> {
     let CallerConnection { io, holding, .. } = connection;
-    let max_bytes = || node.table().limits().body_max_bytes;
+    let limits = || {
+        let CallerLimits { body_max_bytes, header_max_bytes, .. } = *node.table().limits();
+        BodyLimits { body_max_bytes, chunk_line_max_bytes: header_max_bytes }
+    };
     let declared = head.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let declared_bytes: Option<usize> = declared.and_then(|value| value.parse().ok());
-    if declared_bytes.is_some_and(|bytes| bytes > max_bytes()) {
+    if declared_bytes.is_some_and(|bytes| bytes > limits().body_max_bytes) {
         return Err(BodyError::TooLong);
     }
     if head.version() >= Version::HTTP_11 && head.headers().contains_key(EXPECT) {
@@ -449,7 +452,7 @@
         holding.note_progress(now);
         holding.hold(head_bytes + body_bytes as u64, now)
     };
-    listener::read_body(io, decoder, declared_bytes, max_bytes, hold).await
+    listener::read_body(io, decoder, declared_bytes, limits, &node.chunk_turns, hold).await
 }
 
 /// Returns whether callers must send their next requests on new connections, which the load balancer
--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -20,6 +20,8 @@
 use ntex::http::{HttpServiceConfig, KeepAlive, Response, StatusCode};
 use ntex::io::{Io, IoConfig, RecvError};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::transfer::Transfer;
@@ -27,6 +29,10 @@
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Chunks of a body that are read in one turn; more than arrive at once of a body in chunks of a
+/// usual size.
+const CHUNKS_PER_TURN: usize = 256;
+
 /// Maximum time for discarding the rest of a refused body, about one round trip on a slow
 /// connection.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
@@ -178,8 +184,36 @@
     }
 }
 
-/// Reads a complete body of at most `max_bytes`, which may change while the body arrives. `hold` is
-/// called with the memory that the body takes before it takes it, and whenever more has arrived.
+/// Limits on a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Maximum size of the body.
+    pub body_max_bytes: usize,
+    /// Maximum size of the line before a chunk, which holds its size and extensions.
+    pub chunk_line_max_bytes: usize,
+}
+
+/// Turns of bodies that arrive in many small chunks, so that other tasks run between two of them.
+#[derive(Debug)]
+pub struct ChunkTurns(Semaphore);
+
+impl Default for ChunkTurns {
+    fn default() -> Self {
+        Self(Semaphore::new(1))
+    }
+}
+
+impl ChunkTurns {
+    /// Waits for the turn of a body and until other tasks have run.
+    async fn take(&self) {
+        // Never fails, because the semaphore is not closed.
+        let _turn = self.0.acquire().await;
+        yield_now().await;
+    }
+}
+
+/// Reads a complete body within `limits`, which may change while the body arrives. `hold` is called
+/// with the memory that the body takes before it takes it, and whenever more has arrived.
 ///
 /// # Errors
 ///
@@ -188,23 +222,34 @@
     io: &Io,
     decoder: &PayloadDecoder,
     declared_bytes: Option<usize>,
-    max_bytes: impl Fn() -> usize,
+    limits: impl Fn() -> BodyLimits,
+    turns: &ChunkTurns,
     mut hold: impl FnMut(usize) -> Result<(), HoldingError>,
 ) -> Result<Bytes, BodyError> {
     let mut body = Vec::new();
+    let mut chunks_in_turn = 0;
+    let max_bytes = || limits().body_max_bytes;
     loop {
         let item = receive(io, decoder, |waiting_bytes| {
+            if waiting_bytes > limits().chunk_line_max_bytes {
+                return Err(BodyError::Malformed(DecodeError::TooLarge(waiting_bytes)));
+            }
             hold(body.capacity() + waiting_bytes).map_err(BodyError::NotHeld)
         });
         match item.await? {
             Some((PayloadItem::Chunk(chunk), _)) => {
+                chunks_in_turn += 1;
+                if chunks_in_turn == CHUNKS_PER_TURN {
+                    chunks_in_turn = 0;
+                    turns.take().await;
+                }
                 let needed_bytes = body.len() + chunk.len();
                 if needed_bytes > max_bytes() {
                     return Err(BodyError::TooLong);
                 }
                 let mut capacity_bytes = body.capacity();
                 if needed_bytes > capacity_bytes {
-                    let most_bytes = declared_bytes.unwrap_or_else(&max_bytes);
+                    let most_bytes = declared_bytes.unwrap_or_else(max_bytes);
                     capacity_bytes = (2 * capacity_bytes).min(most_bytes).max(needed_bytes);
                     hold(capacity_bytes).map_err(BodyError::NotHeld)?;
                     body.reserve_exact(capacity_bytes - body.len());
--- a/crates/daemon/src/front/connection/relay_server.rs
+++ b/crates/daemon/src/front/connection/relay_server.rs
@@ -13,6 +13,7 @@
 use ntex::http::{Request, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::listener::BodyLimits;
 use super::store::{HttpTransport, OpenReply};
 use super::{listener, tunnel_server};
 use crate::consts::JSON;
@@ -23,8 +24,9 @@
 pub const ANSWER_LOST_STATUS: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// Maximum size of a request head.
 const HEAD_MAX_BYTES: usize = 8 * 1024;
-/// Maximum size of a request body; larger than the store itself accepts.
-const BODY_MAX_BYTES: usize = 2 * 1024 * 1024;
+/// Limits on a request body, which may be larger than the store itself accepts.
+const BODY_LIMITS: BodyLimits =
+    BodyLimits { body_max_bytes: 2 * 1024 * 1024, chunk_line_max_bytes: HEAD_MAX_BYTES };
 /// Maximum wait for the store's response, in addition to `FEED_WAIT`; the calling node gives up
 /// before their sum.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -52,7 +54,8 @@
         let body = match &payload {
             PayloadType::None => Ok(Bytes::new()),
             PayloadType::Payload(decoder) | PayloadType::Stream(decoder) => {
-                listener::read_body(&io, decoder, None, || BODY_MAX_BYTES, |_| Ok(())).await
+                let limits = || BODY_LIMITS;
+                listener::read_body(&io, decoder, None, limits, &node.chunk_turns, |_| Ok(())).await
             }
         };
         let Ok(body) = body else { break };
--- a/crates/daemon/src/front/process/node.rs
+++ b/crates/daemon/src/front/process/node.rs
@@ -35,6 +35,7 @@
 use crate::descriptors::sockets_max;
 use crate::front::connection::BackendPool;
 use crate::front::connection::backend_reach::BackendReachability;
+use crate::front::connection::listener::ChunkTurns;
 use crate::front::connection::paced::StorePacer;
 use crate::front::connection::peers::Peers;
 use crate::front::connection::reach::StoreReachability;
@@ -108,6 +109,8 @@
     pub stop: StopSignal,
     /// What callers make the process hold.
     pub holdings: Arc<Holdings>,
+    /// Turns of callers' bodies that arrive in many small chunks.
+    pub chunk_turns: ChunkTurns,
     /// Open connections of callers.
     pub caller_connections: ActiveCount,
     /// Callers' requests in flight.
@@ -170,6 +173,7 @@
                 settings.memory_max_bytes,
                 sockets_max(settings.sockets_max),
             )),
+            chunk_turns: ChunkTurns::default(),
             caller_connections: ActiveCount::default(),
             caller_requests: ActiveCount::default(),
             table: RefCell::default(),
