Count what callers send behind a request that is being served

What callers saw: a crowd that sent more requests behind a running one on each connection took a buffer of the process and one of the system for each, and held them after it had left: a connection that is no longer read does not show that its caller has gone.

Cause: a full read buffer stops the reading until the request ends, and nothing counted what waits.

Change: once the buffer is full, the bytes that may wait unread are counted, and the connection may be closed for the sake of others, as a stalled one.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -34,6 +34,12 @@
 /// which they arrived, and an incomplete one is moved to larger pages.
 const HEAD_MEMORY_FACTOR: u64 = 3;
 
+/// Bytes that are read behind a request that is being served before the reading stops; about the size
+/// of the connection's buffer.
+const QUEUE_READ_BYTES: usize = 15 * 1024;
+/// Bytes that may then wait unread.
+const QUEUE_UNREAD_BYTES: u64 = 128 * 1024;
+
 /// Time for which a stopping node waits for the first request of a new connection, whose caller did
 /// not know of the stop.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
@@ -484,8 +490,12 @@
     let is_answered = tokio::select! {
         biased;
         result = request::serve(node, &request, &mut responder) => result.is_ok(),
-        () = caller_disconnected(&connection.io) => {
-            node.metrics.callers_gone.inc();
+        end = watch_caller(connection) => {
+            match end {
+                CallerEnd::Gone => node.metrics.callers_gone.inc(),
+                CallerEnd::Displaced => node.metrics.holdings.displaced.inc(),
+            }
+            connection.io.terminate();
             return Ok(false);
         }
     };
@@ -497,11 +507,35 @@
     Ok(connection.codec.keepalive() && !responder.announces_close())
 }
 
-/// Waits until the caller closes the connection.
-async fn caller_disconnected(io: &Io) {
-    poll_fn(|cx| match io.poll_status_update(cx) {
-        Poll::Ready(IoStatusUpdate::PeerGone(_)) => Poll::Ready(()),
-        Poll::Ready(_) | Poll::Pending => Poll::Pending,
-    })
-    .await;
+/// Reason why a request ends without an answer.
+enum CallerEnd {
+    /// The caller has closed the connection.
+    Gone,
+    /// The caller has sent so much behind its request that others need the room.
+    Displaced,
+}
+
+/// Waits until the caller closes the connection, or must give up what it has sent behind its request.
+async fn watch_caller(connection: &CallerConnection) -> CallerEnd {
+    let CallerConnection { io, holding, .. } = connection;
+    let mut is_queue_held = false;
+    let watching = poll_fn(|cx| {
+        if let Poll::Ready(IoStatusUpdate::PeerGone(_)) = io.poll_status_update(cx) {
+            return Poll::Ready(CallerEnd::Gone);
+        }
+        let is_full = io.with_read_buf(|buffer| buffer.len() >= QUEUE_READ_BYTES);
+        if is_full && !is_queue_held {
+            is_queue_held = true;
+            let now = Instant::now();
+            let queueing = holding.set_stage(Stage::Queueing, now);
+            if queueing.and_then(|()| holding.grow(QUEUE_UNREAD_BYTES, now)).is_err() {
+                return Poll::Ready(CallerEnd::Displaced);
+            }
+        }
+        Poll::Pending
+    });
+    tokio::select! {
+        end = watching => end,
+        () = holding.displaced() => CallerEnd::Displaced,
+    }
 }
