Limit what the system keeps unread for a caller's connection

What callers saw: nothing at first; bytes that the system has received count toward a process's memory on the users' machines, and the system's buffers grow to megabytes for each connection that is read fast and then no longer.

Cause: the listener used the system's default, which grows with the connection's speed.

Change: the buffer has a fixed size of 16 KB (Linux keeps up to twice as much), also while a connection waits to be accepted, and an arriving request counts it.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -34,11 +34,13 @@
 /// which they arrived, and an incomplete one is moved to larger pages.
 const HEAD_MEMORY_FACTOR: u64 = 3;
 
+/// Bytes of an arriving request that the system keeps until they are read.
+const UNREAD_BYTES: u64 = listener::UNREAD_MAX_BYTES as u64;
 /// Bytes that are read behind a request that is being served before the reading stops; about the size
 /// of the connection's buffer.
 const QUEUE_READ_BYTES: usize = 15 * 1024;
 /// Bytes that may then wait unread.
-const QUEUE_UNREAD_BYTES: u64 = 128 * 1024;
+const QUEUE_UNREAD_BYTES: u64 = 2 * UNREAD_BYTES;
 
 /// Time for which a stopping node waits for the first request of a new connection, whose caller did
 /// not know of the stop.
@@ -114,11 +116,12 @@
 
 /// Returns the memory of a request of which a head of `head_bytes` has arrived, in bytes.
 fn head_memory_bytes(head_bytes: usize) -> u64 {
-    REQUEST_BYTES + HEAD_MEMORY_FACTOR * head_bytes as u64
+    REQUEST_BYTES + UNREAD_BYTES + HEAD_MEMORY_FACTOR * head_bytes as u64
 }
 
 /// Accepts connections from callers until the process ends.
 pub async fn accept(node: Rc<FrontNode>, listener: TcpListener) {
+    listener::limit_unread_bytes(&listener);
     listener::accept("callers", listener, |stream| serve(Rc::clone(&node), stream)).await;
 }
 
@@ -476,6 +479,7 @@
     arrived_at: Instant,
 ) -> io::Result<bool> {
     let now = Instant::now();
+    connection.holding.release(UNREAD_BYTES, now);
     if let Err(error) = connection.holding.set_stage(Stage::Serving, now) {
         node.metrics.holdings.displaced.inc();
         refuse_and_close(node, connection, &error.refusal()).await?;
--- a/crates/daemon/src/front/connection/listener.rs
+++ b/crates/daemon/src/front/connection/listener.rs
@@ -5,6 +5,7 @@
 use std::fmt::Display;
 use std::future::poll_fn;
 use std::io;
+use std::os::fd::AsFd;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use ntex::http::header::{CONTENT_TYPE, HeaderValue};
 use ntex::http::{HttpServiceConfig, KeepAlive, Response, StatusCode};
 use ntex::io::{Io, IoConfig, RecvError};
+use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::yield_now;
@@ -29,6 +31,10 @@
 /// Delay after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Bytes that the system is asked to keep for a connection until they are read, also before it is
+/// accepted; enough for the requests of most callers. Linux keeps up to twice as many.
+pub const UNREAD_MAX_BYTES: usize = 16 * 1024;
+
 /// Chunks of a body that are read in one turn; more than arrive at once of a body in chunks of a
 /// usual size.
 const CHUNKS_PER_TURN: usize = 256;
@@ -40,6 +46,13 @@
 /// Maximum time for which a receiver of a forwarded response may not read.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Limits the bytes that the system keeps for each connection of `listener` until they are read.
+pub fn limit_unread_bytes(listener: impl AsFd) {
+    if let Err(error) = sockopt::set_socket_recv_buffer_size(listener, UNREAD_MAX_BYTES) {
+        log::warn!("event=receive_buffer_not_set cause=\"{error}\"");
+    }
+}
+
 /// Accepts connections until the process ends and serves each in its own task.
 pub async fn accept<S, F>(name: &'static str, listener: TcpListener, serve: S)
 where
