Keep the same account at the own interface, with a time limit for bodies and a stop that does not wait

What callers saw: a crowd of large bodies ended a node or left ordinary requests unanswered; a stalled body was never given up, and SIGTERM did not end the process while one was there.

Cause: the size of one body was limited, but neither all together, nor the time of one, nor the connections. Keys were looked at after the body.

A call is in flight once its body has arrived. Keys, and routes where the path names them, are checked first and again afterwards. Heads have 16 KB, as on the users' platform, and connections wait beyond the limit.

Ruled out: the server library's own rate limit for bodies, because it ends a connection without saying that the request has not run.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -183,6 +183,14 @@
     #[arg(long, env = "DANDELIONFRONT_BODY_MAX_BYTES", default_value_t = 4_194_304)]
     pub body_max_bytes: usize,
 
+    /// Maximum time in which a caller's request body must arrive, in milliseconds.
+    #[arg(long, env = "DANDELIONFRONT_BODY_TIMEOUT_MS", default_value_t = 60_000)]
+    pub body_timeout_ms: u64,
+
+    /// Memory of the process, in MB; callers may make it hold three eighths of it.
+    #[arg(long, env = "DANDELIONFRONT_MEMORY_MB", default_value_t = 1_024)]
+    pub memory_mb: u64,
+
     /// Maximum time that a graceful shutdown waits for running calls and the release of the shards,
     /// in seconds.
     #[arg(long, env = "DANDELIONFRONT_DRAIN_MAX_S", default_value_t = 600)]
--- a/crates/daemon/src/process/lifecycle.rs
+++ b/crates/daemon/src/process/lifecycle.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::{io, thread};
 
+use dandelionfront_coordination::holdings::{HoldingLimits, Holdings};
 use dandelionfront_coordination::{Clock as _, ConfigSnapshot};
 use jsonrpsee::server::{ServerBuilder, ServerHandle};
 use log::{error, info, warn};
@@ -28,6 +29,8 @@
 use super::shared::{Shared, Worker};
 use crate::connection::peers::{PeerRpcServer as _, PeerService};
 use crate::connection::{Clients, clients};
+use crate::descriptors::sockets_max;
+use crate::front::connection::listener::limit_unread_bytes;
 use crate::operator;
 use crate::request::{chat, forwarded, programs, service};
 use crate::settings::Settings;
@@ -84,6 +87,7 @@
     settings.fill_advertised_addresses();
     let shared = start_control(settings, peers)?;
     let settings = &shared.settings;
+    limit_unread_bytes(&callers);
     let servers = vec![
         serve(&shared, callers, settings.workers, caller_routes)?,
         serve(&shared, forward, settings.workers, forwarded::routes)?,
@@ -183,7 +187,9 @@
     let (config_sender, config) = watch::channel(Arc::new(ConfigSnapshot::default()));
     let clock = SystemClock::new();
     let metrics = Metrics::new();
+    let limits = HoldingLimits::of_process(settings.memory_max_bytes, sockets_max(None));
     let shared = Arc::new(Shared {
+        holdings: Holdings::new(limits),
         settings,
         metrics,
         clock,
@@ -224,6 +230,7 @@
     Ok(server.start(service.into_rpc()))
 }
 
+/// Starts a listener. Connections beyond the callers' limit wait until others are closed.
 fn serve(
     shared: &Arc<Shared>,
     listener: TcpListener,
@@ -231,6 +238,10 @@
     configure: fn(&mut web::ServiceConfig),
 ) -> io::Result<Server> {
     let shared = Arc::clone(shared);
+    // A number for each worker of all listeners, which the server library keeps for the process.
+    let connections_max =
+        shared.holdings.limits().connections_max.div_ceil(shared.settings.workers);
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE).set_max_buf_size(HEAD_MAX_BYTES);
     let server = HttpServer::new(async move || {
         let clients = Clients::new().await.expect("HTTP client settings are valid");
         let limit = shared.settings.body_max_bytes;
@@ -244,12 +255,15 @@
     .workers(workers)
     .disable_signals()
     .shutdown_timeout(CLOSE_TIMEOUT)
-    .config(SharedCfg::new("HTTP").add(HttpServiceConfig::new().set_keepalive(KEEP_ALIVE)))
+    .maxconn(connections_max)
+    .config(SharedCfg::new("HTTP").add(http))
     .listen(listener)?
     .run();
     Ok(server)
 }
 
+/// Maximum size of a request head, in bytes.
+const HEAD_MAX_BYTES: usize = 16 * 1024;
 /// Maximum size of JSON bodies from other nodes and from operators.
 const INTERNAL_BODY_MAX_BYTES: usize = 256 * 1024 * 1024;
 
--- a/crates/daemon/src/process/shared.rs
+++ b/crates/daemon/src/process/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use dandelionfront_coordination::ConfigSnapshot;
+use dandelionfront_coordination::holdings::Holdings;
 use tokio::sync::watch;
 
 use super::clock::SystemClock;
@@ -26,6 +27,8 @@
     pub config: watch::Receiver<Arc<ConfigSnapshot>>,
     /// Handle of the control thread.
     pub control: ControlHandle,
+    /// What callers make the process hold.
+    pub holdings: Arc<Holdings>,
     /// Whether the graceful shutdown has started.
     pub draining: AtomicBool,
 }
--- a/crates/daemon/src/request/chat.rs
+++ b/crates/daemon/src/request/chat.rs
@@ -1,6 +1,7 @@
 //! Handler of `POST /v1/chat/completions`.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use dandelionfront_coordination::Payload as CallBody;
 use dandelionfront_coordination::ids::RouteId;
@@ -15,7 +16,8 @@
 use super::answer::{complete, event_stream, refusal_json, refuse, sse_event};
 use super::auth::{KeyWatcher, authenticate};
 use super::routes::{
-    CallIdentity, InFlightGuard, acquire_team_token, authorize_route, read_body, read_identity,
+    CallIdentity, HeldBody, InFlightGuard, acquire_team_token, authorize_route, read_body,
+    read_identity,
 };
 use super::submit::CallStream;
 use crate::backend::{ChatBody, single_chunk};
@@ -27,9 +29,8 @@
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
-    let in_flight = InFlightGuard::new(&worker.shared.metrics);
     match receive(&worker, &request, payload).await {
-        Ok((call, key_watcher)) => {
+        Ok((call, key_watcher, in_flight)) => {
             let stream = CallStream::new((**worker).clone(), call, key_watcher);
             respond(&worker, request.version(), stream, in_flight).await
         }
@@ -42,11 +43,14 @@
     worker: &Worker,
     request: &HttpRequest,
     payload: Payload,
-) -> Result<(CallRequest, KeyWatcher), Refusal> {
-    let body = read_body(worker, payload).await?;
-    let (call, key_watcher) = prepare(worker, request, &body)?;
+) -> Result<(CallRequest, KeyWatcher, InFlightGuard), Refusal> {
+    let arrived = Instant::now();
+    authenticate(&worker.shared.config(), request)?;
+    let HeldBody { bytes, holding } = read_body(worker, payload).await?;
+    let in_flight = InFlightGuard::new(&worker.shared.metrics, arrived, holding);
+    let (call, key_watcher) = prepare(worker, request, &bytes)?;
     acquire_team_token(worker, &call).await?;
-    Ok((call, key_watcher))
+    Ok((call, key_watcher, in_flight))
 }
 
 fn prepare(
--- a/crates/daemon/src/request/programs.rs
+++ b/crates/daemon/src/request/programs.rs
@@ -155,12 +155,14 @@
     request: &HttpRequest,
     payload: types::Payload,
 ) -> Result<ProgramId, Refusal> {
+    require_team(worker, request)?;
     let body = read_body(worker, payload).await?;
+    // The key may have been withdrawn until the body had arrived.
     let team = require_team(worker, request)?;
-    let wanted: OpenBody = if body.is_empty() {
+    let wanted: OpenBody = if body.bytes.is_empty() {
         OpenBody::default()
     } else {
-        serde_json::from_slice(&body).map_err(|error| {
+        serde_json::from_slice(&body.bytes).map_err(|error| {
             Refusal::not_run(
                 RefusalKind::InvalidRequest,
                 format!("the body is malformed ({error}); send parent and budget_tokens, or none"),
--- a/crates/daemon/src/request/routes.rs
+++ b/crates/daemon/src/request/routes.rs
@@ -4,8 +4,10 @@
 
 use dandelionfront_coordination::config::objects::Route;
 use dandelionfront_coordination::config::snapshot::Caller;
+use dandelionfront_coordination::holdings::{Holding, HoldingError, REQUEST_BYTES, Stage};
 use dandelionfront_coordination::ids::{CallSequence, ProgramId, TeamId, single_call_program_id};
 use dandelionfront_coordination::{CallRequest, ConfigSnapshot, Refusal, RefusalKind};
+use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, types};
 
@@ -17,6 +19,15 @@
 /// Maximum length of an idempotency key.
 const IDEMPOTENCY_KEY_MAX_BYTES: usize = 256;
 
+/// Copies of a body while its call is served: as received, as sent to the backend server, in the
+/// journal and for another node.
+const BODY_COPIES: u64 = 4;
+/// Size of a chunk below which the queue between connection and handler takes more memory than what
+/// it holds.
+const SMALL_CHUNK_BYTES: usize = 64;
+/// Memory of the queue of a body in small chunks, in bytes.
+const SMALL_CHUNKS_QUEUE_BYTES: u64 = 160 * 1024;
+
 /// Identity of a call within its program.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallIdentity {
@@ -73,14 +84,53 @@
     }
 }
 
+/// A request body, and what its request makes the process hold.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// Kept until the request has been answered.
+    pub holding: Holding,
+}
+
 /// Reads the body of a request.
 ///
 /// # Errors
 ///
-/// Refuses bodies above the size limit and incomplete bodies.
-pub async fn read_body(worker: &Worker, mut payload: types::Payload) -> Result<Bytes, Refusal> {
+/// Refuses bodies above the size limit, incomplete bodies, and those that take too long or for which
+/// there is no room.
+pub async fn read_body(worker: &Worker, payload: types::Payload) -> Result<HeldBody, Refusal> {
+    let time_limit = worker.shared.settings.body_timeout;
+    let opened = worker.shared.holdings.open(Instant::now());
+    let holding = opened.map_err(HoldingError::refusal)?;
+    let reading = async {
+        tokio::select! {
+            biased;
+            body = receive_body(worker, &holding, payload) => body,
+            () = holding.displaced() => Err(HoldingError::Displaced.refusal()),
+        }
+    };
+    let bytes = timeout(time_limit, reading).await.unwrap_or_else(|()| {
+        let message =
+            format!("the body did not arrive within {} ms; send it faster", time_limit.as_millis());
+        Err(Refusal::not_run(RefusalKind::RequestTimeout, message))
+    })?;
+    let now = Instant::now();
+    let held = holding.set_stage(Stage::Serving, now);
+    let held = held.and_then(|()| holding.hold(BODY_COPIES * bytes.len() as u64, now));
+    held.map_err(HoldingError::refusal)?;
+    Ok(HeldBody { bytes, holding })
+}
+
+async fn receive_body(
+    worker: &Worker,
+    holding: &Holding,
+    mut payload: types::Payload,
+) -> Result<Bytes, Refusal> {
     let limit = worker.shared.settings.body_max_bytes;
     let mut body = BytesMut::new();
+    let mut queue_bytes = 0;
+    holding.set_stage(Stage::Arriving, Instant::now()).map_err(HoldingError::refusal)?;
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|_| invalid("the body did not arrive whole".to_owned()))?;
         if body.len() + chunk.len() > limit {
@@ -89,6 +139,16 @@
                 format!("the body is over the limit of {limit} bytes; send a shorter one"),
             ));
         }
+        let now = Instant::now();
+        holding.note_progress(now);
+        if chunk.len() < SMALL_CHUNK_BYTES {
+            queue_bytes = SMALL_CHUNKS_QUEUE_BYTES;
+        }
+        // A full buffer is moved to one of twice the size.
+        let body_bytes = 2 * (body.len() + chunk.len()) as u64;
+        holding
+            .hold(REQUEST_BYTES + queue_bytes + body_bytes, now)
+            .map_err(HoldingError::refusal)?;
         body.extend_from_slice(&chunk);
     }
     Ok(body.freeze())
@@ -141,19 +201,20 @@
     Refusal::not_run(RefusalKind::InvalidRequest, message)
 }
 
-/// Counts a call as in flight until the guard is dropped.
+/// Counts a call as in flight, and keeps what it makes the process hold, until the guard is dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
     metrics: Metrics,
     arrived: Instant,
+    _holding: Holding,
 }
 
 impl InFlightGuard {
-    /// Starts to count a call that has just arrived.
+    /// Starts to count a call whose head arrived at `arrived` and whose body has been read.
     #[must_use]
-    pub fn new(metrics: &Metrics) -> Self {
+    pub fn new(metrics: &Metrics, arrived: Instant, holding: Holding) -> Self {
         metrics.calls_in_flight.inc();
-        Self { metrics: metrics.clone(), arrived: Instant::now() }
+        Self { metrics: metrics.clone(), arrived, _holding: holding }
     }
 
     /// Returns the time since the call arrived.
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -1,6 +1,7 @@
 //! Handler of `/v1/services/{route}/...` for all HTTP methods.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use dandelionfront_coordination::ids::ProgramId;
 use dandelionfront_coordination::{Answer, CallRequest, CallTarget, Payload, Refusal, RefusalKind};
@@ -9,7 +10,9 @@
 
 use super::answer::{complete, refuse};
 use super::auth::{KeyWatcher, authenticate};
-use super::routes::{InFlightGuard, acquire_team_token, authorize_route, read_body, read_identity};
+use super::routes::{
+    HeldBody, InFlightGuard, acquire_team_token, authorize_route, read_body, read_identity,
+};
 use super::submit::CallStream;
 use crate::process::Worker;
 
@@ -22,12 +25,8 @@
     request: HttpRequest,
     payload: types::Payload,
 ) -> HttpResponse {
-    let in_flight = InFlightGuard::new(&worker.shared.metrics);
     match serve(&worker, &request, payload).await {
-        Ok((program, answer)) => {
-            in_flight.answered();
-            complete(&program, answer)
-        }
+        Ok((program, answer)) => complete(&program, answer),
         Err(refusal) => refuse(&worker.shared.metrics, &refusal),
     }
 }
@@ -37,11 +36,16 @@
     request: &HttpRequest,
     payload: types::Payload,
 ) -> Result<(ProgramId, Answer), Refusal> {
-    let body = read_body(worker, payload).await?;
-    let (call, key_watcher) = prepare(worker, request, &body)?;
+    let arrived = Instant::now();
+    // Also checked with the body, because the configuration may change until it has arrived.
+    prepare(worker, request, &Bytes::new())?;
+    let HeldBody { bytes, holding } = read_body(worker, payload).await?;
+    let in_flight = InFlightGuard::new(&worker.shared.metrics, arrived, holding);
+    let (call, key_watcher) = prepare(worker, request, &bytes)?;
     acquire_team_token(worker, &call).await?;
     let mut stream = CallStream::new(worker.clone(), call, key_watcher);
     let answer = stream.outcome().await?;
+    in_flight.answered();
     Ok((stream.program().to_owned(), answer))
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,9 @@
 
 use crate::cli::NodeArgs;
 
+/// Bytes per megabyte.
+const BYTES_PER_MB: u64 = 1024 * 1024;
+
 /// Invalid value of a setting.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("--{flag} is {value}; {remedy}"))]
@@ -61,6 +64,10 @@
     pub program_idle: Duration,
     /// Maximum size of a caller's request body, in bytes.
     pub body_max_bytes: usize,
+    /// Maximum time in which a caller's request body must arrive.
+    pub body_timeout: Duration,
+    /// Memory of the process, in bytes.
+    pub memory_max_bytes: u64,
     /// Maximum time that a graceful shutdown waits for running calls and the release of the shards.
     pub drain_max: Duration,
 }
@@ -114,6 +121,8 @@
             vm_poll: Duration::from_millis(args.vm_poll_ms),
             program_idle: Duration::from_secs(args.program_idle_s),
             body_max_bytes: args.body_max_bytes,
+            body_timeout: Duration::from_millis(args.body_timeout_ms),
+            memory_max_bytes: args.memory_mb.saturating_mul(BYTES_PER_MB),
             drain_max: Duration::from_secs(args.drain_max_s),
         }
     }
@@ -174,6 +183,8 @@
     range("vm-poll-ms", args.vm_poll_ms, 50..=2_000);
     range("program-idle-s", args.program_idle_s, 1..=86_400);
     range("body-max-bytes", args.body_max_bytes as u64, 1_024..=67_108_864);
+    range("body-timeout-ms", args.body_timeout_ms, 100..=3_600_000);
+    range("memory-mb", args.memory_mb, 64..=1_048_576);
     range("drain-max-s", args.drain_max_s, 1..=3_600);
     if args.dispatch_window_ms <= args.start_commit_wait_ms {
         let remedy =
