Let refusals that come before the body reach callers of the own interface

The rest of a refused body is read and discarded now, for at most half a second. The same holds for bodies that are too long or for which there is no room.

--- a/crates/daemon/src/request/chat.rs
+++ b/crates/daemon/src/request/chat.rs
@@ -17,7 +17,7 @@
 use super::auth::{KeyWatcher, authenticate};
 use super::routes::{
     CallIdentity, HeldBody, InFlightGuard, acquire_team_token, authorize_route, read_body,
-    read_identity,
+    read_identity, refuse_unread,
 };
 use super::submit::CallStream;
 use crate::backend::{ChatBody, single_chunk};
@@ -45,7 +45,9 @@
     payload: Payload,
 ) -> Result<(CallRequest, KeyWatcher, InFlightGuard), Refusal> {
     let arrived = Instant::now();
-    authenticate(&worker.shared.config(), request)?;
+    if let Err(refusal) = authenticate(&worker.shared.config(), request) {
+        return Err(refuse_unread(payload, refusal).await);
+    }
     let HeldBody { bytes, holding } = read_body(worker, payload).await?;
     let in_flight = InFlightGuard::new(&worker.shared.metrics, arrived, holding);
     let (call, key_watcher) = prepare(worker, request, &bytes)?;
--- a/crates/daemon/src/request/programs.rs
+++ b/crates/daemon/src/request/programs.rs
@@ -20,7 +20,7 @@
 use super::answer::refuse;
 use super::auth::{ANONYMOUS_TEAM, authenticate, key_missing};
 use super::forwarded::serve_program_request;
-use super::routes::read_body;
+use super::routes::{read_body, refuse_unread};
 use crate::connection::forward::{
     ForwardError, ProgramReply, ProgramRequest, send_program_request,
 };
@@ -155,7 +155,9 @@
     request: &HttpRequest,
     payload: types::Payload,
 ) -> Result<ProgramId, Refusal> {
-    require_team(worker, request)?;
+    if let Err(refusal) = require_team(worker, request) {
+        return Err(refuse_unread(payload, refusal).await);
+    }
     let body = read_body(worker, payload).await?;
     // The key may have been withdrawn until the body had arrived.
     let team = require_team(worker, request)?;
--- a/crates/daemon/src/request/routes.rs
+++ b/crates/daemon/src/request/routes.rs
@@ -22,6 +22,8 @@
 /// Copies of a body while its call is served: as received, as sent to the backend server, in the
 /// journal and for another node.
 const BODY_COPIES: u64 = 4;
+/// Maximum time for discarding the rest of a refused body.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Size of a chunk below which the queue between connection and handler takes more memory than what
 /// it holds.
 const SMALL_CHUNK_BYTES: usize = 64;
@@ -99,7 +101,24 @@
 ///
 /// Refuses bodies above the size limit, incomplete bodies, and those that take too long or for which
 /// there is no room.
-pub async fn read_body(worker: &Worker, payload: types::Payload) -> Result<HeldBody, Refusal> {
+pub async fn read_body(worker: &Worker, mut payload: types::Payload) -> Result<HeldBody, Refusal> {
+    match hold_body(worker, &mut payload).await {
+        Ok(body) => Ok(body),
+        Err(refusal) => Err(refuse_unread(payload, refusal).await),
+    }
+}
+
+/// Reads and discards the rest of a refused request's body for a limited time, and returns the
+/// refusal. The server library closes a connection whose body is not read, and its caller may then lose
+/// the response.
+pub async fn refuse_unread(mut payload: types::Payload, refusal: Refusal) -> Refusal {
+    let rest = async { while let Some(Ok(_)) = payload.recv().await {} };
+    // The connection of a caller that is still sending is closed.
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+    refusal
+}
+
+async fn hold_body(worker: &Worker, payload: &mut types::Payload) -> Result<HeldBody, Refusal> {
     let time_limit = worker.shared.settings.body_timeout;
     let opened = worker.shared.holdings.open(Instant::now());
     let holding = opened.map_err(HoldingError::refusal)?;
@@ -125,7 +144,7 @@
 async fn receive_body(
     worker: &Worker,
     holding: &Holding,
-    mut payload: types::Payload,
+    payload: &mut types::Payload,
 ) -> Result<Bytes, Refusal> {
     let limit = worker.shared.settings.body_max_bytes;
     let mut body = BytesMut::new();
--- a/crates/daemon/src/request/service.rs
+++ b/crates/daemon/src/request/service.rs
@@ -12,6 +12,7 @@
 use super::auth::{KeyWatcher, authenticate};
 use super::routes::{
     HeldBody, InFlightGuard, acquire_team_token, authorize_route, read_body, read_identity,
+    refuse_unread,
 };
 use super::submit::CallStream;
 use crate::process::Worker;
@@ -38,7 +39,9 @@
 ) -> Result<(ProgramId, Answer), Refusal> {
     let arrived = Instant::now();
     // Also checked with the body, because the configuration may change until it has arrived.
-    prepare(worker, request, &Bytes::new())?;
+    if let Err(refusal) = prepare(worker, request, &Bytes::new()) {
+        return Err(refuse_unread(payload, refusal).await);
+    }
     let HeldBody { bytes, holding } = read_body(worker, payload).await?;
     let in_flight = InFlightGuard::new(&worker.shared.metrics, arrived, holding);
     let (call, key_watcher) = prepare(worker, request, &bytes)?;
