Refuse bodies that are too long for their length first

Found by front::oversized_body_is_refused_before_it_arrives, which sends a body of 100 MB to no route: the check of the route came first and changed its 413 to 404. The declared length is looked at before the route again.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -346,7 +346,10 @@
             Ok(false)
         }
         PayloadType::Payload(decoder) => {
-            if let Some(refused) = request::refusal_of_head(node, &head) {
+            let is_too_long = declared_bytes(&head)
+                .is_some_and(|bytes| bytes > node.table().limits().body_max_bytes);
+            // A body that is too long is refused for its length, whatever its route.
+            if !is_too_long && let Some(refused) = request::refusal_of_head(node, &head) {
                 let is_whole = listener::skip_arrived(&connection.io, &decoder);
                 let mut responder = Responder::new(connection, head.version());
                 if !is_whole || is_closing(node) {
@@ -433,6 +436,12 @@
     headers::decode_deadline(header).unwrap_or(TIME_LIMIT_DEFAULT).min(TIME_LIMIT_DEFAULT)
 }
 
+/// Returns the declared length of a body, if there is one.
+fn declared_bytes(head: &Request) -> Option<usize> {
+    let declared = head.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    declared.and_then(|value| value.parse().ok())
+}
+
 /// Reads a body, after sending `100 Continue` if the caller expects it; fails at once when the
 /// declared length exceeds the limit. An HTTP/1.0 caller would take `100 Continue` for the
 /// response.
@@ -447,8 +456,7 @@
         let CallerLimits { body_max_bytes, header_max_bytes, .. } = *node.table().limits();
         BodyLimits { body_max_bytes, chunk_line_max_bytes: header_max_bytes }
     };
-    let declared = head.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    let declared_bytes: Option<usize> = declared.and_then(|value| value.parse().ok());
+    let declared_bytes = declared_bytes(head);
     if declared_bytes.is_some_and(|bytes| bytes > limits().body_max_bytes) {
         return Err(BodyError::TooLong);
     }
