Count answers before they are read from servers, and let unread ones give way

What callers saw: 192 callers that read nothing of answers of 1 MiB made a node hold 79 MB with the account in place, 64 allowed.

Cause: an answer's part was counted after it had been read, in two copies but not by the capacity of its buffer, and passed on uncounted when room was short.

Change: room is reserved before the next part is read, for as much as may come (64 KB at most beside what is buffered); when it is short, the server waits, and parts are sent at once instead of buffered. While a caller does not read, its connection may be displaced after a second, as a stalled request; its answer is broken off then and looks incomplete.

--- a/crates/coordination/src/holdings.rs
+++ b/crates/coordination/src/holdings.rs
@@ -3,7 +3,7 @@
 //! A request may hold as much as stays free beside it, so that small requests find room beside large
 //! ones, and a single one may take half of it. If it needs more, requests that are still arriving give
 //! up theirs: first those that make no progress, then those that hold more. Requests that are being
-//! served keep what they hold, unless their callers have sent much behind them.
+//! served keep what they hold, unless their callers have sent much behind them or do not read.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -84,6 +84,8 @@
     Serving,
     /// A request is being served, and its caller has sent so much behind it that no more is read.
     Queueing,
+    /// A request is being served, and its caller does not read the answer.
+    Answering,
 }
 
 /// Reason why the process holds no more for a caller.
@@ -123,8 +125,13 @@
             || now.saturating_duration_since(self.progress_at) >= STALLED_AFTER
     }
 
-    fn may_be_displaced(&self) -> bool {
-        matches!(self.stage, Stage::Arriving | Stage::Queueing) && !self.is_displaced
+    fn may_be_displaced(&self, now: Instant) -> bool {
+        let may_be_displaced = match self.stage {
+            Stage::Arriving | Stage::Queueing => true,
+            Stage::Answering => self.is_stalled(now),
+            Stage::Idle | Stage::Serving => false,
+        };
+        may_be_displaced && !self.is_displaced
     }
 }
 
@@ -154,7 +161,7 @@
     /// or the largest one that holds more.
     fn memory_victim(&self, own: HoldingKey, bytes: u64, now: Instant) -> Option<HoldingKey> {
         let others =
-            self.by_key.iter().filter(|(key, holder)| *key != own && holder.may_be_displaced());
+            self.by_key.iter().filter(|(key, holder)| *key != own && holder.may_be_displaced(now));
         let candidates =
             others.filter(|(_, holder)| holder.is_stalled(now) || holder.bytes > bytes);
         let victim = candidates.max_by_key(|(_, holder)| (holder.is_stalled(now), holder.bytes));
@@ -165,10 +172,11 @@
     /// among the stalled requests, among the idle connections or among the other arriving requests.
     fn connection_victim(&self, now: Instant) -> Option<HoldingKey> {
         let rank = |holder: &Holder| match holder.stage {
-            Stage::Arriving | Stage::Queueing if holder.is_stalled(now) => Some(0),
+            Stage::Serving => None,
+            _ if holder.may_be_displaced(now) && holder.is_stalled(now) => Some(0),
             Stage::Idle => Some(1),
             Stage::Arriving | Stage::Queueing => Some(2),
-            Stage::Serving => None,
+            Stage::Answering => None,
         };
         let candidates = self.by_key.iter().filter(|(_, holder)| !holder.is_displaced);
         let ranked =
--- a/crates/coordination/tests/holdings.rs
+++ b/crates/coordination/tests/holdings.rs
@@ -129,3 +129,13 @@
     assert!(!is_displaced(&served).await);
     assert_eq!(account.displaced_count(), 2);
 }
+
+#[tokio::test]
+async fn answer_that_its_caller_does_not_read_gives_up_its_room_once_it_stalls() {
+    let (account, start) = (account(10), Instant::now());
+    let unread = arriving(&account, 6 * 1024 * 1024, start).expect("room");
+    unread.set_stage(Stage::Answering, start).expect("not displaced");
+    assert!(matches!(arriving(&account, 6 * 1024 * 1024, start), Err(HoldingError::MemoryShort)));
+    assert!(arriving(&account, 6 * 1024 * 1024, start + LONG).is_ok());
+    assert!(is_displaced(&unread).await);
+}
--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -1,11 +1,15 @@
 //! Responses to callers.
 
 use std::fmt::Write as _;
+use std::future::poll_fn;
 use std::io;
+use std::pin::pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dandelionfront_coordination::Refusal;
+use dandelionfront_coordination::holdings::Stage;
 use dandelionfront_platform::headers::{self, REQUEST_ID};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, StatusCode, Version};
@@ -165,10 +169,18 @@
 
     /// Waits for space in the write buffer, or until it is empty if `full`.
     async fn flush(&self, full: bool) -> io::Result<()> {
-        let flushing = self.connection.io.flush(full);
-        timeout_at(self.deadline.into(), flushing).await.map_err(|_| {
+        let mut flushing = pin!(self.connection.io.flush(full));
+        if let Poll::Ready(flushed) = poll_fn(|cx| Poll::Ready(flushing.as_mut().poll(cx))).await {
+            return flushed;
+        }
+        let holding = &self.connection.holding;
+        let stage = |stage| holding.set_stage(stage, Instant::now()).map_err(io::Error::other);
+        stage(Stage::Answering)?;
+        let flushed = timeout_at(self.deadline.into(), flushing).await.map_err(|_| {
             io::Error::new(io::ErrorKind::TimedOut, "the caller did not read it in time")
-        })?
+        })?;
+        stage(Stage::Serving)?;
+        flushed
     }
 
     /// Sends a chunk of the body; waits for space in the write buffer when the caller reads slowly.
--- a/crates/daemon/src/front/request/answer_body.rs
+++ b/crates/daemon/src/front/request/answer_body.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dandelionfront_coordination::servers::ServerEntry;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout_at;
 
 use super::answer_head::Framing;
@@ -27,6 +27,12 @@
         Self { incoming, framing, deadline }
     }
 
+    /// Returns the maximum size of what has not been read, in bytes; [`u64::MAX`] if it is unknown.
+    #[must_use]
+    pub fn rest_max_bytes(&self) -> u64 {
+        self.incoming.size_hint().upper().unwrap_or(u64::MAX)
+    }
+
     /// Reads the next chunk; returns `None` at the end of the body.
     ///
     /// # Errors
--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use dandelionfront_coordination::holdings::Holding;
 use dandelionfront_coordination::servers::ServerEntry;
 use http::{Method, Response};
 use http_body_util::BodyExt as _;
@@ -24,6 +25,10 @@
 const BUFFERED_MAX_BYTES: usize = 256 * 1024;
 /// Copies of what was read of an answer: one is made for the caller's connection.
 const BUFFERED_COPIES: u64 = 2;
+/// Size of the parts in which an answer is read; its connection has a buffer of this size.
+const CHUNK_MAX_BYTES: u64 = 64 * 1024;
+/// Delay before room for an answer is asked for again.
+const ROOM_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Maximum time for which a refusal's body is read to make its connection reusable.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of a body that is read and discarded to make its connection reusable.
@@ -65,19 +70,19 @@
     let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
     let mut buffered = BytesMut::new();
     let mut is_head_sent = false;
-    let holding = Rc::clone(&attempts.admitted.holding);
-    let mut held_bytes = 0;
+    let mut room = AnswerRoom::new(&attempts.admitted.holding, attempts.admitted.deadline);
     loop {
+        let rest_bytes = body.rest_max_bytes().min(CHUNK_MAX_BYTES);
+        if !room.reserve(buffered.len() as u64 + rest_bytes).await {
+            return Ok(ForwardOutcome::Incomplete("there was no room for it in time".to_owned()));
+        }
         let data = match body.next_chunk(attempts.node, server).await {
             Ok(Some(data)) => data,
             Ok(None) => break,
             Err(cause) => return Ok(ForwardOutcome::Incomplete(cause)),
         };
         buffered.extend_from_slice(&data);
-        let data_bytes = BUFFERED_COPIES * data.len() as u64;
-        let is_held = holding.grow(data_bytes, Instant::now()).is_ok();
-        held_bytes += if is_held { data_bytes } else { 0 };
-        if buffered.len() > BUFFERED_MAX_BYTES || !is_held {
+        if buffered.len() > BUFFERED_MAX_BYTES || room.is_short() {
             if !is_head_sent {
                 responder
                     .send_head(head.status, &head.headers, ResponseForm::Body, BodyLength::Unknown)
@@ -86,7 +91,7 @@
             }
             let chunk = buffered.split().freeze();
             responder.send_chunk(chunk).await.map_err(Failure::CallerGone)?;
-            holding.release(std::mem::take(&mut held_bytes), Instant::now());
+            room.release();
         }
     }
     let rest = buffered.freeze();
@@ -104,6 +109,50 @@
     Ok(ForwardOutcome::Complete)
 }
 
+/// Room for the part of an answer that is read and not sent to the caller yet.
+struct AnswerRoom {
+    holding: Rc<Holding>,
+    deadline: Instant,
+    /// Memory that is reserved, in bytes.
+    held_bytes: u64,
+    /// Whether the last part had to wait for room.
+    is_short: bool,
+}
+
+impl AnswerRoom {
+    fn new(holding: &Rc<Holding>, deadline: Instant) -> Self {
+        Self { holding: Rc::clone(holding), deadline, held_bytes: 0, is_short: false }
+    }
+
+    /// Reserves room for a part of `part_bytes`; waits for it until the deadline, and returns whether
+    /// there is some.
+    async fn reserve(&mut self, part_bytes: u64) -> bool {
+        let wanted_bytes = BUFFERED_COPIES * part_bytes;
+        self.is_short = false;
+        while wanted_bytes > self.held_bytes {
+            let now = Instant::now();
+            if self.holding.grow(wanted_bytes - self.held_bytes, now).is_ok() {
+                self.held_bytes = wanted_bytes;
+            } else if now < self.deadline {
+                self.is_short = true;
+                tokio::time::sleep(ROOM_RETRY_DELAY).await;
+            } else {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns whether the last part had to wait, so that what is buffered is better sent.
+    fn is_short(&self) -> bool {
+        self.is_short
+    }
+
+    fn release(&mut self) {
+        self.holding.release(std::mem::take(&mut self.held_bytes), Instant::now());
+    }
+}
+
 async fn send_rest(responder: &mut Responder<'_>, rest: Bytes) -> Result<(), Failure> {
     responder.send_chunk(rest).await.map_err(Failure::CallerGone)?;
     responder.finish().await.map_err(Failure::CallerGone)
--- a/crates/daemon/tests/caller_crowds.rs
+++ b/crates/daemon/tests/caller_crowds.rs
@@ -56,6 +56,11 @@
 
 impl CrowdedSite {
     async fn start(limits: ProcessLimits) -> Self {
+        Self::start_with_answer(limits, "done").await
+    }
+
+    /// Starts a site whose service `desk` gives the answer `body`.
+    async fn start_with_answer(limits: ProcessLimits, body: &str) -> Self {
         let mut site = Site::start(0).await;
         let mut patient = config(5);
         patient["limits"] = json!({
@@ -71,7 +76,7 @@
         let stream =
             Step::write([&chunked_stream_head(), &chunk(&events(1, 4)), LAST_CHUNK].concat());
         let talk = vec![Step::Run, Step::Pause(LONG_WORK), stream];
-        let desk = vec![Step::Run, Step::write(answer("200 OK", "server-seal: s\r\n", "done"))];
+        let desk = vec![Step::Run, Step::write(answer("200 OK", "server-seal: s\r\n", body))];
         for (service, script) in [("geo", talk), ("desk", desk)] {
             let any_port = "127.0.0.1:0".parse().expect("valid");
             let spawned = ScriptedServer::spawn(any_port, vec![script]);
@@ -376,6 +381,17 @@
     site.check(4 * CALLERS, &script).await;
 }
 
+/// The callers read nothing of their answers, which are larger together than the process's memory.
+#[ntex::test]
+async fn crowd_of_unread_answers() {
+    let _alone = one_at_a_time();
+    let body = "x".repeat(BODY_MAX_BYTES);
+    let site = CrowdedSite::start_with_answer(little_memory(), &body).await;
+    let begin = crowd_head("/plain/x", ALPHA_KEY, "content-length: 0");
+    let script = CrowdScript { begin, ..CrowdScript::default() };
+    site.check(2 * CALLERS, &script).await;
+}
+
 #[ntex::test]
 async fn crowd_of_stalled_bodies_at_few_descriptors() {
     let _alone = one_at_a_time();
