Refuse settings with which the largest body could never be served

The settings are checked against each other, and the error names both ways out.

From the same reading: a caller that does not read its answer returns to the stage that it had before, and the account no longer counts what only a metric counts.

--- a/crates/coordination/src/holdings.rs
+++ b/crates/coordination/src/holdings.rs
@@ -5,6 +5,7 @@
 //! up theirs: first those that make no progress, then those that hold more. Requests that are being
 //! served keep what they hold, unless their callers have sent much behind them or do not read.
 
+use std::mem;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -71,6 +72,12 @@
         let connections_max = usize::try_from(by_sockets.min(by_memory)).unwrap_or(usize::MAX);
         Self { memory_max_bytes, connections_max: connections_max.max(1) }
     }
+
+    /// Returns the memory that a single request may take, in bytes.
+    #[must_use]
+    pub fn request_max_bytes(&self) -> u64 {
+        (self.memory_max_bytes / 2).saturating_sub(CONNECTION_BYTES)
+    }
 }
 
 /// What a connection is used for.
@@ -141,7 +148,6 @@
     held_bytes: u64,
     /// Connections that were displaced and are not closed yet.
     closing: usize,
-    displaced_count: u64,
 }
 
 impl Holders {
@@ -153,7 +159,6 @@
             holder.is_displaced = true;
             holder.displaced.notify_one();
             self.closing += 1;
-            self.displaced_count += 1;
         }
     }
 
@@ -211,12 +216,6 @@
         self.lock().held_bytes
     }
 
-    /// Returns the number of connections that were made to give up what they held.
-    #[must_use]
-    pub fn displaced_count(&self) -> u64 {
-        self.lock().displaced_count
-    }
-
     /// Adds a new connection; another one is displaced if there are too many.
     ///
     /// # Errors
@@ -324,20 +323,20 @@
         }
     }
 
-    /// Records that the connection is used for something else from now on.
+    /// Records that the connection is used for something else from now on; returns the stage before.
     ///
     /// # Errors
     ///
     /// Fails when the connection was displaced.
-    pub fn set_stage(&self, stage: Stage, now: Instant) -> Result<(), HoldingError> {
+    pub fn set_stage(&self, stage: Stage, now: Instant) -> Result<Stage, HoldingError> {
         match self.account.lock().by_key.get_mut(self.key) {
             Some(holder) if holder.is_displaced => Err(HoldingError::Displaced),
             Some(holder) => {
-                holder.stage = stage;
                 holder.progress_at = now;
-                Ok(())
+                Ok(mem::replace(&mut holder.stage, stage))
             }
-            None => Ok(()),
+            // Never so, because the holder lives as long as the holding.
+            None => Err(HoldingError::Displaced),
         }
     }
 
--- a/crates/coordination/tests/holdings.rs
+++ b/crates/coordination/tests/holdings.rs
@@ -49,6 +49,7 @@
     let (account, now) = (account(10), Instant::now());
     let holding = arriving(&account, 0, now).expect("room");
     let half = MEMORY_MAX_BYTES / 2 - CONNECTION_BYTES;
+    assert_eq!(account.limits().request_max_bytes(), half);
     assert_eq!(holding.hold(half, now), Ok(()));
     assert_eq!(holding.hold(half + 1, now), Err(HoldingError::MemoryShort));
     assert_eq!(holding.request_bytes(), half);
@@ -127,7 +128,6 @@
     assert!(is_displaced(&idle).await);
     assert!(!is_displaced(&moving).await);
     assert!(!is_displaced(&served).await);
-    assert_eq!(account.displaced_count(), 2);
 }
 
 #[tokio::test]
--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -540,7 +540,7 @@
             is_queue_held = true;
             let now = Instant::now();
             let queueing = holding.set_stage(Stage::Queueing, now);
-            if queueing.and_then(|()| holding.grow(QUEUE_UNREAD_BYTES, now)).is_err() {
+            if queueing.and_then(|_| holding.grow(QUEUE_UNREAD_BYTES, now)).is_err() {
                 return Poll::Ready(CallerEnd::Displaced);
             }
         }
--- a/crates/daemon/src/front/connection/responder.rs
+++ b/crates/daemon/src/front/connection/responder.rs
@@ -175,11 +175,11 @@
         }
         let holding = &self.connection.holding;
         let stage = |stage| holding.set_stage(stage, Instant::now()).map_err(io::Error::other);
-        stage(Stage::Answering)?;
+        let before = stage(Stage::Answering)?;
         let flushed = timeout_at(self.deadline.into(), flushing).await.map_err(|_| {
             io::Error::new(io::ErrorKind::TimedOut, "the caller did not read it in time")
         })?;
-        stage(Stage::Serving)?;
+        stage(before)?;
         flushed
     }
 
--- a/crates/daemon/src/request/routes.rs
+++ b/crates/daemon/src/request/routes.rs
@@ -21,7 +21,7 @@
 
 /// Copies of a body while its call is served: as received, as sent to the backend server, in the
 /// journal and for another node.
-const BODY_COPIES: u64 = 4;
+pub const BODY_COPIES: u64 = 4;
 /// Maximum time for discarding the rest of a refused body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Size of a chunk below which the queue between connection and handler takes more memory than what
@@ -136,7 +136,7 @@
     })?;
     let now = Instant::now();
     let held = holding.set_stage(Stage::Serving, now);
-    let held = held.and_then(|()| holding.hold(BODY_COPIES * bytes.len() as u64, now));
+    let held = held.and_then(|_| holding.hold(BODY_COPIES * bytes.len() as u64, now));
     held.map_err(HoldingError::refusal)?;
     Ok(HeldBody { bytes, holding })
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dandelionfront_coordination::detector::DetectorSettings;
+use dandelionfront_coordination::holdings::HoldingLimits;
 use dandelionfront_coordination::journal::JournalSettings;
 use dandelionfront_coordination::limits::LimitSettings;
 use dandelionfront_coordination::owner::OwnerSettings;
@@ -13,6 +14,7 @@
 use snafu::Snafu;
 
 use crate::cli::NodeArgs;
+use crate::request::routes::BODY_COPIES;
 
 /// Bytes per megabyte.
 const BYTES_PER_MB: u64 = 1024 * 1024;
@@ -195,6 +197,11 @@
         let remedy = "set it to at least three times --heartbeat-ms to tolerate a lost heartbeat";
         errors.push(setting_error("suspect-ms", args.suspect_ms, remedy));
     }
+    let limits = HoldingLimits::of_process(args.memory_mb.saturating_mul(BYTES_PER_MB), u64::MAX);
+    if limits.request_max_bytes() < BODY_COPIES * args.body_max_bytes as u64 {
+        let remedy = "set more, or lower --body-max-bytes, so that the largest body can be served";
+        errors.push(setting_error("memory-mb", args.memory_mb, remedy));
+    }
     if !args.platform.starts_with("http://") {
         errors.push(setting_error(
             "platform",
