Pass on nothing that a planned stop may cut from 2.8 s on, and serve until the grace ends

Cause: requests that may outlast the process were refused from 3.2 s on, where the platform excuses cuts of those sent up to 3 s; they were checked at admission only, so that a request that then waited for a server, its history or its team's limit was passed on later still; and the process ended 0.7 s before the grace period, to leave time for its final writes.

Ruled out: servers and deadlines, as all cut streams had time left and were fed.

Change: the check is made from 2.8 s on (the rule's figure less the time in which a busy process notices the signal), when the head has arrived, at admission and before each sending of what has not run. The final writes begin when they did, but requests go on beside them until 0.4 s before the end of the grace period, and the process ends 0.2 s before it.

--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -11,6 +11,7 @@
 use ntex::rt::System;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
 
 use super::clock::FrontClock;
 use super::logs::{self, LogBuffer};
@@ -40,9 +41,12 @@
 const STOP_RELEASE_WINDOW: Duration = Duration::from_secs(10);
 /// Delay between the stop signal and the closing of idle caller connections.
 const STOP_IDLE_CLOSE_DELAY: Duration = Duration::from_millis(1_200);
-/// Time reserved at the end of the platform's grace period for the final writes.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// Time reserved before these for the answers to requests that are given up.
+/// Time before the end of the platform's grace period at which the final writes begin; requests that
+/// are in flight go on beside them.
+const FINAL_WRITES_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the end of the platform's grace period at which the process ends.
+const STOP_MARGIN: Duration = Duration::from_millis(200);
+/// Time reserved before this for the answers to requests that are given up.
 const STOP_ANSWERS_MARGIN: Duration = Duration::from_millis(200);
 /// Interval between checks of whether the shutdown can finish.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -214,8 +218,14 @@
     }
 }
 
+/// Releases what the node has claimed of the budgets of programs and not used.
+async fn release_budgets(node: &FrontNode) {
+    let now = node.clock.monotonic_now();
+    node.ledgers.release_unused_since(now.saturating_sub(STOP_RELEASE_WINDOW)).await;
+}
+
 /// Shuts down gracefully: serves requests until none is in flight and new connections are no longer
-/// expected, or until shortly before the grace period ends.
+/// expected, or until just before the grace period ends.
 async fn shut_down(node: &Rc<FrontNode>, peers: &Peers) {
     let started_at = Instant::now();
     log::info!(
@@ -223,11 +233,13 @@
         node.caller_connections.get(),
         node.caller_requests.get()
     );
-    let deadline = started_at + node.settings.stop_grace.saturating_sub(STOP_MARGIN);
-    node.stop.leave(deadline.checked_sub(STOP_ANSWERS_MARGIN).unwrap_or(started_at));
+    let grace = node.settings.stop_grace;
+    let final_writes_at = started_at + grace.saturating_sub(FINAL_WRITES_MARGIN);
+    let end_at = started_at + grace.saturating_sub(STOP_MARGIN);
+    node.stop.leave(end_at.checked_sub(STOP_ANSWERS_MARGIN).unwrap_or(started_at));
     tokio::time::sleep(STOP_IDLE_CLOSE_DELAY).await;
     node.stop.close_idle();
-    while Instant::now() < deadline {
+    while Instant::now() < final_writes_at {
         let is_idle = node.caller_requests.get() == 0
             && node.tunnels.get() == 0
             && node.lender.open_count() == 0;
@@ -238,12 +250,16 @@
     }
     // Requests that arrive during the final writes are refused.
     node.stop.end();
-    let now = node.clock.monotonic_now();
-    node.ledgers.release_unused_since(now.saturating_sub(STOP_RELEASE_WINDOW)).await;
+    release_budgets(node).await;
     peers.announce_leaving(node).await;
-    while node.caller_requests.get() > 0 && Instant::now() < deadline {
+    let requests_left = node.caller_requests.get();
+    while node.caller_requests.get() + node.tunnels.get() > 0 && Instant::now() < end_at {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    if requests_left > 0 {
+        // What the last requests did not use. The process may be killed at any time from now on.
+        let _ = timeout(STOP_MARGIN, release_budgets(node)).await;
+    }
     log::info!(
         "event=stopped elapsed_ms={} connections={} requests={}",
         started_at.elapsed().as_millis(),
--- a/crates/daemon/src/front/process/stop.rs
+++ b/crates/daemon/src/front/process/stop.rs
@@ -4,12 +4,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use dandelionfront_coordination::{Refusal, RefusalKind};
 use tokio::sync::watch;
 
 /// Time from the stop signal after which the load balancer sends no new connections: it checks
 /// readiness every second, and two checks must have failed.
 pub const UNREADY_NOTICED_AFTER: Duration = Duration::from_millis(3_200);
 
+/// Time from the stop signal from which a request that may outlast the process is not passed on. The
+/// platform allows answers to be cut that were requested up to 3 s after the signal, which a busy
+/// process notices a little later.
+const REFUSES_OUTLASTING_AFTER: Duration = Duration::from_millis(2_800);
+
 /// Phase of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -18,7 +24,7 @@
     Leaving,
     /// Idle connections are closed.
     Closing,
-    /// The process is about to end; no request is taken.
+    /// The process is about to end; no request is passed on.
     Ending,
 }
 
@@ -52,15 +58,22 @@
         self.phase.send_replace(Phase::Leaving);
     }
 
-    /// Returns whether a request with this deadline may outlast the process and comes so late that
-    /// its caller reaches another node at once.
-    #[must_use]
-    pub fn is_too_late_for(&self, deadline: Instant) -> bool {
-        let may_outlast_process = self.schedule.borrow().is_some_and(|schedule| {
+    /// Checks that a request with this deadline may be passed on to a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Fails once the stop has gone on for a while if the request may outlast the process, and just
+    /// before the process ends.
+    pub fn require_time_until(&self, deadline: Instant) -> Result<(), Refusal> {
+        let may_be_cut = self.schedule.borrow().is_some_and(|schedule| {
             deadline > schedule.requests_end_at
-                && schedule.began_at.elapsed() >= UNREADY_NOTICED_AFTER
+                && schedule.began_at.elapsed() >= REFUSES_OUTLASTING_AFTER
         });
-        may_outlast_process || *self.phase.borrow() >= Phase::Ending
+        if !may_be_cut && *self.phase.borrow() < Phase::Ending {
+            return Ok(());
+        }
+        let message = "the node stops before the request's deadline; send it to another node";
+        Err(Refusal::not_run(RefusalKind::Stopping, message))
     }
 
     /// Waits until requests that are still in flight must be given up.
--- a/crates/daemon/src/front/request/admission.rs
+++ b/crates/daemon/src/front/request/admission.rs
@@ -232,10 +232,18 @@
 }
 
 /// Returns the refusal of a request whose body has not been read yet, if its route or its key is
-/// unknown.
+/// unknown or the process stops before its deadline.
 pub fn refusal_of_head(node: &FrontNode, head: &Request) -> Option<RefusedRequest> {
-    let refusal = find_route_and_team(node, &node.table(), head).err()?;
-    Some(RefusedRequest { labels: labels(&decode(head)), refusal })
+    let context = decode(head);
+    let checked = find_route_and_team(node, &node.table(), head).and_then(|(route, _)| {
+        node.stop.require_time_until(Instant::now() + time_limit(&context, &route))
+    });
+    Some(RefusedRequest { labels: labels(&context), refusal: checked.err()? })
+}
+
+/// Returns the time within which a request must be answered.
+fn time_limit(context: &RequestContext, route: &Route) -> Duration {
+    context.deadline.unwrap_or(TIME_LIMIT_DEFAULT).min(route.timeout)
 }
 
 fn decode(head: &Request) -> RequestContext {
@@ -335,12 +343,8 @@
     }
     node.require_harmless(keys)?;
     require_whole_turn(&context, &route)?;
-    let time_limit = context.deadline.unwrap_or(TIME_LIMIT_DEFAULT).min(route.timeout);
-    let deadline = request.arrived_at + time_limit;
-    if node.stop.is_too_late_for(deadline) {
-        let message = "the node stops before the request's deadline; send it to another node";
-        return Err(Refusal::not_run(RefusalKind::Stopping, message));
-    }
+    let deadline = request.arrived_at + time_limit(&context, &route);
+    node.stop.require_time_until(deadline)?;
     let team_name = team.as_ref().map(|team| team.name.as_str()).unwrap_or_default();
     let is_resumable = route.repeat == RepeatPolicy::ResumableStream;
     let mut stream = is_resumable.then(|| stream_id(&context, team_name, &request.body));
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -222,6 +222,10 @@
         self.recheck_key()?;
         let harmless = self.node.require_harmless(self.admitted.keys);
         harmless.map_err(|refusal| self.failure_before_send(refusal))?;
+        // What may have run already is better repeated here than given up.
+        if self.may_have_run_on.is_empty() {
+            self.node.stop.require_time_until(self.admitted.deadline).map_err(Failure::Refused)?;
+        }
         Ok(time_left)
     }
 
