Count servers that end with a request which went through a tunnel

Cause: a node that lost an answer learns that the server has ended from a refused connection to its address. A node that is cut off did not ask, because to it every server looks like one that has ended; and the node that served the tunnel answered 502 for each failed connection, whatever the reason.

Ruled out: the table of crashes and its spreading, as the same request is refused after three crashes at the other nodes.

Change: the node that serves tunnels says so when nothing listens at the server's address, if it reaches another server; the status stays the same for earlier versions. A node that is cut off asks the node through which the attempt went, and another one if that does not answer.

--- a/crates/daemon/src/front/connection/backend_reach.rs
+++ b/crates/daemon/src/front/connection/backend_reach.rs
@@ -1,12 +1,13 @@
 //! Probes of backend servers when this node seems to be cut off from all of them.
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dandelionfront_coordination::reach::BackendReach;
-use futures_util::future::join_all;
+use futures_util::future::{join_all, select_ok};
 use rand::seq::IteratorRandom as _;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -19,6 +20,11 @@
 /// Time between two probes while the servers are out of reach; one server is probed each time.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of servers of which one must accept a connection to show that another one has ended.
+const WITNESSES: usize = 2;
+/// Maximum wait for these connections, which delays the next attempt of a request.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Reachability of the backend servers from this node.
 #[derive(Debug, Default)]
 pub struct BackendReachability {
@@ -61,6 +67,23 @@
     }
 }
 
+/// Returns whether a backend server other than `server` accepts a connection; if not, this node may
+/// have been cut off from all of them.
+pub async fn reaches_another(node: &FrontNode, server: &str) -> bool {
+    let others: Vec<SocketAddr> = {
+        let servers = node.servers.borrow();
+        let others = servers.all_ready().filter(|other| other.id != server);
+        others.map(|other| other.address).choose_multiple(&mut rand::rng(), WITNESSES)
+    };
+    let attempts = others.iter().map(|address| {
+        Box::pin(async {
+            let connecting = tokio::net::TcpStream::connect(*address);
+            timeout(WITNESS_TIMEOUT, connecting).await.map_err(io::Error::from)?
+        })
+    });
+    !others.is_empty() && select_ok(attempts).await.is_ok()
+}
+
 async fn probe_once(node: &FrontNode, count: usize) {
     let servers: Vec<(String, SocketAddr)> = {
         let servers = node.servers.borrow();
--- a/crates/daemon/src/front/connection/ended.rs
+++ b/crates/daemon/src/front/connection/ended.rs
@@ -14,15 +14,15 @@
 /// Maximum wait for the answer to a probe, which delays the request's next attempt.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Returns whether the process of a server that broke off a connection is known to have ended:
-/// nothing listens at its address anymore.
+/// Returns whether the process of a server that broke off a connection, which went through the node
+/// `via` if that is given, is known to have ended: nothing listens at its address anymore.
 ///
 /// A server that has only closed its connection accepts the new one, which is kept for later
 /// requests. A server that does not react within [`PROBE_TIMEOUT`] counts as running.
-pub async fn has_ended(node: &FrontNode, server: &ServerEntry) -> bool {
-    // Through another node, an unreachable server looks like one that has ended.
+pub async fn has_ended(node: &FrontNode, server: &ServerEntry, via: Option<SocketAddr>) -> bool {
+    // To a node that is cut off, a server that runs looks like one that has ended.
     if node.backend_reach.is_lost() {
-        return false;
+        return tunnel::has_ended(node, via, server).await;
     }
     match timeout(PROBE_TIMEOUT, BackendConnection::open(server.address)).await {
         Ok(Ok(connection)) => {
--- a/crates/daemon/src/front/connection/tunnel.rs
+++ b/crates/daemon/src/front/connection/tunnel.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use super::backend::{BackendConnection, connect};
+use super::tunnel_server::{CONNECT_ERROR, SERVER_ENDED};
 use crate::front::process::FrontNode;
 
 /// Number of nodes that are asked for a tunnel.
@@ -31,6 +32,12 @@
 /// Maximum wait for a tunnel; longer than the other node waits for its connection.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Number of nodes that are asked whether a server has ended.
+const WITNESSES_MAX: usize = 3;
+/// Maximum wait for the answer of each of them, which delays the request's next attempt; longer than
+/// they wait for other servers.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Nodes that gave no tunnel, and the times until which they are not asked again.
 #[derive(Debug, Default)]
 pub struct TunnelNeighbours {
@@ -60,6 +67,8 @@
     Open(BackendConnection),
     /// The other node does not reach the server.
     ServerUnreachable,
+    /// The other node finds that the server's process has ended.
+    ServerEnded,
     /// The other node gives no tunnel; holds the cause.
     Refused(String),
 }
@@ -76,7 +85,7 @@
         let opened = timeout(TUNNEL_TIMEOUT, open_at(neighbour, server)).await;
         let cause = match opened {
             Ok(Ok(Tunnel::Open(connection))) => return Ok(connection),
-            Ok(Ok(Tunnel::ServerUnreachable)) => {
+            Ok(Ok(Tunnel::ServerUnreachable | Tunnel::ServerEnded)) => {
                 let cause = format!("unreachable from {neighbour} too");
                 return Err(io::Error::new(io::ErrorKind::HostUnreachable, cause));
             }
@@ -103,12 +112,31 @@
 ) -> io::Result<BackendConnection> {
     match timeout(TUNNEL_TIMEOUT, open_at(via, server)).await?? {
         Tunnel::Open(connection) => Ok(connection),
-        Tunnel::ServerUnreachable => Err(io::ErrorKind::HostUnreachable.into()),
+        Tunnel::ServerUnreachable | Tunnel::ServerEnded => {
+            Err(io::ErrorKind::HostUnreachable.into())
+        }
         // A node that is stopping gives no tunnel, but its refusal shows that it runs.
         Tunnel::Refused(_) => open(node, server).await,
     }
 }
 
+/// Returns whether the process of `server` is known to have ended, from `via`, through which its
+/// connection went, or from another node if that one does not answer.
+pub async fn has_ended(node: &FrontNode, via: Option<SocketAddr>, server: &ServerEntry) -> bool {
+    let mut via = via;
+    for _ in 0..WITNESSES_MAX {
+        let Some(witness) = via.take().or_else(|| node.tunnel_neighbours.choose(node)) else {
+            return false;
+        };
+        match timeout(WITNESS_TIMEOUT, open_at(witness, server)).await {
+            Ok(Ok(Tunnel::ServerEnded)) => return true,
+            Ok(Ok(Tunnel::Open(_) | Tunnel::ServerUnreachable)) => return false,
+            Ok(Ok(Tunnel::Refused(_)) | Err(_)) | Err(_) => {}
+        }
+    }
+    false
+}
+
 async fn open_at(neighbour: SocketAddr, server: &ServerEntry) -> io::Result<Tunnel> {
     let stream = connect(neighbour).await?;
     let (mut sender, connection) =
@@ -127,7 +155,11 @@
             let connection = BackendConnection::through(upgraded, neighbour).await?;
             Ok(Tunnel::Open(connection))
         }
-        StatusCode::BAD_GATEWAY => Ok(Tunnel::ServerUnreachable),
+        StatusCode::BAD_GATEWAY => {
+            let cause = response.headers().get(CONNECT_ERROR);
+            let has_ended = cause.is_some_and(|cause| cause == SERVER_ENDED);
+            Ok(if has_ended { Tunnel::ServerEnded } else { Tunnel::ServerUnreachable })
+        }
         status => Ok(Tunnel::Refused(format!("status {status}"))),
     }
 }
--- a/crates/daemon/src/front/connection/tunnel_server.rs
+++ b/crates/daemon/src/front/connection/tunnel_server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use dandelionfront_platform::headers;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -20,8 +20,15 @@
 use tokio::net::TcpStream;
 
 use super::backend::connect;
+use super::backend_reach;
 use crate::front::process::{ActiveGuard, FrontNode};
 
+/// Header of an answer to a request for a tunnel that says why the server was not reached. Nodes that
+/// do not know it go by the status alone.
+pub const CONNECT_ERROR: HeaderName = HeaderName::from_static("connect-error");
+/// Value of [`CONNECT_ERROR`] if the server's process has ended: nothing listens at its address.
+pub const SERVER_ENDED: &str = "server-ended";
+
 /// Returns whether a connection begins with a request for a tunnel.
 ///
 /// # Errors
@@ -43,7 +50,15 @@
         let node = Rc::clone(&node);
         async move {
             let mut response = Response::new(Empty::<Bytes>::new());
-            *response.status_mut() = open(&node, request).await;
+            *response.status_mut() = match open(&node, request).await {
+                Ok(()) => StatusCode::OK,
+                Err(OpenError::ServerEnded) => {
+                    let value = HeaderValue::from_static(SERVER_ENDED);
+                    response.headers_mut().insert(CONNECT_ERROR, value);
+                    StatusCode::BAD_GATEWAY
+                }
+                Err(OpenError::Status(status)) => status,
+            };
             Ok::<_, Infallible>(response)
         }
     });
@@ -51,24 +66,42 @@
     connection.with_upgrades().await.map_err(io::Error::other)
 }
 
-/// Connects to the backend server that a request names and returns the status of the answer.
-async fn open(node: &Rc<FrontNode>, request: Request<Incoming>) -> StatusCode {
+/// Reason why a tunnel is not opened.
+enum OpenError {
+    /// Nothing listens at the server's address, and this node reaches others.
+    ServerEnded,
+    /// Any other; holds the status of the answer.
+    Status(StatusCode),
+}
+
+/// Connects to the backend server that a request names.
+async fn open(node: &Rc<FrontNode>, request: Request<Incoming>) -> Result<(), OpenError> {
     if request.method() != Method::CONNECT {
-        return StatusCode::METHOD_NOT_ALLOWED;
+        return Err(OpenError::Status(StatusCode::METHOD_NOT_ALLOWED));
     }
     if node.stop.is_stopping() || node.backend_reach.is_lost() {
-        return StatusCode::SERVICE_UNAVAILABLE;
+        return Err(OpenError::Status(StatusCode::SERVICE_UNAVAILABLE));
     }
     let id = request.headers().get(headers::EXPECTED_SERVER).and_then(|id| id.to_str().ok());
-    let Some(id) = id.map(str::to_owned) else { return StatusCode::BAD_REQUEST };
+    let id = id.map(str::to_owned).ok_or(OpenError::Status(StatusCode::BAD_REQUEST))?;
+    let unreachable = || OpenError::Status(StatusCode::BAD_GATEWAY);
     let address = node.servers.borrow().ready_by_id(&id).map(|server| server.address);
-    let Some(address) = address else { return StatusCode::BAD_GATEWAY };
+    let address = address.ok_or_else(unreachable)?;
     let connected = connect(address).await;
     node.backend_reach.record_connect(&id, connected.is_ok(), node.clock.monotonic_now());
-    let Ok(server) = connected else { return StatusCode::BAD_GATEWAY };
+    let server = match connected {
+        Ok(server) => server,
+        Err(error)
+            if error.kind() == io::ErrorKind::ConnectionRefused
+                && backend_reach::reaches_another(node, &id).await =>
+        {
+            return Err(OpenError::ServerEnded);
+        }
+        Err(_) => return Err(unreachable()),
+    };
     // The server may have been withdrawn meanwhile.
     if node.servers.borrow().ready_by_id(&id).is_none() {
-        return StatusCode::BAD_GATEWAY;
+        return Err(unreachable());
     }
     log::info!("event=tunnel_open server={id} address={address}");
     node.metrics.backend_connections.inc();
@@ -79,7 +112,7 @@
             Err(error) => log::info!("event=tunnel_failed server={id} cause=\"{error}\""),
         }
     });
-    StatusCode::OK
+    Ok(())
 }
 
 /// Forwards bytes in both directions until both ends have closed.
--- a/crates/daemon/src/front/request/attempt.rs
+++ b/crates/daemon/src/front/request/attempt.rs
@@ -18,6 +18,7 @@
 use super::announcements;
 use super::in_flight::InFlightGuard;
 use super::outbound;
+use super::outcome::LostRun;
 use crate::front::connection::backend::{BackendConnection, ConnectionNumber, SendOutcome};
 use crate::front::connection::responder::Responder;
 use crate::front::connection::tunnel;
@@ -204,7 +205,8 @@
             }
             SendOutcome::Lost(cause) => {
                 self.mark_may_have_run(&server.id);
-                return self.handle_lost_attempt(responder, &server, &cause, sent_at).await;
+                let run = LostRun { server: &server, via: connection.via, sent_at };
+                return self.handle_lost_attempt(responder, run, &cause).await;
             }
         };
         self.retry_after = announcements::retry_after(&response);
--- a/crates/daemon/src/front/request/outcome.rs
+++ b/crates/daemon/src/front/request/outcome.rs
@@ -1,5 +1,6 @@
 //! What follows from a backend server's answer to an attempt, or from its absence.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use dandelionfront_coordination::crashes::{LostRequest, server_run};
@@ -22,6 +23,17 @@
 /// caller, so that copies of a deadly request end fewer servers before all nodes refuse it.
 const CRASHES_BEFORE_CALLER_RETRIES: u32 = 2;
 
+/// An attempt that may have run and got no complete answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LostRun<'a> {
+    /// Server that may have run it.
+    pub server: &'a ServerEntry,
+    /// Node through which the connection went.
+    pub via: Option<SocketAddr>,
+    /// Time at which the request was sent.
+    pub sent_at: Instant,
+}
+
 impl Attempts<'_> {
     /// Handles an answer of `server`: forwards it, or decides whether another attempt follows.
     pub(super) async fn handle_response(
@@ -59,8 +71,9 @@
             ResponseKind::Invalid(fault) => {
                 self.mark_may_have_run(&server.id);
                 self.log_faulty_answer(responder, server, &connection, head, fault);
+                let run = LostRun { server, via: connection.via, sent_at };
                 drop(connection);
-                self.handle_lost_attempt(responder, server, &fault.to_string(), sent_at).await
+                self.handle_lost_attempt(responder, run, &fault.to_string()).await
             }
             ResponseKind::Valid => {
                 self.mark_may_have_run(&server.id);
@@ -76,8 +89,9 @@
                     ForwardOutcome::Incomplete(cause) => {
                         let fault = AnswerFault::Incomplete;
                         self.log_faulty_answer(responder, server, &connection, head, fault);
+                        let run = LostRun { server, via: connection.via, sent_at };
                         drop(connection);
-                        self.handle_lost_attempt(responder, server, &cause, sent_at).await
+                        self.handle_lost_attempt(responder, run, &cause).await
                     }
                     ForwardOutcome::NoContinuation => {
                         let fault = AnswerFault::NoContinuation;
@@ -112,13 +126,12 @@
     pub(super) async fn handle_lost_attempt(
         &mut self,
         responder: &Responder<'_>,
-        server: &ServerEntry,
+        run: LostRun<'_>,
         cause: &str,
-        sent_at: Instant,
     ) -> AttemptResult {
-        self.record_failure(server, "answer", cause);
-        self.check_ended(server, sent_at).await;
-        self.retry_or_give_up(responder, server, cause)
+        self.record_failure(run.server, "answer", cause);
+        self.check_ended(run).await;
+        self.retry_or_give_up(responder, run.server, cause)
     }
 
     /// Retries a stream, or gives it up, after an answer that does not continue it.
@@ -163,21 +176,23 @@
 
     /// Finds out whether the process of a server that broke off has ended, and if so, reports the
     /// request as lost.
-    async fn check_ended(&mut self, server: &ServerEntry, sent_at: Instant) {
+    async fn check_ended(&mut self, run: LostRun<'_>) {
+        let LostRun { server, via, sent_at } = run;
         let sent_before_ms = u32::try_from(sent_at.elapsed().as_millis()).unwrap_or(u32::MAX);
         let time_left = self.admitted.deadline.saturating_duration_since(Instant::now());
-        if time_left < SEND_TIME_MIN || !ended::has_ended(self.node, server).await {
+        if time_left < SEND_TIME_MIN || !ended::has_ended(self.node, server, via).await {
             return;
         }
         let is_leaving = self.node.servers.borrow().is_leaving(server);
         log::info!(
             "event=server_ended server={} address={} started_unix_ms={} request={} \
-             fingerprint={:016x} sent_before_ms={sent_before_ms} is_leaving={is_leaving}",
+             fingerprint={:016x} sent_before_ms={sent_before_ms} is_leaving={is_leaving} via={}",
             server.id,
             server.address,
             server.started_unix_ms,
             self.admitted.context.id,
             self.admitted.keys.exact,
+            via.map_or("-".to_owned(), |via| via.to_string()),
         );
         self.node.note_server_ended(server);
         self.ended.push(server.id.clone());
--- a/crates/daemon/tests/stranded.rs
+++ b/crates/daemon/tests/stranded.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use dandelionfront_standins::site::scripted::{events, unframed_stream_head};
-use dandelionfront_standins::site::{FaultyAnswer, FaultyServer, Script, ScriptedServer, Step};
+use dandelionfront_standins::site::{
+    CrashingServer, CrashingSettings, FaultyAnswer, FaultyServer, Script, ScriptedServer, Step,
+};
 use serde_json::{Value, json};
 use support::http::eventually;
 use support::process::Build;
@@ -18,6 +20,10 @@
 /// Time for which a server that has sent a part of an answer keeps its connection open; longer than
 /// any request.
 const KEPT_OPEN: Duration = Duration::from_secs(30);
+/// Number of servers that a deadly request could end, and number that it may end: three until it is
+/// known as such, and one for each of three more tries that the users' rule allows.
+const CRASHING_SERVERS: usize = 12;
+const CRASHES_ALLOWED: usize = 6;
 /// Number of the parts of an answer so large that a node passes it on before its end.
 const LARGE_PARTS: usize = 100_000;
 
@@ -82,20 +88,26 @@
     async fn start_scripted(&self, service: &str, scripts: Vec<Script>) -> Arc<ScriptedServer> {
         let any_port = "127.0.0.1:0".parse().expect("valid");
         let (server, address) = ScriptedServer::spawn(any_port, scripts).expect("starts");
-        let addresses: [(&Site, SocketAddr); 2] =
-            [(&self.neighbour, address), (&self.stranded, refusing_address())];
-        for (site, address) in addresses {
-            // Both sites list the servers under the ids of `self.stranded`.
-            let engines = self.stranded.engines.iter().map(|server| ("geo", server));
-            let services = self.stranded.services.iter().map(|server| ("desk", server));
-            for (_, server) in engines.chain(services).filter(|(known, _)| *known == service) {
+        self.replace_servers(service, &[address]).await;
+        server
+    }
+
+    /// Replaces the servers of `service` with those at `addresses`, which only the neighbour reaches.
+    async fn replace_servers(&self, service: &str, addresses: &[SocketAddr]) {
+        let known = if service == "geo" { &self.stranded.engines } else { &self.stranded.services };
+        for site in [&self.neighbour, &self.stranded] {
+            for server in known {
                 site.put_row("servers", &server.id, None).await;
             }
             site.wait_server_count(2).await;
-            site.put_server("scripted", &address.to_string(), service, "ready").await;
-            site.wait_server_count(3).await;
+            for (number, address) in addresses.iter().enumerate() {
+                let is_reached = std::ptr::eq(site, &raw const self.neighbour);
+                let address = if is_reached { *address } else { refusing_address() };
+                let id = format!("scripted-{number}");
+                site.put_server(&id, &address.to_string(), service, "ready").await;
+            }
+            site.wait_server_count(2 + addresses.len()).await;
         }
-        server
     }
 
     /// Replaces the engines of both nodes with one that takes half a second for each event.
@@ -282,3 +294,70 @@
     .await;
     assert!(sent.contains(" via=- "), "{sent}");
 }
+
+/// Guards against a request that crashes server after server without end, because the node that
+/// sends it reaches them through another node only.
+#[ntex::test]
+async fn deadly_request_is_refused_at_a_node_that_is_cut_off() {
+    for (service, path) in [("desk", "/plain/deadly"), ("geo", "/stream/talk/deadly")] {
+        let cut = Cut::start().await;
+        let settings = CrashingSettings {
+            deadly_path: "/deadly".to_owned(),
+            crash_delay: Duration::from_millis(20),
+            answer_delay: Duration::from_millis(20),
+            event_count: EVENTS_PER_STREAM,
+        };
+        let any_port = "127.0.0.1:0".parse().expect("valid");
+        let servers = (0..CRASHING_SERVERS)
+            .map(|_| CrashingServer::spawn(any_port, settings.clone()).expect("starts"));
+        let (servers, addresses): (Vec<_>, Vec<_>) = servers.unzip();
+        cut.replace_servers(service, &addresses).await;
+        for attempt in 0..CRASHING_SERVERS {
+            // A stream may be broken off, after its head or before.
+            let _ = cut.send("POST", path, &format!("d-{attempt}")).await;
+        }
+        let ended = servers.iter().filter(|server| server.has_ended()).count();
+        assert!(ended <= CRASHES_ALLOWED, "{path}: {ended} servers ended");
+        let call = Call { id: "refused", path, ..Call::default() };
+        let reply = cut.stranded.send(0, &call).await.expect("the node answers");
+        assert_eq!((reply.kind(), reply.run()), ("request_quarantined".into(), "not_run".into()));
+    }
+}
+
+/// Guards against crashes that are held against a request whose server only closed its connection, or
+/// went out of reach together with the node between.
+#[ntex::test]
+async fn only_servers_that_have_ended_count_as_crashed_through_another_node() {
+    let cut = Cut::start().await;
+    let (closed, unreachable) = (
+        vec![Step::Run, Step::Close],
+        vec![Step::Run, Step::Pause(Duration::from_millis(500)), Step::StopListening, Step::Reset],
+    );
+    let server = cut.start_scripted("desk", vec![closed, unreachable]).await;
+    assert_eq!(cut.send("POST", "/plain/x", "closed").await.expect("answers").0, 502);
+    let cutting = async {
+        eventually("the server runs it", async || (server.executed().len() == 2).then_some(()))
+            .await;
+        for engine in &cut.stranded.engines {
+            let nowhere = refusing_address().to_string();
+            cut.neighbour.put_server(&engine.id, &nowhere, "geo", "ready").await;
+        }
+        eventually("the neighbour has the new addresses", async || {
+            let lines = cut.neighbour.nodes[0].process.lines();
+            let is_seen = |engine: &SiteRunner| {
+                let seen = format!("event=server_seen server={}", engine.id);
+                lines.iter().filter(|line| line.contains(&seen)).count() == 2
+            };
+            cut.stranded.engines.iter().all(is_seen).then_some(())
+        })
+        .await;
+    };
+    let sending = cut.send("POST", "/plain/x", "unreachable");
+    let (reply, ()) = futures_util::join!(sending, cutting);
+    assert_eq!(reply.expect("answers").0, 502);
+    eventually("the failure is logged", async || {
+        (cut.count_lines("event=refused request=unreachable") == 1).then_some(())
+    })
+    .await;
+    assert_eq!(cut.count_lines("event=server_ended"), 0);
+}
