Take no answer without a length for whole that ends before its request was sent

The part reaches the caller as a whole answer.

Cause: the end of the connection was taken for the end of the answer if the server's process still runs. Nothing looked at the request, which had not been sent.

Ruled out: a plain reset under the upload, which was an incomplete answer before.

Change: bodies of requests are passed to their connection in parts, which shows whether it has taken all of them. An answer that ends with its connection before is incomplete, at both interfaces.

Evidence: in early_answers, a small body, a safe request (got the part, not the answer of another run), a stream (ended after 2 of 4 events) failed before, and the call of the own interface got 200 with the part; whole early answers with a length, and whole ones without a length after the upload, passed before and after.

--- a/crates/daemon/src/backend/engine.rs
+++ b/crates/daemon/src/backend/engine.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt as _;
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response};
-use http_body_util::{BodyDataStream, BodyExt as _, Collected, Full, Limited};
+use http_body_util::{BodyDataStream, BodyExt as _, Collected, Limited};
 use hyper::body::Incoming;
 use ntex::time::timeout;
 
@@ -92,7 +92,7 @@
             .header(PROGRAM_ID_HEADER, &call.program)
             .header(PRIORITY_HEADER, call.priority)
             .header(DEADLINE_HEADER, self.idle_timeout.as_millis().to_string())
-            .body(Full::new(Bytes::from(call.body.clone())))
+            .body(Bytes::from(call.body.clone()))
             .map_err(|_| not_run("cannot be reached"))?;
         match timeout(self.idle_timeout, exchange::send(&self.address, request)).await {
             Ok(Ok(response)) => self.check_status(response).await,
@@ -110,7 +110,7 @@
 
     /// Sends a request without a body; returns the response if it reports success.
     async fn send_empty(&self, method: Method, path: &str) -> Option<Response<Incoming>> {
-        let request = Request::builder().method(method).uri(path).body(Full::default()).ok()?;
+        let request = Request::builder().method(method).uri(path).body(Bytes::new()).ok()?;
         let sent = timeout(self.idle_timeout, exchange::send(&self.address, request)).await;
         sent.ok()?.ok().filter(|response| response.status().is_success())
     }
--- a/crates/daemon/src/backend/service.rs
+++ b/crates/daemon/src/backend/service.rs
@@ -7,7 +7,7 @@
 use dandelionfront_coordination::{Answer, Payload, Refusal, RefusalKind, Usage};
 use http::header::CONTENT_TYPE;
 use http::{Method, Request};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use ntex::time::timeout;
 
 use super::{BackendAnswer, BackendError};
@@ -16,6 +16,7 @@
     BACKEND_ANSWER_MAX_BYTES, DEADLINE_HEADER, FENCING_NUMBER_HEADER, IDEMPOTENCY_KEY_HEADER,
     PROGRAM_ID_HEADER,
 };
+use crate::upload::UploadProgress;
 
 /// A call to a plain service.
 #[derive(Debug, Clone)]
@@ -71,7 +72,7 @@
             .header(PROGRAM_ID_HEADER, &call.program)
             .header(FENCING_NUMBER_HEADER, call.fencing_number)
             .header(DEADLINE_HEADER, self.timeout.as_millis().to_string())
-            .body(Full::new(Bytes::from(call.body.clone())))
+            .body(Bytes::from(call.body.clone()))
             .map_err(|_| service_unreachable())?;
         let response = match exchange::send(&self.address, request).await {
             Ok(response) => response,
@@ -83,11 +84,15 @@
         let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
         let status = response.status().as_u16();
         let is_unframed = exchange::is_unframed(&response);
-        let body = Limited::new(response.into_body(), BACKEND_ANSWER_MAX_BYTES).collect().await;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, BACKEND_ANSWER_MAX_BYTES).collect().await;
         let body = body.map_err(|error| match error.downcast::<LengthLimitError>() {
             Ok(_) => lost("sent an answer that is too long"),
             Err(_) => lost("cut its answer"),
         })?;
+        if is_unframed && !UploadProgress::of(&head.extensions).is_sent() {
+            return Err(lost("ended its answer before it had read the call"));
+        }
         // The kernel closes the connections of a killed process in order.
         if is_unframed && exchange::has_ended(&self.address).await {
             return Err(lost("ended during its answer"));
--- a/crates/daemon/src/connection/exchange.rs
+++ b/crates/daemon/src/connection/exchange.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -17,6 +16,8 @@
 use ntex::time::timeout;
 use tokio::net::TcpStream;
 
+use crate::upload::Upload;
+
 /// Maximum wait for the answer to a probe, which delays an answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -31,7 +32,8 @@
 
 /// Sends `request` to `address` on a new connection and waits for the head of the answer.
 ///
-/// Interim answers are skipped. The body fails unless it ends as its framing says, or, without a
+/// Interim answers are skipped. The extensions of the answer hold the progress of the request. The
+/// body fails unless it ends as its framing says, or, without a
 /// framing, with an orderly end of the connection, which [`has_ended`] tells from the end of the
 /// server. The connection is closed with the body.
 ///
@@ -40,8 +42,9 @@
 /// Fails when the connection cannot be opened or breaks before the head is complete.
 pub async fn send(
     address: &str,
-    mut request: Request<Full<Bytes>>,
+    request: Request<Bytes>,
 ) -> Result<Response<Incoming>, ExchangeError> {
+    let (mut request, progress) = Upload::of(request);
     let host = HeaderValue::from_str(address).map_err(|_| ExchangeError::NotSent)?;
     request.headers_mut().insert(HOST, host);
     request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -52,10 +55,12 @@
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|_| ExchangeError::NotSent)?;
     ntex::rt::spawn(async move { drop(connection.await) });
-    sender.send_request(request).await.map_err(|cause| {
+    let mut response = sender.send_request(request).await.map_err(|cause| {
         debug!("event=answer_lost address={address} cause=\"{cause}\"");
         ExchangeError::Lost
-    })
+    })?;
+    response.extensions_mut().insert(progress);
+    Ok(response)
 }
 
 /// Returns whether the body of `response` has neither a length nor chunks, so that it ends with its
--- a/crates/daemon/src/front/connection/backend.rs
+++ b/crates/daemon/src/front/connection/backend.rs
@@ -13,7 +13,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::upgrade::Upgraded;
@@ -24,6 +23,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::upload::Upload;
+
 /// Time for which sent data may remain unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT_MS: u32 = 2_000;
 /// Maximum idle time of a connection.
@@ -47,7 +48,7 @@
 pub struct BackendConnection {
     /// Number of the connection within this process.
     pub number: ConnectionNumber,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Upload>,
     task: JoinHandle<()>,
     /// Maximum idle time; the connection is not reused after it.
     idle_max: Duration,
@@ -127,8 +128,10 @@
         Ok(Self { number, sender, task, idle_max: IDLE_MAX, is_reused: false, via })
     }
 
-    /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, mut request: Request<Full<Bytes>>) -> SendOutcome {
+    /// Sends a request and waits for the head of the response, whose extensions hold the
+    /// [`UploadProgress`](crate::upload::UploadProgress) of the request.
+    pub async fn send(&mut self, request: Request<Bytes>) -> SendOutcome {
+        let (mut request, progress) = Upload::of(request);
         if let Err(error) = self.sender.ready().await {
             return SendOutcome::NotSent(error.to_string());
         }
@@ -140,7 +143,10 @@
             }
         };
         match sent {
-            Ok(response) => SendOutcome::Answered(response),
+            Ok(mut response) => {
+                response.extensions_mut().insert(progress);
+                SendOutcome::Answered(response)
+            }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let cause = error_with_source(error.error());
@@ -165,7 +171,7 @@
 
 impl InterimResponses {
     /// Counts the interim responses to `request`.
-    fn count(request: &mut Request<Full<Bytes>>) -> Arc<Self> {
+    fn count(request: &mut Request<Upload>) -> Arc<Self> {
         let interim = Arc::new(Self::default());
         let counted = Arc::clone(&interim);
         hyper::ext::on_informational(request, move |_| {
--- a/crates/daemon/src/front/connection/store.rs
+++ b/crates/daemon/src/front/connection/store.rs
@@ -10,7 +10,7 @@
 use dandelionfront_coordination::rows::RowStoreError;
 use dandelionfront_platform::store::{StoreReply, StoreRequest, Transport};
 use http::{Method, Request, header};
-use http_body_util::{BodyDataStream, Full};
+use http_body_util::BodyDataStream;
 use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout;
 
@@ -136,13 +136,13 @@
         self.response_timeout.set(next);
     }
 
-    fn encode(&self, request: &StoreRequest) -> Result<Request<Full<Bytes>>, RowStoreError> {
+    fn encode(&self, request: &StoreRequest) -> Result<Request<Bytes>, RowStoreError> {
         Request::builder()
             .method(request.method.clone())
             .uri(&request.path)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, JSON)
-            .body(Full::new(request.body.clone()))
+            .body(request.body.clone())
             .map_err(|error| RowStoreError::Malformed { detail: error.to_string() })
     }
 }
--- a/crates/daemon/src/front/request/answer_body.rs
+++ b/crates/daemon/src/front/request/answer_body.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dandelionfront_coordination::servers::ServerEntry;
+use http::response::Parts;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use tokio::time::timeout_at;
@@ -11,20 +12,23 @@
 use super::answer_head::Framing;
 use crate::front::connection::ended;
 use crate::front::process::FrontNode;
+use crate::upload::UploadProgress;
 
 /// Body of a backend server's answer.
 #[derive(Debug)]
 pub struct AnswerBody {
     incoming: Incoming,
     framing: Framing,
+    /// Progress of the request.
+    upload: UploadProgress,
     deadline: Instant,
 }
 
 impl AnswerBody {
     /// Creates a reader of a body that must end before `deadline`.
     #[must_use]
-    pub fn new(incoming: Incoming, framing: Framing, deadline: Instant) -> Self {
-        Self { incoming, framing, deadline }
+    pub fn new(head: &Parts, incoming: Incoming, framing: Framing, deadline: Instant) -> Self {
+        Self { incoming, framing, upload: UploadProgress::of(&head.extensions), deadline }
     }
 
     /// Returns the maximum size of what has not been read, in bytes; [`u64::MAX`] if it is unknown.
@@ -63,6 +67,9 @@
     /// end of an unframed answer.
     async fn confirm_end(&self, node: &FrontNode, server: &ServerEntry) -> Result<(), String> {
         let Framing::Unframed { via } = self.framing else { return Ok(()) };
+        if !self.upload.is_sent() {
+            return Err("it ended before its request was sent".to_owned());
+        }
         let runs_on = ended::runs_on(node, server, via);
         if timeout_at(self.deadline.into(), runs_on).await.unwrap_or(false) {
             return Ok(());
--- a/crates/daemon/src/front/request/body.rs
+++ b/crates/daemon/src/front/request/body.rs
@@ -67,7 +67,7 @@
     response: Response<Incoming>,
 ) -> Result<ForwardOutcome, Failure> {
     let (head, incoming) = response.into_parts();
-    let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
+    let mut body = AnswerBody::new(&head, incoming, framing, attempts.admitted.deadline);
     let mut buffered = BytesMut::new();
     let mut is_head_sent = false;
     let mut room = AnswerRoom::new(&attempts.admitted.holding, attempts.admitted.deadline);
--- a/crates/daemon/src/front/request/outbound.rs
+++ b/crates/daemon/src/front/request/outbound.rs
@@ -6,7 +6,6 @@
 use dandelionfront_coordination::servers::ServerEntry;
 use dandelionfront_platform::headers;
 use http::{HeaderValue, Request};
-use http_body_util::Full;
 
 use super::admission::Admitted;
 
@@ -16,11 +15,11 @@
     server: &ServerEntry,
     time_left: Duration,
     resume_after: Option<u64>,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+) -> Result<Request<Bytes>, http::Error> {
     let mut request = Request::builder()
         .method(admitted.method.clone())
         .uri(&admitted.target)
-        .body(Full::new(admitted.body.clone()))?;
+        .body(admitted.body.clone())?;
     let fields = request.headers_mut();
     fields.clone_from(&admitted.headers);
     fields.insert(headers::DEADLINE_MS, headers::millis_value(time_left));
--- a/crates/daemon/src/front/request/stream.rs
+++ b/crates/daemon/src/front/request/stream.rs
@@ -27,7 +27,7 @@
     response: Response<Incoming>,
 ) -> Result<ForwardOutcome, Failure> {
     let (head, incoming) = response.into_parts();
-    let mut body = AnswerBody::new(incoming, framing, attempts.admitted.deadline);
+    let mut body = AnswerBody::new(&head, incoming, framing, attempts.admitted.deadline);
     if !responder.is_head_sent() {
         responder
             .send_head(head.status, &head.headers, ResponseForm::Stream, BodyLength::Unknown)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod transfer;
 #[cfg(feature = "trial")]
 pub mod trial;
+mod upload;
 pub mod version;
 
 pub use settings::Settings;
--- a/crates/standins/src/site/scripted.rs
+++ b/crates/standins/src/site/scripted.rs
@@ -43,6 +43,8 @@
     StopListening,
     /// Lets new connections wait, as when the host cannot be reached: they are not accepted.
     StopAccepting,
+    /// Ends what is written in order; the connection stays open to read.
+    EndWriting,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -199,6 +201,7 @@
                     Step::Pause(duration) => thread::sleep(duration),
                     Step::StopListening => net::shutdown(&listener.socket, net::Shutdown::Both)?,
                     Step::StopAccepting => listener.stop_accepting()?,
+                    Step::EndWriting => connection.shutdown(Shutdown::Write)?,
                     Step::Close => return connection.shutdown(Shutdown::Both),
                     Step::Reset => {
                         thread::sleep(RESET_DELAY);
