Take an answer with a status from 600 on for invalid

Callers saw: a server's answer with the status 600 or 999 is passed on, or recorded as the answer of a call at the own interface.

Cause: the parser accepts any number of three digits from 100 on.

Change: such an answer counts as a faulty one.

Evidence: answer_with_an_invalid_status_is_no_answer failed before with 600 on the route that must run once; the service's cases in backend_exchanges got "600 whole". 000 and 099 are tested with them and passed before.

--- a/crates/daemon/src/backend/service.rs
+++ b/crates/daemon/src/backend/service.rs
@@ -14,7 +14,7 @@
 use crate::connection::exchange::{self, ExchangeError};
 use crate::consts::{
     BACKEND_ANSWER_MAX_BYTES, DEADLINE_HEADER, FENCING_NUMBER_HEADER, IDEMPOTENCY_KEY_HEADER,
-    PROGRAM_ID_HEADER,
+    PROGRAM_ID_HEADER, STATUS_END,
 };
 use crate::upload::UploadProgress;
 
@@ -83,6 +83,9 @@
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
         let status = response.status().as_u16();
+        if status >= STATUS_END {
+            return Err(lost("sent a status that is not one of HTTP"));
+        }
         let is_unframed = exchange::is_unframed(&response);
         let (head, body) = response.into_parts();
         let body = Limited::new(body, BACKEND_ANSWER_MAX_BYTES).collect().await;
--- a/crates/daemon/src/consts.rs
+++ b/crates/daemon/src/consts.rs
@@ -17,6 +17,9 @@
 /// Header with the time that the node waits for the backend server, in milliseconds.
 pub const DEADLINE_HEADER: &str = "deadline-ms";
 
+/// End of the statuses that HTTP defines; its parser accepts larger ones, but none below 100.
+pub const STATUS_END: u16 = 600;
+
 /// Maximum size of the answer of a model engine or a plain service, which is kept until its end.
 pub const BACKEND_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of an answer of the platform or of another node.
--- a/crates/daemon/src/front/request/answer_head.rs
+++ b/crates/daemon/src/front/request/answer_head.rs
@@ -7,6 +7,8 @@
 use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
 
+use crate::consts::STATUS_END;
+
 /// Classification of a response by its head.
 #[derive(Debug)]
 pub enum ResponseKind {
@@ -28,6 +30,8 @@
     NoRequest,
     /// It is an interim response where only a final one is valid.
     Interim,
+    /// Its status is not one of HTTP.
+    InvalidStatus,
     /// Its body is encoded.
     Encoded,
     /// It is a success without a signature.
@@ -48,6 +52,7 @@
             Self::OtherRequest => "other_request",
             Self::NoRequest => "no_request",
             Self::Interim => "interim",
+            Self::InvalidStatus => "invalid_status",
             Self::Encoded => "encoded",
             Self::Unsigned => "unsigned",
             Self::FalsePromise => "false_promise",
@@ -63,6 +68,7 @@
             Self::OtherRequest => "it names another request",
             Self::NoRequest => "it names no request",
             Self::Interim => "it is an interim response",
+            Self::InvalidStatus => "its status is not one of HTTP",
             Self::Encoded => "its body is encoded",
             Self::Unsigned => "it bears no signature",
             Self::FalsePromise => "it promises what the backend server did not",
@@ -179,6 +185,9 @@
     if status.is_informational() {
         return ResponseKind::Invalid(AnswerFault::Interim);
     }
+    if status.as_u16() >= STATUS_END {
+        return ResponseKind::Invalid(AnswerFault::InvalidStatus);
+    }
     if fields.contains_key(header::CONTENT_ENCODING) || has_other_encoding_than_chunked(fields) {
         return ResponseKind::Invalid(AnswerFault::Encoded);
     }
--- a/crates/daemon/tests/answer_matrix.rs
+++ b/crates/daemon/tests/answer_matrix.rs
@@ -33,17 +33,20 @@
     let field = if states_not_run { "not-executed: 1\r\n" } else { "" };
     let head = format!("HTTP/1.1 {status} Failure\r\nrequest-id: {{id}}\r\n{field}");
     let mut script = if states_not_run || status == 421 { vec![] } else { vec![Step::Run] };
-    script.push(Step::Write(match end {
+    script.extend(with_text(&head, end));
+    script
+}
+
+/// Returns the steps that write `head`, whose last fields are missing, and the text of a failure.
+fn with_text(head: &str, end: End) -> Script {
+    let answer = Step::Write(match end {
         End::Length => format!("{head}content-length: {}\r\n\r\n{TEXT}", TEXT.len()),
         End::Chunks => {
             format!("{head}transfer-encoding: chunked\r\n\r\n{}{LAST_CHUNK}", chunk(TEXT))
         }
         End::Connection => format!("{head}connection: close\r\n\r\n{TEXT}"),
-    }));
-    if end == End::Connection {
-        script.push(Step::Close);
-    }
-    script
+    });
+    if end == End::Connection { vec![answer, Step::Close] } else { vec![answer] }
 }
 
 /// Returns an execution that answers with `ok` and keeps or closes the connection.
@@ -193,3 +196,20 @@
         check("geo", ("POST", path), vec![case(304), case(204)]).await;
     }
 }
+
+/// Guards against an answer whose status HTTP does not know, which callers get as an answer.
+#[ntex::test]
+async fn answer_with_an_invalid_status_is_no_answer() {
+    for end in ENDS {
+        for status in ["000", "099", "600", "999"] {
+            let head = format!("HTTP/1.1 {status} Odd\r\nrequest-id: {{id}}\r\nserver-seal: s\r\n");
+            let odd = [vec![Step::Run], with_text(&head, end)].concat();
+            let id = format!("once-{status}");
+            let once = Case { id, scripts: vec![odd.clone()], answer: None };
+            check("desk", ("POST", "/plain/a"), vec![once]).await;
+            let (id, scripts) = (format!("repeated-{status}"), vec![odd, run(true)]);
+            let repeated = Case { id, scripts, answer: Some(whole("ok")) };
+            check("desk", ("GET", "/lookup/a"), vec![repeated]).await;
+        }
+    }
+}
--- a/crates/daemon/tests/backend_exchanges.rs
+++ b/crates/daemon/tests/backend_exchanges.rs
@@ -71,6 +71,10 @@
         "HTTP/1.0 200 OK\r\ncontent-length: 9\r\n\r\nshort",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nshort\r\n",
         "HTTP/1.1 103 Early Hints\r\n\r\n",
+        "HTTP/1.1 000 None\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 099 None\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 600 None\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 999 None\r\ncontent-length: 5\r\n\r\nwhole",
         "no answer",
     ];
     let mut failures = Vec::new();
