Let the stand-in of the store take calls of up to 1 MiB

It refused JSON over 32 KB, so that rows of over 24 KB could not be stored, and the crowd of turns whose writes are repeated met a rejection for good.

--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -100,6 +100,9 @@
 /// Maximum size of a value that a transaction writes, in bytes.
 const ROW_MAX_BYTES: usize = 65_536;
 
+/// Maximum size of a call, in bytes.
+const CALL_MAX_BYTES: usize = 1024 * 1024;
+
 /// Interval between checks for changes while a feed request waits.
 const FEED_POLL_INTERVAL: Millis = Millis(5);
 
@@ -136,6 +139,7 @@
 
 fn routes(config: &mut web::ServiceConfig) {
     config
+        .state(web::types::JsonConfig::default().limit(CALL_MAX_BYTES))
         .service(web::resource("/v1/rows-tx").route(web::post().to(transact)))
         .service(web::resource("/v1/rows-get").route(web::get().to(get_rows)))
         .service(web::resource("/v1/rows-feed").route(web::get().to(feed)))
