Count the earlier turns of a request while they are read

Not reported from a deployment.

Cause: all rows of a history were read at the same time, each held as the answer, its Base64, the row and the record, and the turns were counted only once the prompt was assembled.

A request without room for its history is refused as not run (overloaded).

--- a/crates/coordination/src/history.rs
+++ b/crates/coordination/src/history.rs
@@ -196,6 +196,22 @@
     fn pass_on(&self, turn: &str, record: &TurnRecord);
 }
 
+/// Memory for the earlier turns of a request.
+pub trait HistoryRoom {
+    /// Holds `bytes` more; returns `false` if there is no room for them.
+    fn hold(&self, bytes: usize) -> bool;
+}
+
+/// Room without a limit.
+#[derive(Debug)]
+pub struct AnyRoom;
+
+impl HistoryRoom for AnyRoom {
+    fn hold(&self, _bytes: usize) -> bool {
+        true
+    }
+}
+
 /// Number of turns by the place from which a node read them.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct HistoryReads {
--- a/crates/coordination/src/turns.rs
+++ b/crates/coordination/src/turns.rs
@@ -14,8 +14,9 @@
 use futures_util::future::try_join_all;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use snafu::Snafu;
+use tokio::sync::Semaphore;
 
-use crate::history::{HistoryNode, HistoryReads, Recalled};
+use crate::history::{AnyRoom, HistoryNode, HistoryReads, HistoryRoom, Recalled};
 use crate::ids::{BackendId, TeamId};
 use crate::request::RequestId;
 use crate::rows::{RowStoreError, RowWrite, SharedRowStore, WriteOutcome, part_of};
@@ -31,6 +32,9 @@
 const STORE_RETRY_DELAY_MIN: Duration = Duration::from_millis(50);
 /// Maximum delay between attempts to store a turn.
 const STORE_RETRY_DELAY_MAX: Duration = Duration::from_millis(400);
+/// Memory of a read that is under way, of which there are as many as the cache has room for: the
+/// largest row, its Base64, and the answer that holds it.
+const READ_MAX_BYTES: usize = 256 * 1024;
 /// Time that the last attempt to store a turn leaves for the store's answer.
 const LAST_ATTEMPT_MARGIN: Duration = Duration::from_millis(60);
 
@@ -176,6 +180,9 @@
         /// Request id.
         turn: RequestId,
     },
+    /// There is no room for the earlier turns.
+    #[snafu(display("the node holds too much for other callers; retry shortly"))]
+    NoRoom,
     /// The turn is larger than a row of the store may be.
     #[snafu(display(
         "the turn takes {bytes} bytes in the store, which keeps {max_bytes} at most; send a shorter \
@@ -196,6 +203,7 @@
         match self {
             Self::Store { source } => !matches!(source, RowStoreError::Rejected { .. }),
             Self::Unknown { .. } | Self::IdTaken { .. } | Self::TooLarge { .. } => false,
+            Self::NoRoom => true,
         }
     }
 }
@@ -209,6 +217,8 @@
     /// Maximum size of a row, if it is known.
     row_max_bytes: Option<usize>,
     cache: RefCell<TurnCache>,
+    /// Permits to read rows of the store.
+    reads: Semaphore,
 }
 
 #[derive(Default)]
@@ -242,7 +252,12 @@
     #[must_use]
     pub fn new(store: SharedRowStore, cache_max_bytes: usize) -> Self {
         let cache = TurnCache { max_bytes: cache_max_bytes, ..TurnCache::default() };
-        Self { store, row_max_bytes: None, cache: RefCell::new(cache) }
+        Self {
+            store,
+            row_max_bytes: None,
+            cache: RefCell::new(cache),
+            reads: Semaphore::new((cache_max_bytes / READ_MAX_BYTES).max(1)),
+        }
     }
 
     /// Sets the maximum size of a row of the store.
@@ -273,29 +288,31 @@
     /// Fails when the turn does not exist, belongs to another team, or cannot be read.
     pub async fn chain(&self, team: &str, turn: &str) -> Result<Chain, TurnError> {
         let mut reads = HistoryReads::default();
-        self.chain_from(team, turn, None, &mut reads).await
+        self.chain_from(team, turn, None, &AnyRoom, &mut reads).await
     }
 
     /// Returns the chain of turns that ends with `turn`, oldest first. Turns that are not in this
     /// node's memory are asked of `history_node`, and read from the store if it does not tell them;
-    /// what it does not hold is passed on to it. `reads` counts the turns, also if a later one cannot
-    /// be read.
+    /// what it does not hold is passed on to it. Each turn is held in `room`. `reads` counts the turns,
+    /// also if a later one cannot be read.
     ///
     /// # Errors
     ///
-    /// Fails when the turn does not exist, belongs to another team, or cannot be read.
+    /// Fails when the turn does not exist, belongs to another team, or cannot be read, or when there is
+    /// no room for the turns.
     pub async fn chain_from(
         &self,
         team: &str,
         turn: &str,
         history_node: Option<&dyn HistoryNode>,
+        room: &dyn HistoryRoom,
         reads: &mut HistoryReads,
     ) -> Result<Chain, TurnError> {
         let unknown = || TurnError::Unknown { turn: turn.to_owned() };
-        let last = self.records(team, &[turn.to_owned()], history_node, reads).await?;
+        let last = self.records(team, &[turn.to_owned()], history_node, room, reads).await?;
         let last = last.into_iter().next().filter(|(_, record)| record.team == team);
         let last = last.ok_or_else(unknown)?;
-        let mut chain = self.records(team, &last.1.chain, history_node, reads).await?;
+        let mut chain = self.records(team, &last.1.chain, history_node, room, reads).await?;
         if let Some(missing) =
             last.1.chain.iter().find(|turn| !chain.iter().any(|(id, _)| id == *turn))
         {
@@ -361,11 +378,17 @@
         team: &str,
         wanted: &[RequestId],
         history_node: Option<&dyn HistoryNode>,
+        room: &dyn HistoryRoom,
         reads: &mut HistoryReads,
     ) -> Result<Chain, TurnError> {
+        let hold = |record: &TurnRecord| {
+            let is_held = room.hold(record.input.0.len() + record.output.0.len());
+            if is_held { Ok(()) } else { Err(TurnError::NoRoom) }
+        };
         let own = wanted.iter().filter_map(|turn| Some((turn.clone(), self.cached(turn)?)));
         let mut known: HashMap<RequestId, Rc<TurnRecord>> = own.collect();
         reads.own += known.len();
+        known.values().try_for_each(|record| hold(record))?;
         let missing = |known: &HashMap<_, _>| {
             let missing = wanted.iter().filter(|turn| !known.contains_key(*turn));
             missing.cloned().collect::<Vec<RequestId>>()
@@ -376,11 +399,16 @@
             reads.node += recalled.found.len();
             for (turn, record) in &recalled.found {
                 self.insert_cached(turn, Rc::clone(record));
+                hold(record)?;
             }
             known.extend(recalled.found);
         }
         let rows = missing(&known);
-        let rows = rows.iter().map(async |turn| Ok((turn.clone(), self.read(turn).await?)));
+        let rows = rows.iter().map(async |turn| {
+            let record = self.read(turn).await?;
+            record.as_deref().map_or(Ok(()), hold)?;
+            Ok((turn.clone(), record))
+        });
         for (turn, record) in try_join_all(rows).await? {
             let Some(record) = record else { continue };
             reads.store += 1;
@@ -395,6 +423,8 @@
 
     /// Reads a turn from the store.
     async fn read(&self, turn: &str) -> Result<Option<Rc<TurnRecord>>, TurnError> {
+        // Never closed, so that waiting cannot fail.
+        let _permit = self.reads.acquire().await;
         let part = part_of(turn, TURN_PARTS);
         let row = self.store.get(TURNS_TABLE, &part, turn).await;
         let Some(row) = row.map_err(|source| TurnError::Store { source })? else {
@@ -416,12 +446,17 @@
     TurnError::Store { source: RowStoreError::Malformed { detail: error.to_string() } }
 }
 
+/// Returns the size of the prompt.
+#[must_use]
+pub fn prompt_bytes(chain: &[(RequestId, Rc<TurnRecord>)], input: &[u8]) -> usize {
+    let contents = |turn: &TurnRecord| turn.input.0.len() + turn.output.0.len();
+    chain.iter().map(|(_, turn)| contents(turn)).sum::<usize>() + input.len()
+}
+
 /// Returns the prompt: inputs and outputs of the chain, followed by the new input.
 #[must_use]
 pub fn assemble_prompt(chain: &[(RequestId, Rc<TurnRecord>)], input: &[u8]) -> Vec<u8> {
-    let earlier: usize =
-        chain.iter().map(|(_, turn)| turn.input.0.len() + turn.output.0.len()).sum();
-    let mut prompt = Vec::with_capacity(earlier + input.len());
+    let mut prompt = Vec::with_capacity(prompt_bytes(chain, input));
     for (_, turn) in chain {
         prompt.extend_from_slice(&turn.input.0);
         prompt.extend_from_slice(&turn.output.0);
--- a/crates/coordination/tests/history.rs
+++ b/crates/coordination/tests/history.rs
@@ -5,7 +5,8 @@
 
 use async_trait::async_trait;
 use dandelionfront_coordination::history::{
-    HistoryNode, HistoryReads, Recall, Recalled, SHARED_MAX_BYTES, SharedTurn, answer_query,
+    AnyRoom, HistoryNode, HistoryReads, HistoryRoom, Recall, Recalled, SHARED_MAX_BYTES,
+    SharedTurn, answer_query,
 };
 use dandelionfront_coordination::load::budget_keeper_of;
 use dandelionfront_coordination::turns::{TextBytes, TurnError, TurnRecord, Turns};
@@ -109,8 +110,13 @@
             let history_node = (self.shares && index != keeper).then_some(&network);
             let history_node = history_node.map(|network| network as &dyn HistoryNode);
             if let Some(previous) = chain.last() {
-                let read =
-                    self.nodes[index].chain_from("alpha", previous, history_node, &mut self.reads);
+                let read = self.nodes[index].chain_from(
+                    "alpha",
+                    previous,
+                    history_node,
+                    &AnyRoom,
+                    &mut self.reads,
+                );
                 let read: Vec<String> =
                     read.await.expect("read").into_iter().map(|(id, _)| id).collect();
                 assert_eq!(read, chain, "{program} turn {turn}");
@@ -174,7 +180,10 @@
         HistoryReads { node: 5, ..Default::default() },
     ] {
         let mut reads = HistoryReads::default();
-        node(&rows).chain_from("alpha", "t4", Some(&network), &mut reads).await.expect("read");
+        node(&rows)
+            .chain_from("alpha", "t4", Some(&network), &AnyRoom, &mut reads)
+            .await
+            .expect("read");
         assert_eq!(reads, expected);
     }
 }
@@ -191,9 +200,9 @@
     let network = Network::new(&keeper, 0.0, 1);
     let mut reads = HistoryReads::default();
     let asking = node(&rows);
-    let chain = asking.chain_from("alpha", "t2", Some(&network), &mut reads).await;
+    let chain = asking.chain_from("alpha", "t2", Some(&network), &AnyRoom, &mut reads).await;
     assert_eq!((chain.expect("in memory").len(), reads.node), (2, 2));
-    let error = asking.chain_from("alpha", "t3", Some(&network), &mut reads).await;
+    let error = asking.chain_from("alpha", "t3", Some(&network), &AnyRoom, &mut reads).await;
     assert!(matches!(error, Err(TurnError::Store { .. })), "{error:?}");
 }
 
@@ -216,11 +225,11 @@
     let network = Network::new(&keeper, 0.0, 1);
     let mut reads = HistoryReads::default();
     for (team, turn) in [("beta", "t1"), ("alpha", "t9")] {
-        let error = node(&rows).chain_from(team, turn, Some(&network), &mut reads).await;
+        let error = node(&rows).chain_from(team, turn, Some(&network), &AnyRoom, &mut reads).await;
         assert!(matches!(error, Err(TurnError::Unknown { .. })), "{error:?}");
     }
     node(&rows).store("t9", record(&[], 10)).await.expect("stored");
-    let chain = node(&rows).chain_from("alpha", "t9", Some(&network), &mut reads).await;
+    let chain = node(&rows).chain_from("alpha", "t9", Some(&network), &AnyRoom, &mut reads).await;
     assert_eq!(chain.expect("in the store").len(), 1);
 }
 
@@ -239,7 +248,7 @@
     }
     let mut reads = HistoryReads::default();
     let last = chain.last().expect("turns");
-    let read = node(&rows).chain_from("alpha", last, Some(&network), &mut reads).await;
+    let read = node(&rows).chain_from("alpha", last, Some(&network), &AnyRoom, &mut reads).await;
     assert_eq!(read.expect("read").len(), inputs.len());
     reads
 }
@@ -269,3 +278,38 @@
     let chain = first.chain("alpha", "t1").await.expect("in the store");
     assert_eq!(chain[0].1.input.0.len(), 20);
 }
+
+/// Room for a number of bytes.
+struct Room(Cell<usize>);
+
+impl HistoryRoom for Room {
+    fn hold(&self, bytes: usize) -> bool {
+        let left = self.0.get().checked_sub(bytes);
+        self.0.set(left.unwrap_or_else(|| self.0.get()));
+        left.is_some()
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn turns_are_read_only_as_far_as_there_is_room_for_them() {
+    let rows = MemoryRows::default();
+    let ids = ["t1".to_owned(), "t2".to_owned()];
+    for number in 0..3 {
+        let turn = ["t1", "t2", "t3"][number];
+        node(&rows).store(turn, record(&ids[..number], 1_000)).await.expect("stored");
+    }
+    let mut reads = HistoryReads::default();
+    let contents_bytes = 3 * (1_000 + "out\n".len());
+    let room = Room(Cell::new(contents_bytes));
+    let chain = node(&rows).chain_from("alpha", "t3", None, &room, &mut reads).await;
+    assert_eq!((chain.expect("read").len(), room.0.get()), (3, 0));
+    for is_cached in [false, true] {
+        let turns = node(&rows);
+        if is_cached {
+            turns.chain("alpha", "t3").await.expect("read");
+        }
+        let room = Room(Cell::new(contents_bytes - 1));
+        let chain = turns.chain_from("alpha", "t3", None, &room, &mut reads).await;
+        assert_eq!(chain.expect_err("no room"), TurnError::NoRoom);
+    }
+}
--- a/crates/daemon/src/front/request/turn.rs
+++ b/crates/daemon/src/front/request/turn.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use dandelionfront_coordination::history::{HistoryNode, HistoryReads};
+use dandelionfront_coordination::history::{HistoryNode, HistoryReads, HistoryRoom};
 use dandelionfront_coordination::holdings::{Holding, HoldingError};
 use dandelionfront_coordination::ids::BackendId;
 use dandelionfront_coordination::ledger::ReserveError;
@@ -12,7 +12,8 @@
 use dandelionfront_coordination::request::RequestContext;
 use dandelionfront_coordination::routing::{Route, ServiceSpec};
 use dandelionfront_coordination::turns::{
-    TURN_OUTPUT_MAX_BYTES, TextBytes, TurnError, TurnRecord, assemble_prompt, storing_max_bytes,
+    TURN_OUTPUT_MAX_BYTES, TextBytes, TurnError, TurnRecord, assemble_prompt, prompt_bytes,
+    storing_max_bytes,
 };
 use dandelionfront_coordination::{Refusal, RefusalKind};
 
@@ -98,14 +99,13 @@
     };
     let (mut prompt, mut starts_program) = (body.clone(), false);
     if route.keeps_turns {
-        let operation = read_history(node, context, team, body);
+        let operation = read_history(node, context, team, request);
         let History { pending, prompt: full_prompt, server } =
             with_store_timeout(deadline, operation).await?;
         turn.previous_server = server;
         // All turns of a history share its first turn as the key.
         placement_key = pending.chain.first().unwrap_or(&context.id).clone();
-        let prompt_bytes = if pending.chain.is_empty() { 0 } else { full_prompt.len() };
-        let held_bytes = (storing_max_bytes(body.len()) + prompt_bytes) as u64;
+        let held_bytes = storing_max_bytes(body.len()) as u64;
         let held = request.holding.grow(held_bytes, Instant::now());
         held.map_err(HoldingError::refusal)?;
         prompt = full_prompt;
@@ -164,8 +164,9 @@
     node: &FrontNode,
     context: &RequestContext,
     team: &str,
-    body: &Bytes,
+    request: &CallerRequest,
 ) -> Result<History, Refusal> {
+    let CallerRequest { body, holding, .. } = request;
     let mut pending = PendingRecord {
         team: team.to_owned(),
         program: context.program.as_ref().map(|program| program.id.clone()),
@@ -183,7 +184,8 @@
     let history_node = program.and_then(|program| node.peers.history_node(node, program));
     let mut reads = HistoryReads::default();
     let asked = history_node.as_ref().map(|history_node| history_node as &dyn HistoryNode);
-    let chain = node.turns.chain_from(team, previous, asked, &mut reads).await;
+    let chain =
+        node.turns.chain_from(team, previous, asked, &RequestRoom(holding), &mut reads).await;
     node.metrics.count_history_reads(reads);
     log::info!(
         "event=history_read request={} program={} previous_turn={previous} own={} node={} store={} \
@@ -201,7 +203,21 @@
     pending.chain = chain.iter().map(|(turn, _)| turn.clone()).collect();
     require_storable(node, &pending)?;
     let server = chain.last().and_then(|(_, turn)| turn.server.clone());
-    Ok(History { pending, prompt: assemble_prompt(&chain, body).into(), server })
+    // The turns are given up for the prompt, which is as large beside the new input.
+    let prompt_bytes = prompt_bytes(&chain, body) as u64;
+    holding.grow(prompt_bytes, Instant::now()).map_err(HoldingError::refusal)?;
+    let prompt = assemble_prompt(&chain, body).into();
+    holding.release(prompt_bytes - body.len() as u64, Instant::now());
+    Ok(History { pending, prompt, server })
+}
+
+/// Room of a caller's request.
+struct RequestRoom<'a>(&'a Holding);
+
+impl HistoryRoom for RequestRoom<'_> {
+    fn hold(&self, bytes: usize) -> bool {
+        self.0.grow(bytes as u64, Instant::now()).is_ok()
+    }
 }
 
 /// Refuses a turn that cannot be stored, whose answer would be broken off at its end.
@@ -214,6 +230,7 @@
     let kind = match error {
         TurnError::Unknown { .. } => RefusalKind::TurnUnknown,
         TurnError::TooLarge { .. } => RefusalKind::TurnTooLarge,
+        TurnError::NoRoom => RefusalKind::Overloaded,
         TurnError::Store { .. } | TurnError::IdTaken { .. } => RefusalKind::PlatformUnavailable,
     };
     Refusal::not_run(kind, error.to_string())
--- a/crates/daemon/tests/caller_crowds.rs
+++ b/crates/daemon/tests/caller_crowds.rs
@@ -19,7 +19,7 @@
     request,
 };
 use support::http::eventually;
-use support::site::{ALPHA_KEY, HOST, ProcessLimits, Site, config};
+use support::site::{ALPHA_KEY, Call, HOST, ProcessLimits, Site, config};
 
 /// Memory of the node's process, in MB.
 const MEMORY_MB: u64 = 64;
@@ -42,6 +42,10 @@
 /// Body of a turn that fits a row of the store as plain text, and number of callers that send one.
 const TURN_BYTES: usize = 60_000;
 const MANY_TURNS: usize = 600;
+/// Programs whose earlier turns are larger together than the memory of the process, and the number of
+/// turns of each.
+const HISTORIES: usize = 160;
+const HISTORY_TURNS: usize = 16;
 /// Chunks of a byte that a caller sends, and number of these callers.
 const BYTE_CHUNKS: usize = 256 * 1024;
 const BYTE_CHUNK_CALLERS: usize = 192;
@@ -381,6 +385,36 @@
     check_turns_that_cannot_be_stored(vec![0; BODY_MAX_BYTES], CALLERS).await;
 }
 
+/// Guards against turns whose earlier turns take more memory while they are read than is counted.
+#[ntex::test]
+async fn crowd_of_turns_that_continue_long_histories() {
+    let _alone = one_at_a_time();
+    let site = CrowdedSite::start_with(little_memory(), Duration::ZERO, "done").await;
+    let body = "x".repeat(TURN_BYTES);
+    for history in 0..HISTORIES {
+        let mut previous = String::new();
+        for turn in 0..HISTORY_TURNS {
+            let id = format!("{turn}-of-{history}");
+            let named = [("previous-turn", previous.as_str())];
+            let headers = if turn == 0 { [].as_slice() } else { &named };
+            let call =
+                Call { id: &id, path: "/stream/kept/x", headers, body: &body, ..Call::default() };
+            site.site.send(0, &call).await.expect("the node answers").expect_status(200);
+            previous = id;
+        }
+    }
+    let last = HISTORY_TURNS - 1;
+    let framing = format!("previous-turn: {last}-of-{{number}}\r\ncontent-length: 2000");
+    let script = CrowdScript {
+        begin: crowd_head("/stream/kept/x", ALPHA_KEY, &framing),
+        piece: vec![b'x'; 2_000],
+        repeats: 1,
+        reads: true,
+        ..CrowdScript::default()
+    };
+    site.check(HISTORIES, &script).await;
+}
+
 #[ntex::test]
 async fn crowd_of_heads_without_their_end() {
     let _alone = one_at_a_time();
