Rename the room without a limit and the probes of other servers

Read as a newcomer: AnyRoom did not say that it is unlimited, and witnesses are not a term of the field. No change of behaviour; tests of history and stranded pass.

--- a/crates/coordination/src/history.rs
+++ b/crates/coordination/src/history.rs
@@ -204,9 +204,9 @@
 
 /// Room without a limit.
 #[derive(Debug)]
-pub struct AnyRoom;
+pub struct UnlimitedRoom;
 
-impl HistoryRoom for AnyRoom {
+impl HistoryRoom for UnlimitedRoom {
     fn hold(&self, _bytes: usize) -> bool {
         true
     }
--- a/crates/coordination/src/turns.rs
+++ b/crates/coordination/src/turns.rs
@@ -16,7 +16,7 @@
 use snafu::Snafu;
 use tokio::sync::Semaphore;
 
-use crate::history::{AnyRoom, HistoryNode, HistoryReads, HistoryRoom, Recalled};
+use crate::history::{HistoryNode, HistoryReads, HistoryRoom, Recalled, UnlimitedRoom};
 use crate::ids::{BackendId, TeamId};
 use crate::request::RequestId;
 use crate::rows::{RowStoreError, RowWrite, SharedRowStore, WriteOutcome, part_of};
@@ -288,7 +288,7 @@
     /// Fails when the turn does not exist, belongs to another team, or cannot be read.
     pub async fn chain(&self, team: &str, turn: &str) -> Result<Chain, TurnError> {
         let mut reads = HistoryReads::default();
-        self.chain_from(team, turn, None, &AnyRoom, &mut reads).await
+        self.chain_from(team, turn, None, &UnlimitedRoom, &mut reads).await
     }
 
     /// Returns the chain of turns that ends with `turn`, oldest first. Turns that are not in this
--- a/crates/coordination/tests/history.rs
+++ b/crates/coordination/tests/history.rs
@@ -5,8 +5,8 @@
 
 use async_trait::async_trait;
 use dandelionfront_coordination::history::{
-    AnyRoom, HistoryNode, HistoryReads, HistoryRoom, Recall, Recalled, SHARED_MAX_BYTES,
-    SharedTurn, answer_query,
+    HistoryNode, HistoryReads, HistoryRoom, Recall, Recalled, SHARED_MAX_BYTES, SharedTurn,
+    UnlimitedRoom, answer_query,
 };
 use dandelionfront_coordination::load::budget_keeper_of;
 use dandelionfront_coordination::turns::{TextBytes, TurnError, TurnRecord, Turns};
@@ -114,7 +114,7 @@
                     "alpha",
                     previous,
                     history_node,
-                    &AnyRoom,
+                    &UnlimitedRoom,
                     &mut self.reads,
                 );
                 let read: Vec<String> =
@@ -181,7 +181,7 @@
     ] {
         let mut reads = HistoryReads::default();
         node(&rows)
-            .chain_from("alpha", "t4", Some(&network), &AnyRoom, &mut reads)
+            .chain_from("alpha", "t4", Some(&network), &UnlimitedRoom, &mut reads)
             .await
             .expect("read");
         assert_eq!(reads, expected);
@@ -200,9 +200,9 @@
     let network = Network::new(&keeper, 0.0, 1);
     let mut reads = HistoryReads::default();
     let asking = node(&rows);
-    let chain = asking.chain_from("alpha", "t2", Some(&network), &AnyRoom, &mut reads).await;
+    let chain = asking.chain_from("alpha", "t2", Some(&network), &UnlimitedRoom, &mut reads).await;
     assert_eq!((chain.expect("in memory").len(), reads.node), (2, 2));
-    let error = asking.chain_from("alpha", "t3", Some(&network), &AnyRoom, &mut reads).await;
+    let error = asking.chain_from("alpha", "t3", Some(&network), &UnlimitedRoom, &mut reads).await;
     assert!(matches!(error, Err(TurnError::Store { .. })), "{error:?}");
 }
 
@@ -225,11 +225,13 @@
     let network = Network::new(&keeper, 0.0, 1);
     let mut reads = HistoryReads::default();
     for (team, turn) in [("beta", "t1"), ("alpha", "t9")] {
-        let error = node(&rows).chain_from(team, turn, Some(&network), &AnyRoom, &mut reads).await;
+        let error =
+            node(&rows).chain_from(team, turn, Some(&network), &UnlimitedRoom, &mut reads).await;
         assert!(matches!(error, Err(TurnError::Unknown { .. })), "{error:?}");
     }
     node(&rows).store("t9", record(&[], 10)).await.expect("stored");
-    let chain = node(&rows).chain_from("alpha", "t9", Some(&network), &AnyRoom, &mut reads).await;
+    let chain =
+        node(&rows).chain_from("alpha", "t9", Some(&network), &UnlimitedRoom, &mut reads).await;
     assert_eq!(chain.expect("in the store").len(), 1);
 }
 
@@ -248,7 +250,8 @@
     }
     let mut reads = HistoryReads::default();
     let last = chain.last().expect("turns");
-    let read = node(&rows).chain_from("alpha", last, Some(&network), &AnyRoom, &mut reads).await;
+    let read =
+        node(&rows).chain_from("alpha", last, Some(&network), &UnlimitedRoom, &mut reads).await;
     assert_eq!(read.expect("read").len(), inputs.len());
     reads
 }
--- a/crates/daemon/src/front/connection/backend_reach.rs
+++ b/crates/daemon/src/front/connection/backend_reach.rs
@@ -21,9 +21,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Number of servers of which one must accept a connection to show that another one has ended.
-const WITNESSES: usize = 2;
+const OTHERS_PROBED: usize = 2;
 /// Maximum wait for these connections, which delays the next attempt of a request.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(50);
+const OTHERS_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Reachability of the backend servers from this node.
 #[derive(Debug, Default)]
@@ -73,12 +73,12 @@
     let others: Vec<SocketAddr> = {
         let servers = node.servers.borrow();
         let others = servers.all_ready().filter(|other| other.id != server);
-        others.map(|other| other.address).choose_multiple(&mut rand::rng(), WITNESSES)
+        others.map(|other| other.address).choose_multiple(&mut rand::rng(), OTHERS_PROBED)
     };
     let attempts = others.iter().map(|address| {
         Box::pin(async {
             let connecting = tokio::net::TcpStream::connect(*address);
-            timeout(WITNESS_TIMEOUT, connecting).await.map_err(io::Error::from)?
+            timeout(OTHERS_TIMEOUT, connecting).await.map_err(io::Error::from)?
         })
     });
     !others.is_empty() && select_ok(attempts).await.is_ok()
--- a/crates/daemon/src/front/connection/tunnel.rs
+++ b/crates/daemon/src/front/connection/tunnel.rs
@@ -33,10 +33,10 @@
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Number of nodes that are asked whether a server has ended.
-const WITNESSES_MAX: usize = 3;
+const ASKED_NODES_MAX: usize = 3;
 /// Maximum wait for the answer of each of them, which delays the request's next attempt; longer than
 /// they wait for other servers.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Nodes that gave no tunnel, and the times until which they are not asked again.
 #[derive(Debug, Default)]
@@ -124,11 +124,11 @@
 /// connection went, or from another node if that one does not answer.
 pub async fn has_ended(node: &FrontNode, via: Option<SocketAddr>, server: &ServerEntry) -> bool {
     let mut via = via;
-    for _ in 0..WITNESSES_MAX {
-        let Some(witness) = via.take().or_else(|| node.tunnel_neighbours.choose(node)) else {
+    for _ in 0..ASKED_NODES_MAX {
+        let Some(neighbour) = via.take().or_else(|| node.tunnel_neighbours.choose(node)) else {
             return false;
         };
-        match timeout(WITNESS_TIMEOUT, open_at(witness, server)).await {
+        match timeout(ASK_TIMEOUT, open_at(neighbour, server)).await {
             Ok(Ok(Tunnel::ServerEnded)) => return true,
             Ok(Ok(Tunnel::Open(_) | Tunnel::ServerUnreachable)) => return false,
             Ok(Ok(Tunnel::Refused(_)) | Err(_)) | Err(_) => {}
