--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -384,15 +384,25 @@
         return probe.getsockname()[1]
 
 
+def free_ports(ip, count):
+    """Returns different free ports."""
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind((ip, 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
 class Node:
     """A node's process, on a loopback address of its own."""
 
     def __init__(self, site, number, memory_mb=120):
         self.number = number
         self.ip = "127.%d.%d.%d" % (site.net[0], site.net[1], 10 + number)
-        peer = free_port(self.ip)
-        names = ("front", "ready", "control")
-        ports = {name: free_port(self.ip) for name in names}
+        peer, *others = free_ports(self.ip, 4)
+        ports = dict(zip(("front", "ready", "control"), others))
         text = SETTINGS % dict(
             ports, number=number, ip=self.ip, peer=peer, peer_last=peer, memory=memory_mb,
             store=site.store.address,
