--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,81 +1,117 @@
-"""A tenant's requests come at one moment instead of over some seconds: do all nodes together keep its quota?"""
+"""A request that crashes the runners comes again, and its client leaves each time before the crash: is it refused?"""
 
 import os
+import socket
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 STANDINS = os.path.join(os.path.dirname(HERE), "standins-3")
 sys.path.insert(0, STANDINS)
-import engines3  # noqa: E402
 import site3  # noqa: E402
 
-NODES = 11
+NODES = 3
 RUNNERS = 6
-RATE_PER_S, BURST = 20, 20
-WINDOW_S, OVERRUN, SLACK = 5.0, 0.1, 20
-ALLOWED = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERRUN) + SLACK
-REQUESTS = 220
-# Beside much other load, the nodes take the requests of a volley less closely together.
-VOLLEYS = 3
-REFILL_S = 13.0
+WORK_S = 0.5
+# Time after which the client of the deadly request leaves.
+LEAVES_AFTER_S = 0.3
+BACK_AFTER_S = 2.0
+PERIOD_S = 0.9
+COPIES = 30
 CONTACT_S = 3.0
+RETRIES_MAX = 3
+# For comparison: the client waits for the answer.
+STAYS = os.environ.get("STAYS") == "1"
 
 
-class Plain(engines3.Engine):
-    """A runner of the plain service that works 20 ms on each request, six at a time."""
+class Runner:
+    """Starts a runner, and again some seconds after it has crashed."""
 
-    def __init__(self, site, record, id_, last_ip):
-        self.times = []
-        super().__init__(site, record, id_, last_ip, service="app", slots=6)
+    def __init__(self, site, record, number, runs, crashes):
+        self.site, self.record, self.number = site, record, number
+        self.runs, self.crashes = runs, crashes
+        self.id = "i-%d" % number
+        self.ip = site.ip(4 + number)
+        self.address = "%s:%d" % (self.ip, site3.free_port(self.ip))
+        self.start()
 
-    def handle(self, connection, request):
-        if self.refuses(connection, request):
-            return True
-        self.times.append(time.monotonic())
-        own = self.begin(request)
-        time.sleep(0.02)
-        fields = {"Request-Id": own, "Server-Seal": "%s.%s" % (self.id, own)}
-        connection.sendall(site3.answer("200 OK", fields, b"status"))
-        return True
+    def start(self):
+        script = os.path.join(STANDINS, "crasher3.py")
+        args = [self.address, self.id, "1" if site3.TROUBLE else "0", str(WORK_S)]
+        child = self.site.spawn([sys.executable, script] + args)
+        if child.stdout.readline().strip() != b"listening":
+            raise site3.CannotRun("a runner does not listen")
+        self.site.put_server(self.id, self.address, "app", 6)
+        threading.Thread(target=self.watch, args=(child,), daemon=True).start()
+
+    def watch(self, child):
+        for text in child.stdout:
+            _, own, target = text.decode().split()
+            self.record.line("runner %s: runs %s %s" % (self.id, own, target))
+            if own.startswith("d-"):
+                self.runs.append((time.monotonic(), own))
+        if child.wait() == 1:
+            self.record.line("runner %s: crashed" % self.id)
+            self.crashes.append(time.monotonic())
+            time.sleep(BACK_AFTER_S)
+            self.start()
 
 
 def run(site, record):
-    runners = [Plain(site, record, "i-%d" % number, 4 + number) for number in range(1, RUNNERS + 1)]
-    tenants = [{"name": "alpha", "apiKeys": ["key-alpha"], "ratePerS": RATE_PER_S, "burst": BURST}]
+    runs, crashes = [], []
+    for number in range(1, RUNNERS + 1):
+        Runner(site, record, number, runs, crashes)
     site.publish(
         site3.config(
-            [site3.route("/lookup/", "safe", "app")], [{"name": "app", "maxConnections": 110}], tenants
+            [site3.route("/orders/", "unsafe", "app", maxAttempts=1)],
+            [{"name": "app", "maxConnections": 110}],
+            [site3.tenant("alpha", "key-alpha")],
         )
     )
     site.add_nodes(NODES)
-    time.sleep(CONTACT_S + 1)
-    # The same requests at one moment, or over the length of the window.
-    span_s = 0.0 if site3.TROUBLE else WINDOW_S
-    args = [sys.executable, os.path.join(STANDINS, "volley3.py"), str(REQUESTS), str(span_s)]
-    verdicts = []
-    for volley in range(VOLLEYS):
-        if volley > 0:
-            # Until the tokens of the last one have accrued again.
-            time.sleep(REFILL_S)
-        clients = site.spawn(args + [node.front for node in site.nodes])
-        output = clients.communicate(timeout=30.0)[0].decode()
-        statuses = {}
-        for line in output.splitlines():
-            record.line("client: %s" % line)
-            name, value = line.split(" ")
-            if name != "sent":
-                statuses[value] = statuses.get(value, 0) + 1
-        times = sorted(at for runner in runners for at in runner.times)
-        if not times:
-            raise site3.CannotRun("no request ran")
-        most = max(sum(1 for at in times if begin <= at < begin + WINDOW_S) for begin in times)
-        verdicts.append("%d (answers %s)" % (most, statuses))
-        record.line("most requests that ran within %.0f s so far: %d" % (WINDOW_S, most))
-        if most > ALLOWED:
-            break
-    return most > ALLOWED, "most requests of the tenant that ran within %.0f s: %s; allowed are %.0f" % (
-        WINDOW_S, ", then ".join(verdicts), ALLOWED,
+    time.sleep(CONTACT_S)
+    statuses = {}
+    is_over = threading.Event()
+
+    def sound(client):
+        """A client beside it that stays, and whose requests crash nobody."""
+        number = 0
+        while not is_over.is_set():
+            number += 1
+            own = "s-%d-%d" % (client, number)
+            headers = {"Request-Id": own, "Deadline-Ms": "3000", "Key": "key-alpha"}
+            node = site.nodes[number % NODES]
+            reply = site3.call(node.front, "POST", "/orders/hold/%s" % own, headers, b"sound")
+            record.line("client: %s %s" % (own, reply))
+            time.sleep(PERIOD_S)
+
+    others = [threading.Thread(target=sound, args=(client,), daemon=True) for client in range(2)]
+    for other in others:
+        other.start()
+    for number in range(COPIES):
+        own = "d-%d" % number
+        node = site.nodes[number % NODES]
+        headers = {"Request-Id": own, "Deadline-Ms": "3000", "Key": "key-alpha"}
+        timeout = LEAVES_AFTER_S if site3.TROUBLE and not STAYS else 5.0
+        reply = site3.call(node.front, "POST", "/orders/transfer", headers, b"deadly", timeout=timeout)
+        record.line("client: %s %s" % (own, reply))
+        answer = str(reply.status) if reply.status else "left"
+        statuses[answer] = statuses.get(answer, 0) + 1
+        time.sleep(PERIOD_S)
+    is_over.set()
+    for other in others:
+        other.join()
+    if not site3.TROUBLE:
+        return bool(crashes), "%d requests, %d crashes, answers %s" % (COPIES, len(crashes), statuses)
+    if len(crashes) < 3:
+        raise site3.CannotRun("only %d crashes" % len(crashes))
+    third = sorted(crashes)[2]
+    late = [own for at, own in runs if at > third + CONTACT_S]
+    return len(late) > RETRIES_MAX, (
+        "%d retries reached runners later than contactMs after the third crash, allowed are %d; %d crashes of %d runners "
+        "in %.0f s; answers %s"
+        % (len(late), RETRIES_MAX, len(crashes), RUNNERS, COPIES * (PERIOD_S + LEAVES_AFTER_S), statuses)
     )
 
 
--- a/review/standins-3/crasher3.py
+++ b/review/standins-3/crasher3.py
@@ -1,5 +1,5 @@
-"""A runner of a plain service as a process of its own: `crasher3.py IP:PORT ID CRASHES`. A request with the body
-`deadly` ends it while it runs, if CRASHES is 1. Prints what it runs."""
+"""A runner of a plain service as a process of its own: `crasher3.py IP:PORT ID CRASHES WORK_S`. It works WORK_S
+on each request. One with the body `deadly` ends it then, if CRASHES is 1. Prints what it runs."""
 
 import os
 import sys
@@ -7,7 +7,7 @@
 
 import site3
 
-address, id_, crashes = sys.argv[1], sys.argv[2], sys.argv[3] == "1"
+address, id_, crashes, work_s = sys.argv[1], sys.argv[2], sys.argv[3] == "1", float(sys.argv[4])
 ip, port = address.rsplit(":", 1)
 
 
@@ -18,7 +18,7 @@
         connection.sendall(site3.answer("421 Misdirected Request", fields, b""))
         return True
     print("run %s %s" % (own, request.target), flush=True)
-    time.sleep(0.06)
+    time.sleep(work_s)
     if crashes and request.body == b"deadly":
         os._exit(1)
     fields = {"Request-Id": own, "Server-Seal": "%s.%s" % (id_, own)}
