--- a/review/standins-3/crasher3.py
+++ b/review/standins-3/crasher3.py
@@ -17,7 +17,8 @@
         fields = {"Request-Id": own, "Instance-Id": id_}
         connection.sendall(site3.answer("421 Misdirected Request", fields, b""))
         return True
-    print("run %s %s" % (own, request.target), flush=True)
+    # One write, because requests run side by side.
+    os.write(1, ("run %s %s\n" % (own, request.target)).encode())
     time.sleep(work_s)
     if crashes and request.body == b"deadly":
         os._exit(1)
