--- a/review/standins-3/site3.py
+++ b/review/standins-3/site3.py
@@ -464,6 +464,7 @@
         self.store = Store("127.%d.%d.1" % self.net)
         self.nodes = []
         self.children = []
+        self.is_closed = False
         self.version = 3
         self.sequence = 0
 
@@ -475,8 +476,10 @@
         self.store.put("op", "config", dict(config, version=self.version))
 
     def add_nodes(self, count, memory_mb=120):
-        nodes = [Node(self, len(self.nodes) + number, memory_mb) for number in range(count)]
-        self.nodes += nodes
+        nodes = []
+        for _ in range(count):
+            nodes.append(Node(self, len(self.nodes), memory_mb))
+            self.nodes.append(nodes[-1])
         for node in nodes:
             node.wait_ready()
 
@@ -490,11 +493,14 @@
         self.store.put("servers", id_, entry)
 
     def spawn(self, args):
+        if self.is_closed:
+            raise CannotRun("the case is over")
         child = subprocess.Popen(args, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE)
         self.children.append(child)
         return child
 
     def close(self):
+        self.is_closed = True
         for child in [node.process for node in self.nodes] + self.children:
             if child is not None and child.poll() is None:
                 try:
@@ -566,9 +572,19 @@
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(case_file)
     site = None
-    limit = threading.Timer(110.0, lambda: os._exit(2))
+
+    def give_up(*_):
+        """Ends all processes when the time is over, or when the script is told to stop."""
+        record.line("could not run: stopped")
+        if site is not None:
+            site.close()
+        os._exit(2)
+
+    limit = threading.Timer(110.0, give_up)
     limit.daemon = True
     limit.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, give_up)
     code = 2
     try:
         site = Site()
