--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,7 +18,8 @@
 LEAVES_AFTER_S = 0.3
 BACK_AFTER_S = 2.0
 PERIOD_S = 0.9
-COPIES = 30
+COPIES = 16
+SOUND_PER_S = 34
 CONTACT_S = 3.0
 RETRIES_MAX = 3
 # For comparison: the client waits for the answer.
@@ -74,22 +75,23 @@
     time.sleep(CONTACT_S)
     statuses = {}
     is_over = threading.Event()
+    sound_sent = [0]
 
-    def sound(client):
-        """A client beside it that stays, and whose requests crash nobody."""
-        number = 0
+    def send_sound(number):
+        own = "s-%d" % number
+        headers = {"Request-Id": own, "Deadline-Ms": "3000", "Key": "key-alpha"}
+        reply = site3.call(site.nodes[number % NODES].front, "POST", "/orders/hold/%s" % own, headers, b"sound")
+        record.line("client: %s %s" % (own, reply))
+
+    def sound():
+        """Clients beside it that stay, and whose requests crash nobody."""
         while not is_over.is_set():
-            number += 1
-            own = "s-%d-%d" % (client, number)
-            headers = {"Request-Id": own, "Deadline-Ms": "3000", "Key": "key-alpha"}
-            node = site.nodes[number % NODES]
-            reply = site3.call(node.front, "POST", "/orders/hold/%s" % own, headers, b"sound")
-            record.line("client: %s %s" % (own, reply))
-            time.sleep(PERIOD_S)
+            threading.Thread(target=send_sound, args=(sound_sent[0],), daemon=True).start()
+            sound_sent[0] += 1
+            time.sleep(1.0 / SOUND_PER_S)
 
-    others = [threading.Thread(target=sound, args=(client,), daemon=True) for client in range(2)]
-    for other in others:
-        other.start()
+    threading.Thread(target=sound, daemon=True).start()
+    time.sleep(0.5)
     for number in range(COPIES):
         own = "d-%d" % number
         node = site.nodes[number % NODES]
@@ -101,13 +103,14 @@
         statuses[answer] = statuses.get(answer, 0) + 1
         time.sleep(PERIOD_S)
     is_over.set()
-    for other in others:
-        other.join()
+    time.sleep(1.0)
     if not site3.TROUBLE:
         return bool(crashes), "%d requests, %d crashes, answers %s" % (COPIES, len(crashes), statuses)
     if len(crashes) < 3:
         raise site3.CannotRun("only %d crashes" % len(crashes))
     third = sorted(crashes)[2]
+    if COPIES > 0.03 * (COPIES + sound_sent[0]):
+        raise site3.CannotRun("only %d sound requests" % sound_sent[0])
     late = [own for at, own in runs if at > third + CONTACT_S]
     return len(late) > RETRIES_MAX, (
         "%d retries reached runners later than contactMs after the third crash, allowed are %d; %d crashes of %d runners "
