Hand abandoned requests over when a node stops

What callers saw: a request that is running at a server when its node stops in order is no evidence when the server ends with it afterwards. A rolling stop beside a deadly request lets it crash more servers than it may.

A node that is killed tells nothing, as before.

Test: `deadly_request_counts_although_the_node_that_sent_it_has_stopped`.

--- a/crates/coordination/src/crashes/abandoned.rs
+++ b/crates/coordination/src/crashes/abandoned.rs
@@ -89,6 +89,18 @@
         None
     }
 
+    /// Returns the requests that servers may still run.
+    pub fn iter(&self) -> impl Iterator<Item = AbandonedRequest> {
+        self.by_server.values().flat_map(|at| {
+            at.requests.iter().map(|(request, times)| AbandonedRequest {
+                server: at.server.clone(),
+                request: *request,
+                sent_at: times.sent_at,
+                run_max: times.expires_at.saturating_sub(times.sent_at + NOTICE_MAX),
+            })
+        })
+    }
+
     /// Returns whether a server is known to have ended.
     #[must_use]
     pub fn has_ended(&self, run: ServerRun) -> bool {
--- a/crates/coordination/src/protocol.rs
+++ b/crates/coordination/src/protocol.rs
@@ -35,7 +35,8 @@
     StayingSessions,
     /// The history node of a program keeps its finished turns for other nodes.
     SharedHistory,
-    /// Nodes tell each other which servers have ended, and the abandoned requests at them.
+    /// Nodes tell each other which servers have ended, and the abandoned requests at them; one that
+    /// stops hands its own over.
     AbandonedRequests,
 }
 
--- a/crates/daemon/src/front/connection/peers/crashes.rs
+++ b/crates/daemon/src/front/connection/peers/crashes.rs
@@ -1,6 +1,7 @@
 //! Ends of backend servers and the requests that they lost, told to all nodes.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 };
 use dandelionfront_coordination::protocol::Capability;
 use dandelionfront_coordination::servers::ServerEntry;
+use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize};
 
 use super::{Message, Peers, members};
@@ -22,6 +24,8 @@
 const LOST_PER_MESSAGE: usize = 128;
 /// Age from which the end of a server says nothing of requests that are abandoned now.
 const END_AGE_MAX: Duration = Duration::from_secs(30);
+/// Number of nodes that take over the abandoned requests of one that stops.
+const HEIRS: usize = 2;
 /// Maximum number of servers that are checked at a time for whether they have outlived a request.
 const OUTLIVED_CHECKS_MAX: usize = 4;
 /// Interval between checks of whether a server that refuses connections has ended.
@@ -37,6 +41,17 @@
     age_ms: u32,
 }
 
+/// A request that a backend server may still run when its node stops.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct HandedOverRequest {
+    server: ServerRun,
+    request: RequestKeys,
+    /// Time since it was sent, in milliseconds.
+    sent_ago_ms: u32,
+    /// Longest time for which its route lets it run, in milliseconds.
+    run_max_ms: u32,
+}
+
 /// What is to be told to the other nodes.
 #[derive(Debug, Default)]
 pub(super) struct CrashOutbox {
@@ -165,6 +180,64 @@
         self.collect(node, |outbox| outbox.unobserved.borrow_mut().extend(lost));
     }
 
+    /// Hands the abandoned requests over to some other nodes before the process ends.
+    pub fn hand_over_abandoned(&self, node: &FrontNode) {
+        let now = node.clock.monotonic_now();
+        let requests: Vec<HandedOverRequest> = node
+            .abandoned
+            .borrow()
+            .iter()
+            .map(|abandoned| HandedOverRequest {
+                server: server_run(&abandoned.server),
+                request: abandoned.request,
+                sent_ago_ms: millis_u32(now.saturating_sub(abandoned.sent_at)),
+                run_max_ms: millis_u32(abandoned.run_max),
+            })
+            .collect();
+        if requests.is_empty() {
+            return;
+        }
+        let knowing = members(node)
+            .into_iter()
+            .filter(|member| self.knows(&member.to_string(), Capability::AbandonedRequests));
+        let receivers = knowing.choose_multiple(&mut rand::rng(), HEIRS);
+        log::info!(
+            "event=requests_handed_over count={} receivers={}",
+            requests.len(),
+            receivers.len(),
+        );
+        for receiver in receivers {
+            for requests in requests.chunks(LOST_PER_MESSAGE) {
+                self.send(receiver, &Message::RequestsHandedOver(requests.to_vec()));
+            }
+        }
+    }
+
+    /// Takes over the abandoned requests of a node that stops.
+    pub(super) fn apply_handed_over(
+        &self,
+        node: &Rc<FrontNode>,
+        sender: SocketAddr,
+        requests: &[HandedOverRequest],
+    ) {
+        let servers: HashMap<ServerRun, ServerEntry> = {
+            let servers = node.servers.borrow();
+            servers.all_ready().map(|server| (server_run(server), server.clone())).collect()
+        };
+        let now = node.clock.monotonic_now();
+        let id = format!("of-{sender}");
+        for handed_over in requests {
+            let Some(server) = servers.get(&handed_over.server) else { continue };
+            let abandoned = AbandonedRequest {
+                server: server.clone(),
+                request: handed_over.request,
+                sent_at: now.saturating_sub(Duration::from_millis(handed_over.sent_ago_ms.into())),
+                run_max: Duration::from_millis(handed_over.run_max_ms.into()),
+            };
+            self.note_abandoned(node, &id, abandoned);
+        }
+    }
+
     /// Finds out in the background which suspect requests were outlived by the servers at which they
     /// were abandoned, and discards requests at servers whose end would have been noticed.
     pub fn expire_abandoned(&self, node: &Rc<FrontNode>, now: Duration) {
@@ -317,6 +390,10 @@
     }
 }
 
+fn millis_u32(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/daemon/src/front/connection/peers/mod.rs
+++ b/crates/daemon/src/front/connection/peers/mod.rs
@@ -46,7 +46,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use self::crashes::{CrashOutbox, EndedServer};
+use self::crashes::{CrashOutbox, EndedServer, HandedOverRequest};
 pub use self::history::HistoryPeer;
 use self::history::HistoryQueries;
 use self::loads::AskedLoads;
@@ -208,6 +208,9 @@
     ServersEnded(Vec<EndedServer>),
     /// Requests that nobody waited for anymore when their backend servers ended.
     AbandonedRequestsLost(Vec<LostRequest>),
+    /// Requests that backend servers may still run, though their node, which stops, no longer waits
+    /// for their answers.
+    RequestsHandedOver(Vec<HandedOverRequest>),
 }
 
 /// The node's socket for messages to and from the other nodes.
@@ -351,6 +354,9 @@
                 }
                 Ok(Message::RequestsLost(lost)) => self.apply_lost(node, sender, &lost),
                 Ok(Message::ServersEnded(ended)) => self.apply_ended(node, sender, &ended),
+                Ok(Message::RequestsHandedOver(requests)) => {
+                    self.apply_handed_over(node, sender, &requests);
+                }
                 Ok(Message::AbandonedRequestsLost(lost)) => {
                     self.apply_unobserved(node, sender, &lost);
                 }
--- a/crates/daemon/src/front/process/lifecycle.rs
+++ b/crates/daemon/src/front/process/lifecycle.rs
@@ -261,6 +261,7 @@
         // What the last requests did not use. The process may be killed at any time from now on.
         let _ = timeout(STOP_MARGIN, release_budgets(node)).await;
     }
+    peers.hand_over_abandoned(node);
     log::info!(
         "event=stopped elapsed_ms={} connections={} requests={}",
         started_at.elapsed().as_millis(),
--- a/crates/daemon/tests/abandoned_deadly_requests.rs
+++ b/crates/daemon/tests/abandoned_deadly_requests.rs
@@ -27,6 +27,8 @@
 /// Time after the third crash from which further runs of a deadly request count, and how many may.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const LATE_RUNS_MAX: usize = 3;
+/// Time after which a deadly request has not ended its server during a test.
+const ENDS_LATER: Duration = Duration::from_secs(60);
 /// Interval between checks of what has happened to a request.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Delay of a caller who leaves the node time to notice it.
@@ -240,6 +242,40 @@
     assert!(is_refused, "{} servers ended, {ENDED_MAX} may", ENDED_MAX + 1);
 }
 
+/// Guards against what a node knows of a request and takes with it when it stops.
+#[ntex::test]
+async fn deadly_request_counts_although_the_node_that_sent_it_has_stopped() {
+    let path = "/plain/deadly";
+    let mut deadly = DeadlySite::start_with(path, crashing_after(ENDS_LATER)).await;
+    let caller = Caller::send(&deadly.site, 0, "left", path, 4_000);
+    let received = async || {
+        let mut servers = deadly.servers.iter();
+        servers.find(|server| server.deadly_received() == 1).cloned()
+    };
+    let server = eventually("a server has it", received).await;
+    drop(caller);
+    deadly.site.nodes[0].process.signal("TERM");
+    eventually("the node has stopped", async || {
+        let lines = deadly.site.nodes[0].process.lines();
+        lines.iter().any(|line| line.contains("event=stopped")).then_some(())
+    })
+    .await;
+    deadly.site.nodes.remove(0);
+    server.end();
+    let sound_sent = Cell::new(0_usize);
+    eventually("another node counts it", async || {
+        for node in 0..deadly.site.nodes.len() {
+            let id = format!("sound-{}", sound_sent.replace(sound_sent.get() + 1));
+            let path = format!("/lookup/{id}");
+            deadly.send(node, &Call { id: &id, path: &path, ..Call::default() }).await;
+        }
+        let is_counted = |line: &String| line.contains("event=abandoned_request_lost");
+        let counts = |node: &SiteNode| node.process.lines().iter().any(is_counted);
+        deadly.site.nodes.iter().any(counts).then_some(())
+    })
+    .await;
+}
+
 /// Guards against a popular call that is refused because copies whose callers leave are open at each
 /// server that ends for another reason.
 #[ntex::test]
