Close streams of suspects soon after their callers have left

What callers would have seen: a server that goes on with a stream for as long as its route allows after its caller has left, and a turn that goes on at another server beside it.

Cause: suspects were observed by whether they may be repeated, and a stream that runs at most once may not.

Change: all streams, and all lookups but one a node, are observed for 300 ms. The check whether a server has outlived a request is made once a second for each, not with each run of housekeeping.

Test: `suspects_are_observed_for_as_long_as_others_may_not_run_them`.

--- a/crates/coordination/src/crashes/abandoned.rs
+++ b/crates/coordination/src/crashes/abandoned.rs
@@ -139,18 +139,18 @@
     }
 
     /// Returns the wanted requests that have been outlived by their servers if these still run, at
-    /// most `count`.
-    #[must_use]
-    pub fn outlived(
-        &self,
+    /// most `count`; each of them at most once in [`OUTLIVED_AFTER`].
+    pub fn take_outlived(
+        &mut self,
         count: usize,
         now: Duration,
         is_wanted: impl Fn(RequestKeys) -> bool,
     ) -> Vec<(ServerEntry, RequestKeys)> {
         let mut outlived = Vec::new();
-        for AbandonedAt { server, requests } in self.by_server.values() {
+        for AbandonedAt { server, requests } in self.by_server.values_mut() {
             for (request, times) in requests {
                 if outlived.len() < count && now >= times.outlived_from && is_wanted(*request) {
+                    times.outlived_from = now + OUTLIVED_AFTER;
                     outlived.push((server.clone(), *request));
                 }
             }
--- a/crates/coordination/tests/abandoned_requests.rs
+++ b/crates/coordination/tests/abandoned_requests.rs
@@ -103,10 +103,12 @@
     requests.insert(abandoned("a", "/x", 1_000), at(1_300));
     // Later copies neither hide that the first was outlived nor count apart.
     requests.insert(abandoned("a", "/x", 4_000), at(4_300));
-    let outlived = |now| requests.outlived(9, now, |request| request == keys("/x"));
+    let mut outlived = |now| requests.take_outlived(9, now, |request| request == keys("/x"));
     assert_eq!(outlived(at(4_999)), []);
     assert_eq!(outlived(at(5_000)), [(server("a", 1), keys("/x"))]);
-    assert_eq!(requests.outlived(9, at(5_000), |_| false), []);
+    assert_eq!(outlived(at(5_999)), [], "its server is being asked");
+    assert_eq!(outlived(at(6_000)).len(), 1);
+    assert_eq!(requests.take_outlived(9, at(9_000), |_| false), []);
     assert_eq!(requests.len(), 1);
     assert_eq!(requests.expire(at(16_999)), 0);
     assert_eq!(requests.expire(at(17_000)), 1);
--- a/crates/daemon/src/front/connection/peers/crashes.rs
+++ b/crates/daemon/src/front/connection/peers/crashes.rs
@@ -250,7 +250,8 @@
             return;
         }
         let is_suspect = |request| node.crashes.borrow().is_suspect(request);
-        let outlived = node.abandoned.borrow().outlived(OUTLIVED_CHECKS_MAX, now, is_suspect);
+        let outlived =
+            node.abandoned.borrow_mut().take_outlived(OUTLIVED_CHECKS_MAX, now, is_suspect);
         for (server, request) in outlived {
             let node = Rc::clone(node);
             tokio::task::spawn_local(async move { check_outlived(&node, &server, request).await });
--- a/crates/daemon/src/front/request/exchange.rs
+++ b/crates/daemon/src/front/request/exchange.rs
@@ -31,11 +31,11 @@
 use crate::front::process::FrontNode;
 use crate::upload::UploadProgress;
 
-/// Time for which a request that may be repeated is observed after its handling has ended. Its
-/// caller may send it again, and most servers drop it once its connection closes.
-const OBSERVED_REPEATABLE_MAX: Duration = Duration::from_millis(300);
-/// Maximum number of requests that may be repeated, other than streams, that are observed to their
-/// ends all the same. One that completes clears all its copies.
+/// Time for which a stream, or a request that may be repeated, is observed after its handling has
+/// ended. Its caller may send it again, and most servers drop it once its connection closes.
+const OBSERVED_BRIEFLY_MAX: Duration = Duration::from_millis(300);
+/// Maximum number of requests that may be repeated, other than streams, that are observed for as long
+/// as they may run all the same. One that completes clears all its copies.
 const OBSERVED_WHOLE_MAX: usize = 1;
 /// Maximum number of requests that are observed after their handling has ended.
 const OBSERVED_MAX: usize = 16;
@@ -221,27 +221,33 @@
 
     /// Observes the outcome without the handling of the request, for a limited time.
     async fn observe(mut self) {
-        let repeat = self.sent.repeat;
-        // A stream may be resumed at another server, beside which this one must not go on.
-        let may_be_whole = repeat.may_repeat()
-            && !repeat.is_stream()
-            && self.node.observed_whole.get() < OBSERVED_WHOLE_MAX;
-        let whole = may_be_whole.then(|| self.node.observed_whole.track());
-        let is_whole = !repeat.may_repeat() || whole.is_some();
-        let until =
-            Instant::now() + if is_whole { self.sent.run_max } else { OBSERVED_REPEATABLE_MAX };
+        let mut whole = None;
+        let time_max = match self.sent.repeat {
+            RepeatPolicy::AtMostOnce => self.sent.run_max,
+            RepeatPolicy::Idempotent if self.node.observed_whole.get() < OBSERVED_WHOLE_MAX => {
+                whole = Some(self.node.observed_whole.track());
+                self.sent.run_max
+            }
+            // A stream may go on at another server, beside which this one must not.
+            RepeatPolicy::Idempotent | RepeatPolicy::Stream | RepeatPolicy::ResumableStream => {
+                OBSERVED_BRIEFLY_MAX
+            }
+        };
+        let until = Instant::now() + time_max;
         let _active = self.node.observed.track();
         self.node.metrics.abandoned.observed.inc();
         // What is open after this time is abandoned when `self` is dropped.
         let is_over = timeout_at(until.into(), self.follow(until)).await.is_ok();
         log::info!(
             "event=abandoned_request_observed request={} server={} fingerprint={:016x} \
-             is_over={is_over} outcome={:?}",
+             time_max_ms={} is_over={is_over} outcome={:?}",
             self.sent.id,
             self.sent.server.id,
             self.sent.keys.exact,
+            time_max.as_millis(),
             self.outcome,
         );
+        drop(whole);
     }
 
     /// Follows the request to the end of its answer.
--- a/crates/daemon/tests/abandoned_deadly_requests.rs
+++ b/crates/daemon/tests/abandoned_deadly_requests.rs
@@ -242,6 +242,43 @@
     assert!(is_refused, "{} servers ended, {ENDED_MAX} may", ENDED_MAX + 1);
 }
 
+/// Guards against servers that are kept at work for callers who left, when suspects are observed.
+#[ntex::test]
+async fn suspects_are_observed_for_as_long_as_others_may_not_run_them() {
+    // A node observes one lookup for as long as its route lets it run; here, the first copy, which
+    // was sent to another server after its crash.
+    for (path, time_max_ms) in PATHS.into_iter().zip([4_000, 300, 300, 300]) {
+        let deadly = DeadlySite::start_with(path, crashing_after(ENDS_LATER)).await;
+        // The first copy makes it suspect.
+        let first = Caller::send(&deadly.site, 0, "first", path, 4_000);
+        let server = eventually("a server has it", async || {
+            deadly.servers.iter().find(|server| server.deadly_received() == 1).cloned()
+        })
+        .await;
+        server.end();
+        eventually("the node has noticed", async || {
+            let lines = deadly.site.nodes[0].process.lines();
+            lines.iter().any(|line| line.contains("event=server_ended")).then_some(())
+        })
+        .await;
+        drop(first);
+        let second = Caller::send(&deadly.site, 0, "second", path, 4_000);
+        eventually("it is sent", async || {
+            let lines = deadly.site.nodes[0].process.lines();
+            lines.iter().any(|line| line.contains("event=sent request=second ")).then_some(())
+        })
+        .await;
+        drop(second);
+        let line = eventually("it has been observed", async || {
+            let lines = deadly.site.nodes[0].process.lines();
+            let words = "event=abandoned_request_observed request=second ";
+            lines.into_iter().find(|line| line.contains(words))
+        })
+        .await;
+        assert!(line.contains(&format!(" time_max_ms={time_max_ms} is_over=false ")), "{line}");
+    }
+}
+
 /// Guards against what a node knows of a request and takes with it when it stops.
 #[ntex::test]
 async fn deadly_request_counts_although_the_node_that_sent_it_has_stopped() {
