--- a/crates/daemon/tests/staying.rs
+++ b/crates/daemon/tests/staying.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use dandelionfront_coordination::protocol::PROTOCOL;
 use support::http::eventually;
 use support::process::Build;
 use support::site::{Call, Site, SiteRunner};
@@ -61,7 +62,7 @@
 #[ntex::test]
 async fn sessions_stay_where_another_node_has_sent_them() {
     let mut site = Site::start(2).await;
-    wait_for_protocol(&site, 3).await;
+    wait_for_protocol(&site, PROTOCOL).await;
     let first = send_turns(&site, 0, 0, &site.engines[0]).await;
     assert!((1..SESSIONS).contains(&first), "{first} of {SESSIONS} at the first engine");
     set_state(&site, &[0, 1], &site.engines[0], "draining").await;
@@ -70,7 +71,7 @@
     assert_eq!(send_turns(&site, 0, 2, &site.engines[1]).await, SESSIONS, "another node");
     site.add_node();
     site.wait_ready().await;
-    wait_for_protocol(&site, 3).await;
+    wait_for_protocol(&site, PROTOCOL).await;
     assert_eq!(send_turns(&site, 2, 3, &site.engines[1]).await, SESSIONS, "a new node");
 }
 
