Keep requests on the heap, not in each connection's task

What callers would have seen: a node near the limit of its memory is killed by a crowd of connections.

Change: the handling of a request is allocated when a request is there.

--- a/crates/daemon/src/front/connection/caller.rs
+++ b/crates/daemon/src/front/connection/caller.rs
@@ -499,9 +499,11 @@
     if is_closing(node) {
         responder.close_after_response();
     }
+    // On the heap, so that a connection without a request takes no memory for one.
+    let serving = Box::pin(request::serve(node, &request, &mut responder));
     let is_answered = tokio::select! {
         biased;
-        result = request::serve(node, &request, &mut responder) => result.is_ok(),
+        result = serving => result.is_ok(),
         end = watch_caller(connection) => {
             match end {
                 CallerEnd::Gone => node.metrics.abandoned.callers_gone.inc(),
